--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,11 @@
+/** Shared building blocks of all processes. */
+export * from "./bundle.js";
+export * from "./bundleDocument.js";
+export * from "./digest.js";
+export * from "./history.js";
+export * from "./iniFile.js";
+export * from "./log.js";
+export * from "./metrics.js";
+export * from "./programId.js";
+export * from "./progress.js";
+export * from "./verdict.js";
--- /dev/null
+++ b/packages/common/src/progress.ts
@@ -0,0 +1,99 @@
+/** The deadline and abort signal that every wait of a request receives. */
+import { ProblemError } from "./verdict.js";
+
+const maxTimerMs = 2_147_483_647;
+
+/**
+ * Deadline and cancellation of one piece of work.
+ *
+ * @example
+ * const progress = new Progress(Date.now() + 5_000);
+ * await progress.sleep(100);
+ */
+export class Progress {
+    readonly deadline: number;
+    readonly signal: AbortSignal;
+    private readonly controller = new AbortController();
+    private readonly timer: NodeJS.Timeout;
+    private readonly parent: AbortSignal | undefined;
+    private readonly onParentAbort = (): void => this.abort(this.parent?.reason);
+
+    /**
+     * @param deadline Time in epoch milliseconds after which waits fail.
+     * @param parent Signal that aborts this work as well.
+     */
+    constructor(deadline: number, parent?: AbortSignal) {
+        this.deadline = deadline;
+        this.signal = this.controller.signal;
+        this.parent = parent;
+        const left = Math.min(Math.max(0, deadline - Date.now()), maxTimerMs);
+        this.timer = setTimeout(() => this.abort(deadlineError()), left);
+        this.timer.unref();
+        if (parent?.aborted) {
+            this.abort(parent.reason);
+        }
+        else {
+            parent?.addEventListener("abort", this.onParentAbort, { once: true });
+        }
+    }
+
+    /** Milliseconds left until the deadline, at least 0. */
+    get leftMs(): number {
+        return Math.max(0, this.deadline - Date.now());
+    }
+
+    /** Ends all waits with the given reason. */
+    abort(reason: unknown): void {
+        this.controller.abort(reason);
+        this.dispose();
+    }
+
+    /** Releases the timer; call it once the work has ended. */
+    dispose(): void {
+        clearTimeout(this.timer);
+        this.parent?.removeEventListener("abort", this.onParentAbort);
+    }
+
+    /** Fails if the work was aborted or its deadline has passed. */
+    check(): void {
+        this.signal.throwIfAborted();
+    }
+
+    /** Creates a progress that ends with this one, or earlier. */
+    child(timeoutMs: number): Progress {
+        return new Progress(Math.min(this.deadline, Date.now() + timeoutMs), this.signal);
+    }
+
+    /** Waits for a promise, but no longer than this progress allows. */
+    async race<T>(promise: Promise<T>): Promise<T> {
+        this.check();
+        let onAbort: (() => void) | undefined;
+        const aborted = new Promise<never>((_, reject) => {
+            onAbort = () => reject(this.signal.reason);
+            this.signal.addEventListener("abort", onAbort, { once: true });
+        });
+        try {
+            return await Promise.race([promise, aborted]);
+        }
+        finally {
+            this.signal.removeEventListener("abort", onAbort!);
+        }
+    }
+
+    /** Waits for a time in milliseconds. */
+    async sleep(ms: number): Promise<void> {
+        let timer: NodeJS.Timeout | undefined;
+        try {
+            await this.race(new Promise<void>(resolve => timer = setTimeout(resolve, ms)));
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+}
+
+const deadlineError = (): ProblemError =>
+    new ProblemError("deadline_exceeded", "notRun", "The deadline passed before the request was sent on.");
+
+/** Waits for a time in milliseconds, outside of any request. */
+export const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms).unref());
--- /dev/null
+++ b/packages/daemon/src/controllers/programs.ts
@@ -0,0 +1,182 @@
+/** The programs of the slots that this instance owns. */
+import {
+    type Bundle,
+    decodeProgramId,
+    encodeProgramId,
+    type Logger,
+    newNonce,
+    ProblemError,
+    type ProgramClaims,
+} from "@marigolddrift/common";
+import type { SlotRecord } from "@marigolddrift/ledger";
+
+import type { OpenRequest } from "../calls.js";
+import { type EndReason, ProgramState } from "../programs/programState.js";
+import type { OwnedSlot } from "./ownedSlot.js";
+
+/** Bytes of messages that are held for all programs together. */
+const maxHistoryBytes = 64 * 1024 * 1024;
+
+/** Name of a program in the ledger: the random part of its id. */
+export const ledgerName = (claims: ProgramClaims): string => claims.nonce;
+
+/** What the programs need from the rest of the daemon. */
+export interface ProgramsOptions {
+    bundle(): Bundle;
+    /** Keys with which ids are signed; the first one signs. */
+    readonly idKeys: readonly string[];
+    /** A program ended: its engine memory must be released. */
+    onEnded(program: ProgramState): void;
+}
+
+/** Programs by id. */
+export class Programs {
+    private readonly programs = new Map<string, ProgramState>();
+
+    constructor(private readonly options: ProgramsOptions, private readonly log: Logger) {}
+
+    get size(): number {
+        return this.programs.size;
+    }
+
+    all(): ProgramState[] {
+        return [...this.programs.values()];
+    }
+
+    /**
+     * Decodes the id that a caller sent.
+     *
+     * @throws ProblemError `unknown_program` or `forbidden`.
+     */
+    claimsOf(id: string, workspace: string): ProgramClaims {
+        const claims = decodeProgramId(id, this.options.idKeys);
+        if (claims === undefined) {
+            throw new ProblemError("unknown_program", "notRun", "The program id was not issued by this system.");
+        }
+        if (claims.workspace !== workspace) {
+            throw new ProblemError("forbidden", "notRun", "The program belongs to another workspace.");
+        }
+        return claims;
+    }
+
+    /** Claims of an id whatever its workspace, or undefined. */
+    decode(id: string): ProgramClaims | undefined {
+        return decodeProgramId(id, this.options.idKeys);
+    }
+
+    /** Opens a program on an owned slot. Nothing is written: the id carries what a later owner needs to know. */
+    open(req: OpenRequest, slot: OwnedSlot): ProgramState {
+        const bundle = this.options.bundle();
+        const agent = bundle.agent[req.agent];
+        if (agent === undefined) {
+            const known = Object.keys(bundle.agent).join(", ");
+            throw new ProblemError(
+                "invalid_request",
+                "notRun",
+                `Agent "${req.agent}" does not exist; there are ${known}.`,
+            );
+        }
+        const budget = Math.min(req.budget, agent.maxBudget);
+        const claims: ProgramClaims = {
+            nonce: newNonce(),
+            slot: slot.slot,
+            epoch: slot.epoch,
+            workspace: req.workspace,
+            agent: req.agent,
+            budget,
+            firstChunk: Math.max(1, Math.ceil(budget * bundle.limits.budgetChunkShare)),
+            deadline: Date.now() + req.deadlineMs,
+        };
+        const id = encodeProgramId(claims, this.options.idKeys[0]!);
+        const program = new ProgramState(id, claims, agent, undefined, true);
+        this.programs.set(id, program);
+        this.log.info("program opened", { program: claims.nonce, slot: slot.slot, agent: req.agent, budget });
+        return program;
+    }
+
+    /**
+     * The state of a program on an owned slot; it is built from the id and the ledger if this instance has none.
+     *
+     * @throws ProblemError if the program ended, or cannot be known while the store is away.
+     */
+    load(id: string, claims: ProgramClaims, slot: OwnedSlot): ProgramState {
+        const known = this.programs.get(id);
+        if (known !== undefined) {
+            return known;
+        }
+        if (slot.provisional) {
+            throw new ProblemError(
+                "not_durable",
+                "notRun",
+                "The program's ledger cannot be read while the store is away.",
+                {
+                    retryAfterSeconds: 5,
+                },
+            );
+        }
+        const agent = this.options.bundle().agent[claims.agent];
+        if (agent === undefined) {
+            throw new ProblemError("invalid_request", "notRun", `Agent "${claims.agent}" was removed from the bundle.`);
+        }
+        const program = new ProgramState(id, claims, agent, slot.record.programs[ledgerName(claims)], false);
+        this.programs.set(id, program);
+        this.log.info("program inherited", { program: claims.nonce, slot: slot.slot, epoch: slot.epoch });
+        return program;
+    }
+
+    get(id: string): ProgramState | undefined {
+        return this.programs.get(id);
+    }
+
+    end(program: ProgramState, reason: EndReason): void {
+        if (!program.isEnded) {
+            program.end(reason);
+            this.log.info("program ended", { program: program.claims.nonce, reason, spent: program.account.spent });
+            this.options.onEnded(program);
+        }
+    }
+
+    /** Ends programs whose deadline has passed, and forgets ended ones after a while. */
+    expire(now: number): void {
+        for (const [id, program] of this.programs) {
+            if (program.claims.deadline <= now) {
+                this.end(program, "deadline");
+                this.programs.delete(id);
+            }
+        }
+        this.trimHistories();
+    }
+
+    /** Forgets the programs of a slot that was lost. */
+    dropSlot(slot: number): void {
+        for (const [id, program] of this.programs) {
+            if (program.claims.slot === slot) {
+                this.programs.delete(id);
+            }
+        }
+    }
+
+    /** Records exactly what each program of a slot has spent, before the slot is handed over. */
+    settle(record: SlotRecord): SlotRecord {
+        const programs = { ...record.programs };
+        for (const program of this.programs.values()) {
+            if (program.claims.slot === record.slot) {
+                const { account, claims } = program;
+                const reserved = account.spent + account.held;
+                programs[ledgerName(claims)] = { reserved, deadline: claims.deadline, ended: program.isEnded };
+            }
+        }
+        return { ...record, programs };
+    }
+
+    private trimHistories(): void {
+        let bytes = 0;
+        const byUse = this.all().sort((a, b) => b.lastUsedAt - a.lastUsedAt);
+        for (const program of byUse) {
+            bytes += program.history.heldBytes;
+            if (bytes > maxHistoryBytes) {
+                program.history.dropMessages();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/controllers/upstream.ts
@@ -0,0 +1,95 @@
+/** What this instance knows of one upstream. */
+import { createUpstreamLifecycle, type UpstreamLifecycle } from "../lifecycles/upstreamLifecycle.js";
+import type { UpstreamNotice, WorkerLoad } from "../peers/messages.js";
+
+type LeavingSource = UpstreamNotice["source"];
+
+const failuresToTrip = 3;
+const minBrokenMs = 1_000;
+const maxBrokenMs = 15_000;
+const slownessRate = 0.2;
+const maxSlowdown = 20;
+
+/** A load report with the time at which it was true. */
+export interface ReceivedLoad {
+    readonly load: WorkerLoad;
+    readonly at: number;
+    /** Calls of this instance that were on the worker then. */
+    readonly ownInFlight: number;
+}
+
+/** One engine or one upstream of a service. */
+export class Upstream {
+    readonly lifecycle: UpstreamLifecycle;
+    /** Calls of this instance that are on the upstream now. */
+    inFlight = 0;
+    /** Observed time of calls relative to what was expected. */
+    slowdown = 1;
+    reported: ReceivedLoad | undefined;
+    private failures = 0;
+    private brokenMs = minBrokenMs;
+    private brokenUntil = 0;
+    private readonly leavingSources = new Set<LeavingSource>();
+
+    constructor(
+        readonly address: string,
+        readonly zone: string,
+        onChange: (upstream: Upstream) => void,
+    ) {
+        this.lifecycle = createUpstreamLifecycle(() => onChange(this));
+    }
+
+    /** Whether the upstream may get a call now. */
+    mayServe(now: number): boolean {
+        if (this.lifecycle.state === "broken" && now >= this.brokenUntil) {
+            this.lifecycle.send("probe");
+        }
+        return this.lifecycle.state === "live" || (this.lifecycle.state === "probing" && this.inFlight === 0);
+    }
+
+    /** Notes a call that was answered. */
+    onSuccess(): void {
+        this.failures = 0;
+        this.brokenMs = minBrokenMs;
+        this.lifecycle.send("succeed");
+    }
+
+    /** Notes a call that failed; `refused` if nothing listens there. */
+    onFailure(refused: boolean, now: number): void {
+        this.failures += 1;
+        if (refused || this.failures >= failuresToTrip || this.lifecycle.state === "probing") {
+            this.brokenUntil = now + this.brokenMs;
+            this.brokenMs = Math.min(maxBrokenMs, this.brokenMs * 2);
+            this.lifecycle.send("trip");
+        }
+    }
+
+    /** Notes how long a call took relative to what was expected. */
+    onObserved(ratio: number): void {
+        this.slowdown += slownessRate * (Math.min(maxSlowdown, ratio) - this.slowdown);
+        this.slowdown = Math.max(1, this.slowdown);
+    }
+
+    /** Notes what a source says about leaving; returns whether that changed anything. */
+    setLeaving(source: LeavingSource, leaving: boolean): boolean {
+        if (this.leavingSources.has(source) === leaving) {
+            return false;
+        }
+        if (leaving) {
+            this.leavingSources.add(source);
+        }
+        else {
+            this.leavingSources.delete(source);
+        }
+        this.lifecycle.send(this.leavingSources.size > 0 ? "leave" : "return");
+        return true;
+    }
+
+    /** Takes a load report unless a newer one is known. */
+    onLoad(load: WorkerLoad, now: number): void {
+        const at = now - load.ageMs;
+        if (this.reported === undefined || at > this.reported.at) {
+            this.reported = { load, at, ownInFlight: this.inFlight };
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,300 @@
+/** Puts the parts of a daemon together, starts them and stops them. */
+import { type Bundle, createLogger, createMetrics, type Logger, type Metrics } from "@marigolddrift/common";
+import { HttpInstanceList, type InstanceList, type Store, StoreClient } from "@marigolddrift/platform";
+import { place, RetryBudget } from "@marigolddrift/policy";
+import { Agent } from "undici";
+
+import { Bundles } from "./controllers/bundles.js";
+import { Dispatcher } from "./controllers/dispatcher.js";
+import { Drain } from "./controllers/drain.js";
+import { EngineMemory } from "./controllers/engineMemory.js";
+import { LinkBudget } from "./controllers/linkBudget.js";
+import { Membership } from "./controllers/membership.js";
+import type { Peer } from "./controllers/membership.js";
+import { PoolOrders } from "./controllers/poolOrders.js";
+import { Programs } from "./controllers/programs.js";
+import { Slots } from "./controllers/slots.js";
+import { Sweeper } from "./controllers/sweeper.js";
+import { Upstreams } from "./controllers/upstreams.js";
+import { createChatFilters, createEdgeFilters, createServiceFilters } from "./filters/chains.js";
+import { createAdminActions } from "./http/adminActions.js";
+import { AdminServer } from "./http/adminServer.js";
+import { CallerServer } from "./http/callerServer.js";
+import { Owner } from "./owner.js";
+import { createInstanceId, type Identity } from "./peers/identity.js";
+import type { Ask, Heartbeat } from "./peers/messages.js";
+import { PeerServer } from "./peers/peerServer.js";
+import { TlsFiles } from "./peers/tls.js";
+import { Router } from "./router.js";
+import { peerAddress, type Settings } from "./settings.js";
+import { EngineClient } from "./upstreams/engineClient.js";
+import { ServiceClient } from "./upstreams/serviceClient.js";
+import { WorkerPool } from "./workerPool.js";
+
+const expiryMs = 1_000;
+const upstreamConnectTimeoutMs = 1_000;
+const defaultRetentionMs = 86_400_000;
+
+/** Parts that tests replace. */
+export interface DaemonOverrides {
+    readonly store?: Store;
+    readonly list?: InstanceList;
+    readonly log?: Logger;
+    readonly random?: () => number;
+}
+
+/** One daemon. */
+export class Daemon {
+    readonly identity: Identity;
+    readonly log: Logger;
+    readonly metrics: Metrics;
+    readonly bundles: Bundles;
+    readonly membership: Membership;
+    readonly slots: Slots;
+    readonly programs: Programs;
+    readonly upstreams: Upstreams;
+    readonly memory: EngineMemory;
+    readonly dispatcher: Dispatcher;
+    readonly owner: Owner;
+    readonly router: Router;
+    readonly orders: PoolOrders;
+    readonly sweeper: Sweeper;
+    readonly callers: CallerServer;
+    readonly admin: AdminServer;
+    readonly drain: Drain;
+    /** Ports that the daemon listens on. */
+    readonly ports = { http: 0, admin: 0, peer: 0 };
+    private readonly store: Store;
+    private readonly list: InstanceList;
+    private readonly agent = new Agent({ connect: { timeout: upstreamConnectTimeoutMs }, pipelining: 1 });
+    private readonly link = new LinkBudget(1);
+    private readonly retries = new RetryBudget(0);
+    private readonly engines: EngineClient;
+    private readonly peers: PeerServer;
+    private readonly timers: NodeJS.Timeout[] = [];
+
+    constructor(readonly cfg: Settings, overrides: DaemonOverrides = {}) {
+        const { id, zone, region } = cfg.instance;
+        this.identity = { instance: createInstanceId(id), zone, region, address: peerAddress(cfg) };
+        this.log = overrides.log ?? createLogger(cfg.log.format, cfg.log.level, { instance: id });
+        this.metrics = createMetrics(cfg.metrics, { instance: id, zone, region });
+        this.store = overrides.store ?? new StoreClient(cfg.platform.store);
+        this.list = overrides.list ?? new HttpInstanceList(cfg.platform.list);
+        const random = overrides.random ?? Math.random;
+        const tls = cfg.tls === undefined ? undefined : new TlsFiles(cfg.tls);
+        const idKeys = [cfg.peer.key, ...(cfg.peer.previousKey === undefined ? [] : [cfg.peer.previousKey])];
+        const onLeaving = (address: string): void =>
+            this.upstreams.note([{ address, leaving: true, source: "report" }]);
+        this.engines = new EngineClient(this.agent, onLeaving);
+        this.memory = new EngineMemory(this.engines, this.log, this.metrics);
+        this.membership = this.createMembership(tls);
+        this.bundles = new Bundles(this.store, () => this.membership, {
+            region,
+            operators: cfg.operators,
+            dataFolder: cfg.data?.folder,
+            onChange: bundle => this.onBundle(bundle),
+        }, this.log);
+        this.programs = new Programs({
+            bundle: () => this.bundle,
+            idKeys,
+            onEnded: program => this.onProgramEnded(program.id, program.pauseKind),
+        }, this.log);
+        this.slots = this.createSlots();
+        this.upstreams = new Upstreams(this.identity, this.membership, this.engines, {
+            loadPollMs: cfg.timing.loadPollMs,
+            bundle: () => this.bundle,
+            onEvicted: (worker, program) => this.memory.view.onDropped(program, worker),
+        }, this.log);
+        const pool = new WorkerPool(this.identity, this.upstreams, this.memory, this.link, () => this.bundle);
+        this.dispatcher = new Dispatcher(pool, { place, admission: true, random }, this.log, this.metrics);
+        this.owner = this.createOwner(random);
+        this.router = new Router(
+            this.identity.instance,
+            this.slots,
+            this.membership,
+            this.owner,
+            this.log,
+            this.metrics,
+        );
+        this.sweeper = new Sweeper({ ...this.common(), self: this.identity });
+        this.orders = new PoolOrders({
+            ...this.common(),
+            self: this.identity,
+            store: this.store,
+            lease: this.slots.lease,
+            pools: () => this.bundle.pool,
+        });
+        this.peers = new PeerServer(this.identity, cfg.peer, tls, this.peerHandlers(), this.log);
+        this.callers = new CallerServer({
+            filters: createEdgeFilters(
+                this.programs,
+                this.router,
+                () => this.slots.all().find(slot => !slot.closing)?.slot,
+            ),
+            bundle: () => this.bundles.current,
+            isLeaving: () => this.membership.leaving,
+            log: this.log,
+            metrics: this.metrics,
+        });
+        this.drain = new Drain({
+            ...this.common(),
+            owner: this.owner,
+            callers: this.callers,
+            seconds: cfg.timing.drainSeconds,
+        });
+        this.admin = new AdminServer(cfg.admin, createAdminActions(this));
+    }
+
+    /** The bundle in force; only called once there is one. */
+    private get bundle(): Bundle {
+        const bundle = this.bundles.current;
+        if (bundle === undefined) {
+            throw new Error("no bundle is in force yet");
+        }
+        return bundle;
+    }
+
+    /** Whether the instance can work on requests. */
+    get isReady(): boolean {
+        return this.bundles.current !== undefined && !this.membership.leaving;
+    }
+
+    async start(): Promise<void> {
+        const { cfg } = this;
+        this.ports.peer = await this.peers.listen(cfg.peer.host, cfg.peer.port);
+        this.ports.admin = await this.admin.listen(cfg.admin.host, cfg.admin.port);
+        await this.membership.start();
+        await this.bundles.start();
+        await this.slots.start();
+        this.upstreams.start();
+        this.sweeper.start();
+        this.orders.start();
+        this.timers.push(setInterval(() => this.programs.expire(Date.now()), expiryMs));
+        this.ports.http = await this.callers.listen(cfg.http.host, cfg.http.port);
+        this.log.info("ready", { ...this.ports, bundle: this.bundles.version });
+    }
+
+    /** Stops without waiting; {@link Drain} waits first. */
+    async stop(): Promise<void> {
+        this.timers.forEach(timer => clearInterval(timer));
+        this.callers.close();
+        this.admin.close();
+        this.sweeper.stop();
+        this.orders.stop();
+        this.upstreams.stop();
+        this.bundles.stop();
+        await this.slots.stop();
+        this.membership.stop();
+        await this.peers.close();
+        await this.agent.destroy();
+        this.metrics.close();
+    }
+
+    private common() {
+        const { slots, programs, upstreams, membership, memory, engines, log, metrics } = this;
+        return { slots, programs, upstreams, membership, memory, engines, log, metrics };
+    }
+
+    private createMembership(tls: TlsFiles | undefined): Membership {
+        const { timing, peer } = this.cfg;
+        const options = { heartbeatMs: timing.heartbeatMs, listPollMs: timing.listPollMs, seeds: peer.seeds };
+        return new Membership(this.identity, peer, tls, this.list, options, {
+            onPeerUp: up =>
+                up.link.send({ type: "slots", version: this.slots.version, owned: this.slots.announcement() }),
+            onPeerDead: instance => this.slots.directory.forget(instance),
+            onListed: instances => this.upstreams.onListed(instances),
+            onHeartbeat: (from, heartbeat) => this.onHeartbeat(from, heartbeat),
+            heartbeat: to => this.heartbeat(to),
+        }, this.log);
+    }
+
+    private createSlots(): Slots {
+        return new Slots(
+            this.identity,
+            this.store,
+            this.membership,
+            {
+                leaseSeconds: this.cfg.timing.leaseSeconds,
+                slotCount: () => this.bundles.current?.limits.slots ?? 0,
+                zones: () => Object.keys(this.bundles.current?.zone ?? {}),
+                retentionMs: () =>
+                    (this.bundles.current?.limits.outcomeRetentionSeconds ?? 0) * 1000 || defaultRetentionMs,
+                onOwned: () => {},
+                onReleased: slot => this.programs.dropSlot(slot),
+                beforeHandOver: record => this.programs.settle(record),
+            },
+            this.log,
+            this.metrics,
+        );
+    }
+
+    private createOwner(random: () => number): Owner {
+        const parts = { ...this.common(), dispatcher: this.dispatcher, retries: this.retries };
+        const bundle = (): Bundle => this.bundle;
+        return new Owner({
+            ...this.common(),
+            chatFilters: createChatFilters({ ...parts, bundle, stallMs: this.cfg.timing.stallMs }),
+            serviceFilters: createServiceFilters({
+                ...parts,
+                bundle,
+                zone: this.identity.zone,
+                client: this.createServiceClient(),
+            }),
+            isIdempotent: service => bundle().service[service]?.idempotent ?? false,
+            random,
+        });
+    }
+
+    private createServiceClient(): ServiceClient {
+        return new ServiceClient(
+            this.agent,
+            address => this.upstreams.note([{ address, leaving: true, source: "report" }]),
+        );
+    }
+
+    private onBundle(bundle: Bundle): void {
+        this.link.setRate(bundle.limits.regionLinkBytesPerSecond);
+        this.retries.setShare(bundle.limits.retryShare);
+        this.upstreams.onBundle(bundle);
+        this.dispatcher.pumpAll();
+    }
+
+    private onProgramEnded(program: string, pauseKind: string): void {
+        this.memory.pauses.onEnd(pauseKind);
+        this.memory.onEnded(program);
+    }
+
+    private heartbeat(to: Peer): Heartbeat {
+        return {
+            type: "heartbeat",
+            leaving: this.membership.leaving,
+            bundle: this.bundles.version,
+            slotsVersion: this.slots.version,
+            loads: to.region === this.identity.region ? this.upstreams.ownLoads() : [],
+        };
+    }
+
+    private onHeartbeat(from: Peer, heartbeat: Heartbeat): void {
+        this.upstreams.onLoads(heartbeat.loads);
+        void this.bundles.onPeerVersion(from);
+    }
+
+    private peerHandlers(): ConstructorParameters<typeof PeerServer>[3] {
+        return {
+            onHello: hello => this.membership.onHello(hello),
+            onClosed: hello => this.membership.onClosed(hello),
+            onHeartbeat: (hello, heartbeat) => this.membership.onHeartbeat(hello, heartbeat),
+            onSlots: (hello, _, owned) => this.slots.onAnnounced(hello.instance, owned),
+            onUpstreams: notices => this.upstreams.onNotices(notices),
+            answer: (req, progress) => this.owner.answer(req, progress),
+            onAsk: (ask, progress) => this.onAsk(ask, progress),
+        };
+    }
+
+    private async onAsk(ask: Ask, progress: Parameters<Slots["handOver"]>[1]): Promise<unknown> {
+        if (ask.kind === "handOver") {
+            return await this.slots.handOver(ask.slot, progress);
+        }
+        return ask.kind === "bundle" ? this.bundles.forPeers : this.sweeper.endedOf(ask.programs);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/filters/admissionFilter.ts
@@ -0,0 +1,28 @@
+/** Refuses early what cannot finish by its deadline. */
+import { ProblemError } from "@marigolddrift/common";
+
+import type { Dispatcher } from "../controllers/dispatcher.js";
+import type { Filter } from "./filterChain.js";
+import type { ChatContext } from "./ownerContext.js";
+
+/** Asks the dispatcher whether the call can be expected to finish in time. */
+export class AdmissionFilter implements Filter<ChatContext> {
+    constructor(private readonly dispatcher: Dispatcher, private readonly maxInFlight: (workspace: string) => number) {}
+
+    async handle(ctx: ChatContext, next: () => Promise<void>): Promise<void> {
+        const { program, progress, req } = ctx;
+        if (this.dispatcher.runningOf(req.workspace) >= this.maxInFlight(req.workspace)) {
+            throw overloaded("the workspace has as many calls in flight as it may have", 1_000);
+        }
+        const decision = this.dispatcher.admission(program.agent.model, program.turns === 0, progress.leftMs, 0);
+        if (decision.kind === "refuse") {
+            throw overloaded(decision.reason, decision.retryAfterMs);
+        }
+        await next();
+    }
+}
+
+const overloaded = (reason: string, retryAfterMs: number): ProblemError =>
+    new ProblemError("overloaded", "notRun", `Refused because ${reason}.`, {
+        retryAfterSeconds: Math.ceil(retryAfterMs / 1000),
+    });
--- /dev/null
+++ b/packages/daemon/src/filters/authenticateFilter.ts
@@ -0,0 +1,34 @@
+/** Finds the workspace of a caller by its key. */
+import { type Bundle, ProblemError } from "@marigolddrift/common";
+import { createHash } from "node:crypto";
+
+import type { EdgeContext } from "./edgeContext.js";
+import type { Filter } from "./filterChain.js";
+
+/** Checks the bearer token. */
+export class AuthenticateFilter implements Filter<EdgeContext> {
+    private byKey = new Map<string, string>();
+    private bundle: Bundle | undefined;
+
+    async handle(ctx: EdgeContext, next: () => Promise<void>): Promise<void> {
+        const [scheme, token] = (ctx.req.headers.authorization ?? "").split(" ");
+        const hash = createHash("sha256").update(token ?? "").digest("hex");
+        const workspace = scheme?.toLowerCase() === "bearer" ? this.keys(ctx.bundle).get(hash) : undefined;
+        if (workspace === undefined) {
+            throw new ProblemError("unauthorized", "notRun", "The Authorization header holds no key of a workspace.");
+        }
+        ctx.workspace = workspace;
+        await next();
+    }
+
+    private keys(bundle: Bundle): Map<string, string> {
+        if (this.bundle !== bundle) {
+            const entries = Object.entries(bundle.workspace);
+            this.byKey = new Map(
+                entries.flatMap(([name, { keySha256 }]) => keySha256.map(key => [key, name] as const)),
+            );
+            this.bundle = bundle;
+        }
+        return this.byKey;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/filters/bodyFilter.ts
@@ -0,0 +1,21 @@
+/** Reads the body of a caller's request within its limits. */
+import { readBody } from "../http/requestBody.js";
+import type { EdgeContext } from "./edgeContext.js";
+import type { Filter } from "./filterChain.js";
+
+/** Time in which a body must have arrived, in milliseconds. */
+const bodyTimeoutMs = 20_000;
+
+/** Reads the whole body. */
+export class BodyFilter implements Filter<EdgeContext> {
+    async handle(ctx: EdgeContext, next: () => Promise<void>): Promise<void> {
+        const progress = ctx.progress.child(bodyTimeoutMs);
+        try {
+            ctx.body = await readBody(ctx.req, progress);
+        }
+        finally {
+            progress.dispose();
+        }
+        await next();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/filters/historyFilter.ts
@@ -0,0 +1,13 @@
+/** Checks that a call extends the history of its own program. */
+import type { Filter } from "./filterChain.js";
+import type { ChatContext } from "./ownerContext.js";
+
+/** Resolves the whole conversation, from the caller's messages or from what is held. */
+export class HistoryFilter implements Filter<ChatContext> {
+    async handle(ctx: ChatContext, next: () => Promise<void>): Promise<void> {
+        const { all, fresh } = ctx.program.history.resolve(ctx.req.messages, ctx.req.extends);
+        ctx.all = all;
+        ctx.fresh = fresh;
+        await next();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/filters/loopFilter.ts
@@ -0,0 +1,38 @@
+/** Ends programs that repeat themselves or make more calls than their agent allows. */
+import { digest, ProblemError } from "@marigolddrift/common";
+import { addTurn, isLooping } from "@marigolddrift/policy";
+
+import type { Programs } from "../controllers/programs.js";
+import type { Filter } from "./filterChain.js";
+import type { ChatContext } from "./ownerContext.js";
+
+/** Counts turns and identical requests. */
+export class LoopFilter implements Filter<ChatContext> {
+    constructor(private readonly programs: Programs) {}
+
+    async handle(ctx: ChatContext, next: () => Promise<void>): Promise<void> {
+        const { program } = ctx;
+        if (program.turns >= program.agent.maxTurns) {
+            this.programs.end(program, "turns");
+            throw new ProblemError(
+                "turn_limit",
+                "notRun",
+                `The program made ${program.turns} calls, as many as are allowed.`,
+            );
+        }
+        const loop = addTurn(program.loop, digest(JSON.stringify(ctx.fresh)));
+        if (isLooping(loop, program.agent.loopLimit)) {
+            this.programs.end(program, "loop");
+            throw new ProblemError(
+                "loop_detected",
+                "notRun",
+                `The same turn was asked for ${loop.repeats} times in a row.`,
+            );
+        }
+        await next();
+        if (ctx.lifecycle.state === "done") {
+            program.loop = loop;
+            program.turns += 1;
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/filters/ownerContext.ts
@@ -0,0 +1,36 @@
+/** What the owner's filters know of a request. */
+import type { Message, Progress } from "@marigolddrift/common";
+import type { Outcome } from "@marigolddrift/ledger";
+
+import type { AnswerLog } from "../answerLog.js";
+import type { ChatRequest, ServiceRequest } from "../calls.js";
+import type { SlotHold } from "../controllers/slots.js";
+import type { RequestLifecycle } from "../lifecycles/requestLifecycle.js";
+import type { ProgramState } from "../programs/programState.js";
+
+/** Fields of every request at its owner. */
+export interface OwnerContext {
+    readonly progress: Progress;
+    readonly log: AnswerLog;
+    readonly lifecycle: RequestLifecycle;
+    readonly hold: SlotHold;
+    program: ProgramState | undefined;
+    /** Number of the call in its program; 0 if it belongs to none. */
+    call: number;
+}
+
+/** A model call at its owner. */
+export interface ChatContext extends OwnerContext {
+    readonly req: ChatRequest;
+    program: ProgramState;
+    /** The whole conversation, and what of it is new. */
+    all: readonly Message[];
+    fresh: readonly Message[];
+}
+
+/** A service call at its owner. */
+export interface ServiceContext extends OwnerContext {
+    readonly req: ServiceRequest;
+    /** What the service answered, once it did. */
+    outcome: Outcome | undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/filters/serviceDispatchFilter.ts
@@ -0,0 +1,126 @@
+/** Sends a service call to an upstream; again only where that is safe. */
+import { type Logger, ProblemError, type Service } from "@marigolddrift/common";
+import type { RetryBudget } from "@marigolddrift/policy";
+
+import type { ServiceRequest } from "../calls.js";
+import type { Upstream } from "../controllers/upstream.js";
+import type { Upstreams } from "../controllers/upstreams.js";
+import type { ServiceClient, ServiceReply } from "../upstreams/serviceClient.js";
+import { UpstreamError } from "../upstreams/upstreamError.js";
+import type { Filter } from "./filterChain.js";
+import type { ServiceContext } from "./ownerContext.js";
+
+const maxAttempts = 4;
+
+/** What the filter works with. */
+export interface ServiceDispatchParts {
+    readonly upstreams: Upstreams;
+    readonly client: ServiceClient;
+    readonly retries: RetryBudget;
+    readonly zone: string;
+    service(name: string): Service | undefined;
+    /** Makes sure that the slot is still owned. */
+    recheck(ctx: ServiceContext): Promise<void>;
+    readonly log: Logger;
+}
+
+/** The last filter of a service call. */
+export class ServiceDispatchFilter implements Filter<ServiceContext> {
+    constructor(private readonly parts: ServiceDispatchParts) {}
+
+    async handle(ctx: ServiceContext): Promise<void> {
+        const service = this.parts.service(ctx.req.service)!;
+        this.parts.retries.onRequest();
+        const excluded = new Set<Upstream>();
+        for (let attempt = 1;; attempt++) {
+            const upstream = this.choose(ctx, excluded);
+            try {
+                return this.answer(ctx, await this.attempt(ctx, service, upstream));
+            }
+            catch (err) {
+                if (!(err instanceof UpstreamError)) {
+                    throw err;
+                }
+                excluded.add(upstream);
+                this.onFailure(ctx, service, err, attempt);
+            }
+        }
+    }
+
+    /** Chooses by zone first and outstanding calls second. */
+    private choose(ctx: ServiceContext, excluded: ReadonlySet<Upstream>): Upstream {
+        const { log, upstreams, zone } = this.parts;
+        const region = upstreams.regionOf(zone);
+        const distance = (upstream: Upstream): number =>
+            upstream.zone === zone ? 0 : upstreams.regionOf(upstream.zone) === region ? 1 : 2;
+        const now = Date.now();
+        const usable = upstreams.forService(ctx.req.service).filter(upstream =>
+            !excluded.has(upstream) && upstream.mayServe(now)
+        );
+        const [best] = usable.sort((a, b) => distance(a) - distance(b) || a.inFlight - b.inFlight);
+        if (best === undefined) {
+            const detail = `No upstream of service "${ctx.req.service}" can be used now.`;
+            throw new ProblemError("no_upstream", "notRun", detail, { retryAfterSeconds: 2 });
+        }
+        const scores = usable.map(upstream => [upstream.address, distance(upstream), upstream.inFlight]);
+        log.info("routing", {
+            service: ctx.req.service,
+            call: ctx.call,
+            choice: best.address,
+            reason: "nearestLeastBusy",
+            scores,
+        });
+        return best;
+    }
+
+    private async attempt(ctx: ServiceContext, service: Service, upstream: Upstream): Promise<ServiceReply> {
+        await this.parts.recheck(ctx);
+        const progress = ctx.progress.child(service.timeoutSeconds * 1000);
+        ctx.lifecycle.send("dispatch");
+        upstream.inFlight += 1;
+        try {
+            const reply = await this.parts.client.call(upstream.address, ctx.req, progress);
+            upstream.onSuccess();
+            return reply;
+        }
+        catch (err) {
+            if (err instanceof UpstreamError) {
+                upstream.onFailure(err.verdict === "notRun", Date.now());
+            }
+            throw err;
+        }
+        finally {
+            upstream.inFlight -= 1;
+            progress.dispose();
+        }
+    }
+
+    private onFailure(ctx: ServiceContext, service: Service, err: UpstreamError, attempt: number): void {
+        this.parts.log.warn("service failed", { service: ctx.req.service, upstream: err.upstream, error: err.message });
+        const neverSent = err.verdict === "notRun";
+        const mayRepeat = neverSent || (service.idempotent && this.parts.retries.tryTake());
+        if (neverSent) {
+            ctx.lifecycle.send("retract");
+        }
+        if (ctx.progress.signal.aborted && neverSent) {
+            ctx.progress.check();
+        }
+        if (!mayRepeat || attempt >= maxAttempts || ctx.progress.signal.aborted) {
+            ctx.lifecycle.send("fail");
+            throw new ProblemError("upstream_failed", neverSent ? "notRun" : "mayHaveRun", err.message, { cause: err });
+        }
+        ctx.lifecycle.send("retract");
+    }
+
+    private answer(ctx: ServiceContext, reply: ServiceReply): void {
+        const { status, contentType, body } = reply;
+        ctx.outcome = { status, contentType, body: body.toString() };
+        ctx.lifecycle.send("finish");
+        ctx.log.append({ kind: "head", status, contentType, replayed: false });
+        ctx.log.append({ kind: "body", data: body });
+    }
+}
+
+/** Idempotency key of a numbered call without one. */
+export const defaultKey = (req: ServiceRequest): string | undefined =>
+    req.key ?? (req.program !== undefined && req.call !== undefined ? `${req.program}#${req.call}` : undefined);
--- /dev/null
+++ b/packages/daemon/src/http/adminServer.ts
@@ -0,0 +1,96 @@
+/** The port for operators: health, status and orders. */
+import { asError } from "@marigolddrift/common";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import polka, { type Polka } from "polka";
+
+import { macEquals } from "../peers/handshake.js";
+import { sendJson } from "./httpErrors.js";
+
+const maxBodyBytes = 64 * 1024;
+
+/** Keys that operators may use; the previous one is accepted while keys are rotated. */
+export interface AdminKeys {
+    readonly key: string;
+    readonly previousKey?: string | undefined;
+}
+
+/** What the port shows and does. */
+export interface AdminActions {
+    isReady(): boolean;
+    /** Documents by path, for example `status`. */
+    readonly views: Readonly<Record<string, (query: URLSearchParams) => unknown>>;
+    /** Orders by path, for example `drain`. */
+    readonly orders: Readonly<Record<string, (body: unknown) => Promise<unknown> | unknown>>;
+}
+
+/** Accepts the requests of operators. */
+export class AdminServer {
+    private readonly app: Polka;
+    private readonly server: Server = createServer();
+
+    constructor(private readonly keys: AdminKeys, private readonly actions: AdminActions) {
+        this.app = polka({
+            server: this.server,
+            onNoMatch: (_, res) => sendJson(res, 404, { error: "There is no such path." }),
+        });
+        this.app.get("/health", (_, res) => sendJson(res, 200, { healthy: true }));
+        this.app.get("/ready", (_, res) => sendJson(res, actions.isReady() ? 200 : 503, { ready: actions.isReady() }));
+        for (const [path, view] of Object.entries(actions.views)) {
+            this.app.get(`/${path}`, (req, res) => void this.handle(req, res, () => view(queryOf(req))));
+        }
+        for (const [path, order] of Object.entries(actions.orders)) {
+            this.app.post(
+                `/${path}`,
+                (req, res) => void this.handle(req, res, async () => await order(await readJson(req))),
+            );
+        }
+    }
+
+    async listen(host: string, port: number): Promise<number> {
+        const { app } = this;
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            app.listen(port, host, () => resolve());
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse, action: () => unknown): Promise<void> {
+        if (!this.isAuthorized(req)) {
+            sendJson(res, 401, {
+                error: "The Authorization header does not hold the admin key of this instance's settings.",
+            });
+            return;
+        }
+        try {
+            sendJson(res, 200, await action());
+        }
+        catch (err) {
+            sendJson(res, 400, { error: asError(err).message });
+        }
+    }
+
+    private isAuthorized(req: IncomingMessage): boolean {
+        const token = (req.headers.authorization ?? "").replace(/^bearer /i, "");
+        return [this.keys.key, this.keys.previousKey].some(key => key !== undefined && macEquals(key, token));
+    }
+}
+
+const queryOf = (req: IncomingMessage): URLSearchParams => new URL(req.url ?? "/", "http://localhost").searchParams;
+
+const readJson = async (req: IncomingMessage): Promise<unknown> => {
+    let text = "";
+    for await (const chunk of req) {
+        text += String(chunk);
+        if (text.length > maxBodyBytes) {
+            throw new Error(`the body exceeds ${maxBodyBytes} bytes`);
+        }
+    }
+    return text === "" ? {} : JSON.parse(text);
+};
--- /dev/null
+++ b/packages/daemon/src/http/callerServer.ts
@@ -0,0 +1,207 @@
+/** The port for callers. */
+import {
+    asError,
+    type Bundle,
+    type Logger,
+    type Metrics,
+    ProblemError,
+    Progress,
+    toProblemError,
+} from "@marigolddrift/common";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import polka, { type Polka } from "polka";
+
+import type { EdgeContext, EdgeRoute } from "../filters/edgeContext.js";
+import { type Filter, runChain } from "../filters/filterChain.js";
+import { sendProblem } from "./httpErrors.js";
+
+const maxHeaderBytes = 32 * 1024;
+const headersTimeoutMs = 10_000;
+const requestTimeoutMs = 60_000;
+const keepAliveMs = 65_000;
+
+/** Time that a call may take if the caller names none, in milliseconds. */
+const defaultCallMs = 300_000;
+const maxCallMs = 3_600_000;
+
+/** What the server needs from the rest of the daemon. */
+export interface CallerServerParts {
+    readonly filters: readonly Filter<EdgeContext>[];
+    bundle(): Bundle | undefined;
+    isLeaving(): boolean;
+    readonly log: Logger;
+    readonly metrics: Metrics;
+}
+
+/** Accepts the requests of callers. */
+export class CallerServer {
+    /** Requests whose answers have not ended. */
+    active = 0;
+    private readonly app: Polka;
+    private readonly server: Server;
+
+    constructor(private readonly parts: CallerServerParts) {
+        this.server = createServer({
+            maxHeaderSize: maxHeaderBytes,
+            headersTimeout: headersTimeoutMs,
+            requestTimeout: requestTimeoutMs,
+            keepAliveTimeout: keepAliveMs,
+            noDelay: true,
+        });
+        this.server.on("clientError", onClientError);
+        this.app = polka({
+            server: this.server,
+            onNoMatch: (req, res) => sendProblem(res, notFound(req.method ?? "", req.path)),
+        });
+        this.addRoutes();
+    }
+
+    async listen(host: string, port: number): Promise<number> {
+        const { app } = this;
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            app.listen(port, host, () => resolve());
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Stops to accept connections; answers in progress go on. */
+    stopAccepting(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private addRoutes(): void {
+        this.add("POST", "/v1/programs", () => ({ kind: "open" }));
+        this.add("GET", "/v1/programs/:id", params => ({ kind: "inspect", program: params["id"] ?? "" }));
+        this.add("DELETE", "/v1/programs/:id", params => ({ kind: "end", program: params["id"] ?? "" }));
+        this.add("GET", "/v1/programs/:id/decisions", params => ({ kind: "explain", program: params["id"] ?? "" }));
+        this.add("POST", "/v1/chat/completions", () => ({ kind: "chat" }));
+        const toService = (params: Record<string, string>, req: IncomingMessage): EdgeRoute => ({
+            kind: "service",
+            service: params["name"] ?? "",
+            path: (req.url ?? "").split("/").slice(4).join("/"),
+        });
+        for (const method of ["GET", "POST", "PUT", "PATCH", "DELETE"] as const) {
+            this.add(method, "/v1/services/:name", toService);
+            this.add(method, "/v1/services/:name/*", toService);
+        }
+    }
+
+    private add(
+        method: "GET" | "POST" | "PUT" | "PATCH" | "DELETE",
+        path: string,
+        toRoute: (params: Record<string, string>, req: IncomingMessage) => EdgeRoute,
+    ): void {
+        this.app.add(
+            method,
+            path,
+            (req, res) => void this.handle(req, res, toRoute(req.params as Record<string, string>, req)),
+        );
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse, route: EdgeRoute): Promise<void> {
+        const startedAt = performance.now();
+        this.active += 1;
+        const progress = new Progress(Date.now() + callTime(req));
+        res.on("close", () => {
+            if (!res.writableFinished) {
+                progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
+            }
+        });
+        try {
+            if (this.parts.isLeaving()) {
+                res.setHeader("connection", "close");
+            }
+            await runChain(this.parts.filters, this.context(req, res, route, progress));
+        }
+        catch (err) {
+            this.onError(req, res, err);
+        }
+        finally {
+            this.active -= 1;
+            progress.dispose();
+            this.parts.metrics.timing(`request.${route.kind}`, performance.now() - startedAt);
+        }
+    }
+
+    private context(req: IncomingMessage, res: ServerResponse, route: EdgeRoute, progress: Progress): EdgeContext {
+        const bundle = this.parts.bundle();
+        if (bundle === undefined) {
+            throw new ProblemError("draining", "notRun", "No bundle is in force on this instance yet.", {
+                retryAfterSeconds: 1,
+            });
+        }
+        return {
+            req,
+            res,
+            route,
+            progress,
+            bundle,
+            workspace: "",
+            body: Buffer.alloc(0),
+            request: undefined,
+            slot: undefined,
+            stream: false,
+        };
+    }
+
+    private onError(req: IncomingMessage, res: ServerResponse, err: unknown): void {
+        const problem = toProblemError(err, "mayHaveRun");
+        if (problem.code === "internal") {
+            this.parts.log.error("request failed", {
+                path: req.url,
+                error: asError(err).message,
+                stack: asError(err).stack,
+            });
+        }
+        this.parts.metrics.count(`problem.${problem.code}`);
+        if (problem.code === "body_too_large" || !req.complete) {
+            res.setHeader("connection", "close");
+        }
+        if (res.headersSent && !res.destroyed) {
+            res.write(`event: error\ndata: ${JSON.stringify(problem.toProblem())}\n\n`);
+            res.end();
+        }
+        sendProblem(res, problem);
+    }
+}
+
+const notFound = (method: string, path: string): ProblemError =>
+    new ProblemError("not_found", "notRun", `There is no ${method} ${path}.`);
+
+/** Time that a call may take, from the header Request-Timeout in seconds. */
+const callTime = (req: IncomingMessage): number => {
+    const seconds = Number(req.headers["request-timeout"]);
+    return seconds > 0 ? Math.min(maxCallMs, seconds * 1000) : defaultCallMs;
+};
+
+/** Answers a request that is no HTTP, is too slow, or has headers that are too large. */
+const onClientError = (err: Error & { code?: string; }, socket: Socket): void => {
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const tooLarge = err.code === "HPE_HEADER_OVERFLOW";
+    const problem = new ProblemError(
+        tooLarge ? "headers_too_large" : "invalid_request",
+        "notRun",
+        tooLarge ?
+            `The headers exceed ${maxHeaderBytes} bytes.` :
+            `The request is no valid HTTP, or came too slowly: ${err.message}.`,
+    );
+    const body = JSON.stringify(problem.toProblem());
+    const head = [
+        `HTTP/1.1 ${problem.status} ${problem.code}`,
+        "content-type: application/problem+json",
+        `content-length: ${Buffer.byteLength(body)}`,
+        "connection: close",
+    ];
+    socket.end(`${head.join("\r\n")}\r\n\r\n${body}`);
+};
--- /dev/null
+++ b/packages/daemon/src/http/httpErrors.ts
@@ -0,0 +1,26 @@
+/** Renders problems as HTTP answers. */
+import type { ProblemError } from "@marigolddrift/common";
+import type { ServerResponse } from "node:http";
+
+/** Answers with a problem document; does nothing if the answer has begun. */
+export const sendProblem = (res: ServerResponse, err: ProblemError): void => {
+    if (res.headersSent || res.destroyed) {
+        return;
+    }
+    res.writeHead(err.status, {
+        "content-type": "application/problem+json",
+        ...(err.retryAfterSeconds === undefined ? {} : { "retry-after": String(err.retryAfterSeconds) }),
+    });
+    res.end(JSON.stringify(err.toProblem()));
+};
+
+/** Answers with a JSON document. */
+export const sendJson = (
+    res: ServerResponse,
+    status: number,
+    value: unknown,
+    headers: Record<string, string> = {},
+): void => {
+    res.writeHead(status, { "content-type": "application/json", ...headers });
+    res.end(JSON.stringify(value));
+};
--- /dev/null
+++ b/packages/daemon/src/peers/peerLink.ts
@@ -0,0 +1,242 @@
+/** The outgoing connection to one peer: requests and control messages. */
+import { asError, type Logger, type Progress } from "@marigolddrift/common";
+import { WebSocket } from "ws";
+
+import type { AnswerEvent, OwnerRequest } from "../calls.js";
+import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
+import { createMac, createNonce, type HandshakeKeys, macEquals } from "./handshake.js";
+import type { Identity } from "./identity.js";
+import { type Ask, type PeerMessage, protocolVersion } from "./messages.js";
+import { NotOwnerError, PeerLostError } from "./peerErrors.js";
+import type { TlsFiles } from "./tls.js";
+
+const minBackoffMs = 100;
+const maxBackoffMs = 2_000;
+const handshakeTimeoutMs = 2_000;
+
+/** A request whose answer has not ended. */
+interface PendingCall {
+    onEvent(event: AnswerEvent): void;
+    onLost(err: Error): void;
+}
+
+interface PendingAsk {
+    resolve(value: unknown): void;
+    reject(err: Error): void;
+}
+
+/** What a link reports. */
+export interface PeerLinkEvents {
+    onUp(instance: string): void;
+    /** @param refused Whether nothing listens at the address any more. */
+    onDown(refused: boolean): void;
+}
+
+/** Keeps one connection to a peer, and opens it again when it is lost. */
+export class PeerLink {
+    /** Bytes of control messages sent, for measurements. */
+    controlBytes = 0;
+    private socket: WebSocket | undefined;
+    private ready = false;
+    private closed = false;
+    private backoffMs = minBackoffMs;
+    private attempt = 0;
+    private retryTimer: NodeJS.Timeout | undefined;
+    private nextId = 1;
+    private readonly calls = new Map<number, PendingCall>();
+    private readonly asks = new Map<number, PendingAsk>();
+
+    constructor(
+        readonly address: string,
+        private readonly self: Identity,
+        private readonly keys: HandshakeKeys,
+        private readonly tls: TlsFiles | undefined,
+        private readonly events: PeerLinkEvents,
+        private readonly log: Logger,
+    ) {
+        this.connect();
+    }
+
+    get isReady(): boolean {
+        return this.ready;
+    }
+
+    /** Sends a control message if the connection is up. */
+    send(message: PeerMessage): void {
+        if (this.ready) {
+            const bytes = packFrame(message);
+            this.controlBytes += bytes.length;
+            this.socket!.send(bytes);
+        }
+    }
+
+    /**
+     * Sends a request and yields its answer.
+     *
+     * @throws NotOwnerError if the peer does not own the slot.
+     * @throws PeerLostError if the connection is lost first.
+     */
+    async *call(request: OwnerRequest, progress: Progress): AsyncGenerator<AnswerEvent> {
+        if (!this.ready) {
+            throw new PeerLostError(this.address, false);
+        }
+        const id = this.nextId++;
+        const queue = new EventQueue();
+        this.calls.set(id, queue);
+        let ended = false;
+        try {
+            this.socket!.send(packFrame({ type: "call", id, leftMs: progress.leftMs, request }));
+            while (!ended) {
+                const event = await progress.race(queue.next());
+                ended = event.kind === "end";
+                yield event;
+            }
+        }
+        finally {
+            this.calls.delete(id);
+            if (!ended) {
+                this.send({ type: "cancel", id });
+            }
+        }
+    }
+
+    /** Sends a question and returns its reply. */
+    async ask(ask: Ask, progress: Progress): Promise<unknown> {
+        if (!this.ready) {
+            throw new PeerLostError(this.address, false);
+        }
+        const id = this.nextId++;
+        try {
+            const reply = new Promise<unknown>((resolve, reject) => this.asks.set(id, { resolve, reject }));
+            this.send({ type: "ask", id, ask });
+            return await progress.race(reply);
+        }
+        finally {
+            this.asks.delete(id);
+        }
+    }
+
+    close(): void {
+        this.closed = true;
+        clearTimeout(this.retryTimer);
+        this.socket?.close();
+        this.socket?.terminate();
+    }
+
+    private connect(): void {
+        const scheme = this.tls === undefined ? "ws" : "wss";
+        const socket = new WebSocket(`${scheme}://${this.address}/peer`, {
+            maxPayload: maxFrameBytes,
+            handshakeTimeout: handshakeTimeoutMs,
+            perMessageDeflate: false,
+            ...(this.tls?.clientOptions() ?? {}),
+        });
+        this.socket = socket;
+        const key = this.attempt % 2 === 1 && this.keys.previousKey !== undefined ?
+            this.keys.previousKey :
+            this.keys.key;
+        this.attempt += 1;
+        const nonce = createNonce();
+        let challenge = "";
+        let refused = false;
+        socket.on("message", (data: Buffer) => {
+            try {
+                const message = unpackFrame(data);
+                if (message.type === "challenge") {
+                    challenge = message.nonce;
+                    this.answerChallenge(message.version, challenge, nonce, key);
+                }
+                else if (message.type === "welcome") {
+                    this.onWelcome(message, challenge, nonce, key);
+                }
+                else if (this.ready) {
+                    this.onMessage(message);
+                }
+            }
+            catch (err) {
+                this.log.warn("peer frame refused", { peer: this.address, error: asError(err).message });
+                socket.terminate();
+            }
+        });
+        socket.on("error", err => {
+            refused ||= (err as { code?: string; }).code === "ECONNREFUSED";
+        });
+        socket.on("close", () => this.onClose(refused));
+    }
+
+    private answerChallenge(version: number, challenge: string, nonce: string, key: string): void {
+        if (version !== protocolVersion) {
+            throw new Error(`the peer speaks version ${version} of the protocol, this instance ${protocolVersion}`);
+        }
+        const mac = createMac(key, "connecting", challenge, nonce, this.self.instance);
+        this.socket!.send(packFrame({ type: "hello", version: protocolVersion, ...this.self, nonce, mac }));
+    }
+
+    private onWelcome(
+        message: { instance: string; mac: string; },
+        challenge: string,
+        nonce: string,
+        key: string,
+    ): void {
+        if (!macEquals(createMac(key, "accepting", challenge, nonce, message.instance), message.mac)) {
+            throw new Error("the peer did not prove that it has the key");
+        }
+        this.ready = true;
+        this.backoffMs = minBackoffMs;
+        this.attempt = 0;
+        this.events.onUp(message.instance);
+    }
+
+    private onMessage(message: PeerMessage): void {
+        if (message.type === "event") {
+            this.calls.get(message.id)?.onEvent(message.event);
+        }
+        else if (message.type === "notOwner") {
+            this.calls.get(message.id)?.onLost(new NotOwnerError(-1, message.owner));
+        }
+        else if (message.type === "reply") {
+            this.asks.get(message.id)?.resolve(message.value);
+        }
+    }
+
+    private onClose(refused: boolean): void {
+        this.ready = false;
+        const err = new PeerLostError(this.address, true);
+        [...this.calls.values()].forEach(call => call.onLost(err));
+        [...this.asks.values()].forEach(ask => ask.reject(err));
+        if (this.closed) {
+            return;
+        }
+        this.events.onDown(refused);
+        this.retryTimer = setTimeout(() => this.connect(), this.backoffMs);
+        this.retryTimer.unref();
+        this.backoffMs = Math.min(maxBackoffMs, this.backoffMs * 2);
+    }
+}
+
+/** Events that wait to be read, and at last an error. */
+class EventQueue implements PendingCall {
+    private readonly events: AnswerEvent[] = [];
+    private error: Error | undefined;
+    private wake: (() => void) | undefined;
+
+    onEvent(event: AnswerEvent): void {
+        this.events.push(event);
+        this.wake?.();
+    }
+
+    onLost(err: Error): void {
+        this.error = err;
+        this.wake?.();
+    }
+
+    async next(): Promise<AnswerEvent> {
+        while (this.events.length === 0) {
+            if (this.error !== undefined) {
+                throw this.error;
+            }
+            await new Promise<void>(resolve => this.wake = resolve);
+        }
+        return this.events.shift()!;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -0,0 +1,217 @@
+/** Accepts the connections of peers. */
+import { asError, type Logger, Progress } from "@marigolddrift/common";
+import { createServer, type Server } from "node:http";
+import type { Server as TlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+
+import type { AnswerEvent, OwnerRequest } from "../calls.js";
+import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
+import { createMac, createNonce, findKey, type HandshakeKeys } from "./handshake.js";
+import type { Identity } from "./identity.js";
+import {
+    type Ask,
+    type Heartbeat,
+    type Hello,
+    type PeerMessage,
+    protocolVersion,
+    type UpstreamNotice,
+} from "./messages.js";
+import { NotOwnerError } from "./peerErrors.js";
+import type { TlsFiles } from "./tls.js";
+
+const handshakeTimeoutMs = 2_000;
+
+/** What the daemon does with the messages of peers. */
+export interface PeerHandlers {
+    onHello(hello: Hello): void;
+    onClosed(hello: Hello): void;
+    onHeartbeat(hello: Hello, heartbeat: Heartbeat): void;
+    onSlots(hello: Hello, version: number, owned: readonly number[]): void;
+    onUpstreams(states: readonly UpstreamNotice[]): void;
+    /** Answers a request, or throws NotOwnerError. */
+    answer(request: OwnerRequest, progress: Progress): AsyncGenerator<AnswerEvent>;
+    onAsk(ask: Ask, progress: Progress): Promise<unknown>;
+}
+
+const askTimeoutMs = 30_000;
+
+/** Listens for peers on one port. */
+export class PeerServer {
+    private readonly server: Server | TlsServer;
+    private readonly sockets: WebSocketServer;
+
+    constructor(
+        private readonly self: Identity,
+        private readonly keys: HandshakeKeys,
+        private readonly tls: TlsFiles | undefined,
+        private readonly handlers: PeerHandlers,
+        private readonly log: Logger,
+    ) {
+        this.server = tls?.createServer() ?? createServer();
+        this.sockets = new WebSocketServer({
+            server: this.server,
+            path: "/peer",
+            maxPayload: maxFrameBytes,
+            perMessageDeflate: false,
+        });
+        this.sockets.on("connection", socket => new PeerSession(socket, self, keys, handlers, log));
+    }
+
+    async listen(host: string, port: number): Promise<number> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(port, host, resolve);
+        });
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Uses the certificate files as they are now. */
+    reloadTls(): void {
+        this.tls?.reload(this.server as TlsServer);
+    }
+
+    async close(): Promise<void> {
+        this.sockets.clients.forEach(socket => socket.terminate());
+        this.sockets.close();
+        this.server.closeAllConnections();
+        await new Promise<void>(resolve => this.server.close(() => resolve()));
+    }
+}
+
+/** One accepted connection. */
+class PeerSession {
+    private hello: Hello | undefined;
+    private readonly nonce = createNonce();
+    private readonly calls = new Map<number, Progress>();
+    private readonly timer: NodeJS.Timeout;
+
+    constructor(
+        private readonly socket: WebSocket,
+        private readonly self: Identity,
+        private readonly keys: HandshakeKeys,
+        private readonly handlers: PeerHandlers,
+        private readonly log: Logger,
+    ) {
+        socket.on("message", (data: Buffer) => this.onFrame(data));
+        socket.on("error", () => socket.terminate());
+        socket.on("close", () => this.onClose());
+        this.timer = setTimeout(() => this.hello === undefined && socket.terminate(), handshakeTimeoutMs);
+        this.timer.unref();
+        this.send({ type: "challenge", version: protocolVersion, nonce: this.nonce });
+    }
+
+    private onFrame(data: Buffer): void {
+        try {
+            const message = unpackFrame(data);
+            if (this.hello === undefined) {
+                this.authenticate(message);
+            }
+            else {
+                this.onMessage(this.hello, message);
+            }
+        }
+        catch (err) {
+            this.log.warn("peer refused", {
+                peer: this.hello?.instance ?? "unauthenticated",
+                error: asError(err).message,
+            });
+            this.socket.terminate();
+        }
+    }
+
+    private authenticate(message: PeerMessage): void {
+        if (message.type !== "hello" || message.version !== protocolVersion) {
+            throw new Error("the first message is not a hello of this protocol version");
+        }
+        const make = (key: string): string => createMac(key, "connecting", this.nonce, message.nonce, message.instance);
+        const key = findKey(this.keys, message.mac, make);
+        if (key === undefined) {
+            throw new Error("the peer did not prove that it has the key");
+        }
+        this.hello = message;
+        clearTimeout(this.timer);
+        const mac = createMac(key, "accepting", this.nonce, message.nonce, this.self.instance);
+        this.send({ type: "welcome", instance: this.self.instance, mac });
+        this.handlers.onHello(message);
+    }
+
+    private onMessage(hello: Hello, message: PeerMessage): void {
+        if (message.type === "heartbeat") {
+            this.handlers.onHeartbeat(hello, message);
+        }
+        else if (message.type === "slots") {
+            this.handlers.onSlots(hello, message.version, message.owned);
+        }
+        else if (message.type === "upstreams") {
+            this.handlers.onUpstreams(message.states);
+        }
+        else if (message.type === "call") {
+            void this.onCall(message.id, message.leftMs, message.request);
+        }
+        else if (message.type === "cancel") {
+            this.calls.get(message.id)?.abort(new Error("the peer cancelled the request"));
+        }
+        else if (message.type === "ask") {
+            void this.onAsk(message.id, message.ask);
+        }
+        else {
+            throw new Error(`a connecting peer must not send "${message.type}"`);
+        }
+    }
+
+    private async onCall(id: number, leftMs: number, request: OwnerRequest): Promise<void> {
+        const progress = new Progress(Date.now() + leftMs);
+        this.calls.set(id, progress);
+        try {
+            for await (const event of this.handlers.answer(request, progress)) {
+                this.send({ type: "event", id, event });
+            }
+        }
+        catch (err) {
+            this.onCallError(id, err);
+        }
+        finally {
+            this.calls.delete(id);
+            progress.dispose();
+        }
+    }
+
+    private onCallError(id: number, err: unknown): void {
+        if (err instanceof NotOwnerError) {
+            this.send({ type: "notOwner", id, ...(err.owner === undefined ? {} : { owner: err.owner }) });
+        }
+        else if (this.calls.get(id)?.signal.aborted !== true) {
+            this.log.error("peer request failed", { error: asError(err).message });
+            this.socket.terminate();
+        }
+    }
+
+    private async onAsk(id: number, ask: Ask): Promise<void> {
+        const progress = new Progress(Date.now() + askTimeoutMs);
+        try {
+            this.send({ type: "reply", id, value: await this.handlers.onAsk(ask, progress) });
+        }
+        catch (err) {
+            this.log.warn("peer question failed", { kind: ask.kind, error: asError(err).message });
+            this.send({ type: "reply", id, value: undefined });
+        }
+        finally {
+            progress.dispose();
+        }
+    }
+
+    private send(message: PeerMessage): void {
+        if (this.socket.readyState === this.socket.OPEN) {
+            this.socket.send(packFrame(message));
+        }
+    }
+
+    private onClose(): void {
+        clearTimeout(this.timer);
+        this.calls.forEach(progress => progress.abort(new Error("the connection to the peer was lost")));
+        if (this.hello !== undefined) {
+            this.handlers.onClosed(this.hello);
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/upstreams/serviceClient.ts
@@ -0,0 +1,62 @@
+/** Client of tools and plain services. */
+import type { Progress } from "@marigolddrift/common";
+import { type Agent, request } from "undici";
+
+import type { ServiceRequest } from "../calls.js";
+import { toUpstreamError } from "./upstreamError.js";
+
+const maxReplyBytes = 8 * 1024 * 1024;
+
+/** A service's answer. */
+export interface ServiceReply {
+    readonly status: number;
+    readonly contentType: string;
+    readonly body: Buffer;
+}
+
+/** Calls services over HTTP. */
+export class ServiceClient {
+    constructor(private readonly agent: Agent, private readonly onLeaving: (upstream: string) => void) {}
+
+    /**
+     * Sends one request, once.
+     *
+     * @throws UpstreamError with the verdict of the call.
+     */
+    async call(upstream: string, req: ServiceRequest, progress: Progress): Promise<ServiceReply> {
+        try {
+            const res = await request(`http://${upstream}/${req.path}`, {
+                method: req.method as "GET" | "POST" | "DELETE" | "PUT" | "PATCH",
+                headers: {
+                    ...(req.contentType === "" ? {} : { "content-type": req.contentType }),
+                    ...(req.key === undefined ? {} : { "idempotency-key": req.key }),
+                    "x-workspace": req.workspace,
+                },
+                body: req.body.length === 0 ? null : req.body,
+                dispatcher: this.agent,
+                signal: progress.signal,
+            });
+            if (res.headers["x-upstream-leaving"] === "true") {
+                this.onLeaving(upstream);
+            }
+            const body = await readLimited(res.body);
+            return { status: res.statusCode, contentType: String(res.headers["content-type"] ?? ""), body };
+        }
+        catch (err) {
+            throw toUpstreamError(err, upstream);
+        }
+    }
+}
+
+const readLimited = async (body: AsyncIterable<Buffer>): Promise<Buffer> => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of body) {
+        size += chunk.length;
+        if (size > maxReplyBytes) {
+            throw new Error(`the answer exceeds ${maxReplyBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+};
--- /dev/null
+++ b/packages/daemon/src/workerPool.ts
@@ -0,0 +1,83 @@
+/** Connects the dispatcher with what is known of the workers. */
+import type { Bundle } from "@marigolddrift/common";
+import type { WorkerView } from "@marigolddrift/policy";
+
+import type { DispatchRequest, DispatchTarget } from "./controllers/dispatcher.js";
+import type { EngineMemory } from "./controllers/engineMemory.js";
+import type { LinkBudget } from "./controllers/linkBudget.js";
+import type { Upstream } from "./controllers/upstream.js";
+import type { Upstreams } from "./controllers/upstreams.js";
+import type { Identity } from "./peers/identity.js";
+
+const sameZoneRoundTripMs = 1;
+const otherZoneRoundTripMs = 4;
+const otherRegionRoundTripMs = 45;
+
+/** The workers as the dispatcher sees them. */
+export class WorkerPool implements DispatchTarget {
+    constructor(
+        private readonly self: Identity,
+        private readonly upstreams: Upstreams,
+        private readonly memory: EngineMemory,
+        private readonly link: LinkBudget,
+        private readonly bundle: () => Bundle,
+    ) {}
+
+    /** Workers of the own region; those of other regions only if none is left here. */
+    views(req: DispatchRequest): WorkerView[] {
+        const now = Date.now();
+        const usable = this.upstreams.workersFor(req.model).filter(worker => worker.mayServe(now));
+        const fresh = usable.filter(worker => !req.excluded.has(worker.address));
+        const tried = fresh.length > 0 ? fresh : usable;
+        const near = tried.filter(worker => this.upstreams.regionOf(worker.zone) === this.self.region);
+        return (near.length > 0 ? near : tried).map(worker => this.view(worker, req, now));
+    }
+
+    capacity(model: string): number {
+        const pools = Object.values(this.bundle().pool).filter(pool => pool.models.includes(model));
+        const workers = this.upstreams.workersFor(model).filter(worker => worker.lifecycle.state === "live").length;
+        return workers * Math.max(0, ...pools.map(pool => pool.maxInFlightPerWorker));
+    }
+
+    onAssigned(worker: string): void {
+        this.upstreams.get(worker)!.inFlight += 1;
+    }
+
+    onReleased(worker: string): void {
+        const upstream = this.upstreams.get(worker);
+        if (upstream !== undefined) {
+            upstream.inFlight -= 1;
+        }
+    }
+
+    allows(worker: string, req: DispatchRequest): boolean {
+        const zone = this.upstreams.get(worker)?.zone ?? "";
+        return this.upstreams.regionOf(zone) === this.self.region || this.link.tryTake(req.bytes);
+    }
+
+    private view(worker: Upstream, req: DispatchRequest, now: number): WorkerView {
+        const { reported } = worker;
+        const cost = this.upstreams.costOf(worker.address);
+        return {
+            worker: worker.address,
+            zone: worker.zone,
+            ownInFlight: worker.inFlight,
+            reportedInFlight: reported === undefined ? 0 : reported.load.running + reported.load.waiting,
+            ownAtReport: reported?.ownInFlight ?? 0,
+            reportAgeMs: reported === undefined ? 0 : now - reported.at,
+            cachedTokens: this.memory.view.cachedTokens(req.program, worker.address, now),
+            exportedTokens: this.memory.view.exportedTokens(req.program, worker.address),
+            slowdown: worker.slowdown,
+            roundTripMs: this.roundTrip(worker.zone),
+            maxInFlight: cost.maxBatch,
+            cost,
+        };
+    }
+
+    private roundTrip(zone: string): number {
+        if (zone === this.self.zone) {
+            return sameZoneRoundTripMs;
+        }
+        return this.upstreams.regionOf(zone) === this.self.region ? otherZoneRoundTripMs : otherRegionRoundTripMs;
+    }
+}
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,5 @@
+/** Pure transitions of what survives an owner; the daemon and the model checker run the same code. */
+export * from "./budgetAccount.js";
+export * from "./fencedWrite.js";
+export * from "./recordCodec.js";
+export * from "./slotRecord.js";
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,10 @@
+/** Pure scheduling decisions: no I/O, no timers, no module state. */
+export * from "./admission.js";
+export * from "./cacheView.js";
+export * from "./costModel.js";
+export * from "./loopDetection.js";
+export * from "./ordering.js";
+export * from "./pauseModel.js";
+export * from "./placement.js";
+export * from "./retention.js";
+export * from "./retryBudget.js";
--- /dev/null
+++ b/packages/policy/src/placement.ts
@@ -0,0 +1,125 @@
+/** Chooses the worker on which a call is expected to finish first. */
+import { type CostModel, decodeStepMs } from "./costModel.js";
+
+/** What one instance knows of one worker. */
+export interface WorkerView {
+    readonly worker: string;
+    readonly zone: string;
+    /** Calls of this instance that are on the worker now. */
+    readonly ownInFlight: number;
+    /** Calls that the worker reported as running or waiting. */
+    readonly reportedInFlight: number;
+    /** Calls of this instance that were on the worker when it reported. */
+    readonly ownAtReport: number;
+    readonly reportAgeMs: number;
+    /** Tokens of the program's history that are probably cached on the worker. */
+    readonly cachedTokens: number;
+    /** Tokens of the program's history that were exported from the worker's memory and can be imported. */
+    readonly exportedTokens: number;
+    /** Observed slowness relative to the cost model; 1 is as expected. */
+    readonly slowdown: number;
+    /** Latency to the worker and back, in milliseconds. */
+    readonly roundTripMs: number;
+    readonly maxInFlight: number;
+    readonly cost: CostModel;
+}
+
+/** What is known of a call before it runs. */
+export interface CallShape {
+    readonly promptTokens: number;
+    /** Tokens that the call is expected to generate. */
+    readonly expectedTokens: number;
+}
+
+/** Expected finish of a call on one worker. */
+export interface Score {
+    readonly worker: string;
+    readonly expectedMs: number;
+    readonly waitMs: number;
+    readonly prefillMs: number;
+    readonly decodeMs: number;
+    /** Whether the worker may get another call now. */
+    readonly open: boolean;
+}
+
+/** A placement with its reason, or no worker that may get the call now. */
+export interface Placement {
+    readonly worker: string | undefined;
+    readonly reason: "cached" | "leastExpected" | "allBusy" | "noWorker" | "waitForCache";
+    readonly scores: readonly Score[];
+}
+
+/** Age at which a load report says nothing any more, in milliseconds. */
+const reportHorizonMs = 10_000;
+
+/** Number of random candidates weighed beside those that hold the program's history. */
+const sampledCandidates = 3;
+
+/** Calls that are probably on the worker now: this instance's own, and what others had there. */
+export const estimatedInFlight = (view: WorkerView): number => {
+    const others = Math.max(0, view.reportedInFlight - view.ownAtReport);
+    const weight = Math.max(0, 1 - view.reportAgeMs / reportHorizonMs);
+    return view.ownInFlight + others * weight;
+};
+
+/** Scores a call on a worker. */
+export const scoreWorker = (view: WorkerView, call: CallShape): Score => {
+    const load = estimatedInFlight(view);
+    const cost = view.cost;
+    const step = decodeStepMs(cost, Math.min(load + 1, cost.maxBatch)) * view.slowdown;
+    const decodeMs = call.expectedTokens * step;
+    const cached = Math.min(view.cachedTokens, call.promptTokens);
+    const imported = Math.min(Math.max(0, view.exportedTokens - cached), call.promptTokens - cached);
+    const fresh = call.promptTokens - cached - imported;
+    const prefillMs = (fresh * cost.prefillMsPerToken + imported * cost.importMsPerToken) * view.slowdown;
+    const ahead = Math.max(0, load + 1 - cost.maxBatch);
+    const waitMs = (ahead / cost.maxBatch) * (decodeMs + prefillMs);
+    return {
+        worker: view.worker,
+        expectedMs: waitMs + prefillMs + decodeMs + view.roundTripMs,
+        waitMs,
+        prefillMs,
+        decodeMs,
+        open: load < view.maxInFlight,
+    };
+};
+
+/**
+ * Places a call. Cached workers are always weighed; of the others only a random sample, so that many instances with the
+ * same stale view do not choose the same worker.
+ *
+ * @param random Yields numbers in [0, 1).
+ * @example
+ * const { worker, reason } = place(views, { promptTokens: 1200, expectedTokens: 150 }, random);
+ */
+export const place = (views: readonly WorkerView[], call: CallShape, random: () => number): Placement => {
+    if (views.length === 0) {
+        return { worker: undefined, reason: "noWorker", scores: [] };
+    }
+    const candidates = sampleCandidates(views, random);
+    const scores = candidates.map(view => scoreWorker(view, call)).sort((a, b) => a.expectedMs - b.expectedMs);
+    const best = scores.find(score => score.open) ?? lastResort(views, candidates, call);
+    if (best === undefined) {
+        return { worker: undefined, reason: "allBusy", scores };
+    }
+    const chosen = views.find(view => view.worker === best.worker)!;
+    return { worker: best.worker, reason: chosen.cachedTokens > 0 ? "cached" : "leastExpected", scores };
+};
+
+const lastResort = (views: readonly WorkerView[], tried: readonly WorkerView[], call: CallShape): Score | undefined => {
+    const rest = views.filter(view => !tried.includes(view)).map(view => scoreWorker(view, call));
+    return rest.filter(score => score.open).sort((a, b) => a.expectedMs - b.expectedMs)[0];
+};
+
+const sampleCandidates = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
+    const cached = views.filter(view => view.cachedTokens > 0 || view.exportedTokens > 0);
+    const others = views.filter(view => view.cachedTokens === 0 && view.exportedTokens === 0);
+    const sampled: WorkerView[] = [];
+    while (sampled.length < sampledCandidates && others.length > 0) {
+        const index = Math.floor(random() * others.length);
+        sampled.push(others[index]!);
+        others[index] = others.at(-1)!;
+        others.pop();
+    }
+    return [...cached, ...sampled];
+};
--- /dev/null
+++ b/packages/standins/src/engine/engineCore.ts
@@ -0,0 +1,282 @@
+/** A model engine in miniature: continuous batching, chunked prefill, priorities and a prefix cache. */
+import { type CacheChange, PrefixCache, type Segment } from "./prefixCache.js";
+
+/** Speed and size of an engine. */
+export interface EngineProfile {
+    readonly prefillMsPerToken: number;
+    readonly decodeBaseMs: number;
+    readonly decodePerSequenceMs: number;
+    readonly importMsPerToken: number;
+    readonly maxBatch: number;
+    /** Tokens that one step prefills. */
+    readonly prefillChunk: number;
+    /** Tokens of memory for prefixes and running sequences. */
+    readonly memoryTokens: number;
+    /** Steps that are simulated at once; 1 gives each token its own time. */
+    readonly stepsPerTick: number;
+}
+
+/** A call to an engine. */
+export interface EngineCall {
+    /** Groups the prefixes of one conversation, as `prompt_cache_key` does. */
+    readonly key: string;
+    readonly segments: readonly Segment[];
+    readonly outputTokens: number;
+    /** Digest of the prompt followed by the answer. */
+    readonly answerDigest: string;
+    /** Smaller numbers go first. */
+    readonly priority: number;
+    /** Called with the number of new tokens. */
+    onTokens(count: number): void;
+    onDone(usage: EngineUsage): void;
+}
+
+export interface EngineUsage {
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly completionTokens: number;
+}
+
+interface Sequence {
+    readonly call: EngineCall;
+    readonly order: number;
+    readonly promptTokens: number;
+    cached: number;
+    toPrefill: number;
+    toImport: number;
+    generated: number;
+    cancelled: boolean;
+}
+
+/** What an engine reports of its load. */
+export interface EngineLoad {
+    readonly running: number;
+    readonly waiting: number;
+    readonly heldTokens: number;
+    readonly memoryTokens: number;
+}
+
+/** Counters of an engine since its start. */
+export interface EngineCounters {
+    calls: number;
+    completed: number;
+    cancelled: number;
+    prefilledTokens: number;
+    cachedTokens: number;
+    importedTokens: number;
+    generatedTokens: number;
+}
+
+/** Handle of a call in progress. */
+export interface EngineTicket {
+    cancel(): void;
+}
+
+/** One engine; it runs on the runtime's timers. */
+export class EngineCore {
+    readonly cache: PrefixCache;
+    readonly counters: EngineCounters = {
+        calls: 0,
+        completed: 0,
+        cancelled: 0,
+        prefilledTokens: 0,
+        cachedTokens: 0,
+        importedTokens: 0,
+        generatedTokens: 0,
+    };
+    /** Factor on all times; 5 makes the engine five times slower. */
+    slowdown = 1;
+    /** While set, the engine makes no progress. */
+    hung = false;
+    private readonly waiting: Sequence[] = [];
+    private running: Sequence[] = [];
+    private growth = 0;
+    private timer: NodeJS.Timeout | undefined;
+    private nextOrder = 0;
+
+    constructor(readonly profile: EngineProfile, onCacheChange?: (change: CacheChange) => void) {
+        this.cache = new PrefixCache(profile.memoryTokens, onCacheChange);
+    }
+
+    /** Accepts a call; its callbacks are called as it makes progress. */
+    submit(call: EngineCall): EngineTicket {
+        const promptTokens = call.segments.reduce((sum, segment) => sum + segment.tokens, 0);
+        const seq: Sequence = {
+            call,
+            order: this.nextOrder++,
+            promptTokens,
+            cached: 0,
+            toPrefill: 0,
+            toImport: 0,
+            generated: 0,
+            cancelled: false,
+        };
+        this.counters.calls += 1;
+        this.waiting.push(seq);
+        this.wake();
+        return { cancel: () => this.cancel(seq) };
+    }
+
+    load(): EngineLoad {
+        return {
+            running: this.running.length,
+            waiting: this.waiting.length,
+            heldTokens: this.cache.held + this.growth,
+            memoryTokens: this.profile.memoryTokens,
+        };
+    }
+
+    /** Stops the engine and forgets its calls and memory, as a crash does. */
+    crash(): void {
+        clearTimeout(this.timer);
+        this.timer = undefined;
+        this.waiting.splice(0);
+        this.running = [];
+        this.growth = 0;
+        for (const key of this.cache.heldKeys()) {
+            this.cache.drop(key);
+        }
+    }
+
+    private cancel(seq: Sequence): void {
+        if (seq.cancelled || seq.generated >= seq.call.outputTokens) {
+            return;
+        }
+        seq.cancelled = true;
+        this.counters.cancelled += 1;
+        const index = this.waiting.indexOf(seq);
+        if (index >= 0) {
+            this.waiting.splice(index, 1);
+        }
+        else if (this.running.includes(seq)) {
+            this.leave(seq);
+        }
+    }
+
+    private wake(): void {
+        if (this.timer === undefined) {
+            this.timer = setTimeout(() => this.tick(), 0);
+        }
+    }
+
+    private tick(): void {
+        this.timer = undefined;
+        if (this.hung) {
+            this.timer = setTimeout(() => this.tick(), 100);
+            return;
+        }
+        this.admit();
+        if (this.running.length === 0) {
+            return;
+        }
+        const steps = this.plannedSteps();
+        let ms = 0;
+        const progress = new Map<Sequence, number>();
+        for (let step = 0; step < steps; step++) {
+            ms += this.simulateStep(progress);
+        }
+        this.timer = setTimeout(() => this.deliver(progress), ms * this.slowdown);
+    }
+
+    private plannedSteps(): number {
+        const prefilling = this.running.some(seq => seq.toPrefill + seq.toImport > 0);
+        if (prefilling) {
+            return 1;
+        }
+        const shortest = Math.min(...this.running.map(seq => seq.call.outputTokens - seq.generated));
+        return Math.max(1, Math.min(this.profile.stepsPerTick, shortest));
+    }
+
+    /** Advances all sequences by one step and returns its time in milliseconds. */
+    private simulateStep(progress: Map<Sequence, number>): number {
+        const { profile } = this;
+        let chunk = profile.prefillChunk;
+        let ms = profile.decodeBaseMs;
+        let decoding = 0;
+        for (const seq of this.running) {
+            if (seq.toImport > 0) {
+                const imported = Math.min(chunk * 8, seq.toImport);
+                seq.toImport -= imported;
+                this.counters.importedTokens += imported;
+                ms += imported * profile.importMsPerToken;
+            }
+            else if (seq.toPrefill > 0) {
+                const prefilled = Math.min(chunk, seq.toPrefill);
+                chunk -= prefilled;
+                seq.toPrefill -= prefilled;
+                this.counters.prefilledTokens += prefilled;
+                ms += prefilled * profile.prefillMsPerToken;
+            }
+            else {
+                decoding += 1;
+                progress.set(seq, (progress.get(seq) ?? 0) + 1);
+            }
+        }
+        return ms + profile.decodePerSequenceMs * Math.max(0, decoding - 1);
+    }
+
+    private deliver(progress: ReadonlyMap<Sequence, number>): void {
+        this.timer = undefined;
+        if (this.hung) {
+            this.timer = setTimeout(() => this.deliver(progress), 100);
+            return;
+        }
+        for (const [seq, count] of progress) {
+            if (!seq.cancelled) {
+                this.advance(seq, count);
+            }
+        }
+        this.wake();
+    }
+
+    private advance(seq: Sequence, count: number): void {
+        const fresh = Math.min(count, seq.call.outputTokens - seq.generated);
+        seq.generated += fresh;
+        this.counters.generatedTokens += fresh;
+        seq.call.onTokens(fresh);
+        if (seq.generated >= seq.call.outputTokens) {
+            this.finish(seq);
+        }
+    }
+
+    private finish(seq: Sequence): void {
+        const { call } = seq;
+        this.leave(seq);
+        const answered = [...call.segments, { digest: call.answerDigest, tokens: call.outputTokens }];
+        if (this.cache.canFit(answered)) {
+            this.cache.acquire(answered, call.key);
+            this.cache.release(answered);
+        }
+        this.counters.completed += 1;
+        call.onDone({ promptTokens: seq.promptTokens, cachedTokens: seq.cached, completionTokens: seq.generated });
+    }
+
+    private leave(seq: Sequence): void {
+        this.cache.release(seq.call.segments);
+        this.growth -= seq.call.outputTokens;
+        this.running = this.running.filter(other => other !== seq);
+    }
+
+    private admit(): void {
+        this.waiting.sort((a, b) => a.call.priority - b.call.priority || a.order - b.order);
+        while (this.running.length < this.profile.maxBatch && this.waiting.length > 0) {
+            const seq = this.waiting[0]!;
+            if (this.running.length > 0 && !this.cache.canFit(seq.call.segments)) {
+                return;
+            }
+            this.waiting.shift();
+            this.start(seq);
+        }
+    }
+
+    private start(seq: Sequence): void {
+        const { cached, imported } = this.cache.lookup(seq.call.segments);
+        this.cache.acquire(seq.call.segments, seq.call.key);
+        this.growth += seq.call.outputTokens;
+        seq.cached = cached + imported;
+        seq.toImport = imported;
+        seq.toPrefill = Math.max(1, seq.promptTokens - seq.cached);
+        this.counters.cachedTokens += seq.cached;
+        this.running.push(seq);
+    }
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,14 @@
+/** Development stand-ins, for tests, benchmarks and the demo. */
+export * from "./engine/engineCore.js";
+export * from "./engine/engineStandin.js";
+export * from "./engine/prefixCache.js";
+export { answerText, completionSchema, parsePrompt } from "./engine/prompt.js";
+export * from "./faults.js";
+export * from "./listStandin.js";
+export * from "./serviceStandin.js";
+export * from "./settings.js";
+export * from "./standins.js";
+export * from "./standinServer.js";
+export * from "./store/keyValueState.js";
+export * from "./store/storeStandin.js";
+export * from "./weightStandin.js";
