--- a/bench/localFleet.ts
+++ b/bench/localFleet.ts
@@ -1,19 +1,12 @@
 /** A whole fleet in one process: stand-ins, daemons, and a signed bundle. */
-import {
-    type BundleDocument,
-    createKeyPair,
-    type KeyPair,
-    type Logger,
-    parseIni,
-    Progress,
-    signBundle,
-    silentLogger,
-} from "@marigolddrift/common";
+import { createKeyPair, parseIni, Progress, signBundle, silentLogger } from "@marigolddrift/common";
+import type { BundleDocument, KeyPair, Logger } from "@marigolddrift/common";
 import { Daemon, settingsSchema } from "@marigolddrift/daemon";
 import { BundleChain, StoreClient } from "@marigolddrift/platform";
 import { Standins, standinSettingsSchema } from "@marigolddrift/standins";
 
-import { type FleetLayout, renderBundle, renderIni, type ZoneLayout } from "./sampleBundle.js";
+import { renderBundle, renderIni } from "./sampleBundle.js";
+import type { FleetLayout, ZoneLayout } from "./sampleBundle.js";
 
 const setUpTimeoutMs = 20_000;
 const peerKey = "a-peer-key-of-this-fleet";
--- a/bench/sampleBundle.ts
+++ b/bench/sampleBundle.ts
@@ -95,10 +95,10 @@
     const zones = Object.fromEntries(layout.zones.map(({ zone, region }) => [`zone.${zone}`, { region }]));
     const agents = Object.entries(layout.agents).map((
         [name, keys],
-    ) => [`agent.${name}`, { model: layout.model, ...keys }]);
+    ) => [`agent.${name}`, { model: layout.model, ...keys }] as const);
     const keys = Object.entries(operators).map((
         [name, publicKey],
-    ) => [`operator.${name}`, { publicKey: `"${publicKey}"` }]);
+    ) => [`operator.${name}`, { publicKey: `"${publicKey}"` }] as const);
     return renderIni({
         bundle: { version: extra.version ?? 1, title: `first bundle of ${layout.user}` },
         limits: { slots: 64, ...extra.limits },
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The command line's parts, for tests. */
+export * from "./bundleCommands.js";
+export * from "./diffLines.js";
--- a/packages/daemon/src/answerLog.ts
+++ b/packages/daemon/src/answerLog.ts
@@ -1,5 +1,6 @@
 /** An answer in progress, which any number of readers can follow from its start. */
-import { ProblemError, type Progress, toProblemError, type Verdict } from "@marigolddrift/common";
+import { ProblemError, toProblemError } from "@marigolddrift/common";
+import type { Progress, Verdict } from "@marigolddrift/common";
 
 import type { AnswerEvent } from "./calls.js";
 
--- a/packages/daemon/src/controllers/bundles.ts
+++ b/packages/daemon/src/controllers/bundles.ts
@@ -1,20 +1,17 @@
 /** The bundle in force on this instance: from the store, from peers, or from the data folder; never an older one. */
 import {
     asError,
-    type Bundle,
-    type BundleDocument,
     bundleDocumentSchema,
     delay,
-    type Logger,
-    type OperatorKeys,
     parseBundle,
     Progress,
     refusalOf,
-    type Rollout,
     rolloutSchema,
     verifyBundle,
 } from "@marigolddrift/common";
-import { BundleChain, bundlePrefix, type Store } from "@marigolddrift/platform";
+import type { Bundle, BundleDocument, Logger, OperatorKeys, Rollout } from "@marigolddrift/common";
+import { BundleChain, bundlePrefix } from "@marigolddrift/platform";
+import type { Store } from "@marigolddrift/platform";
 import { mkdirSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { z } from "zod";
--- a/packages/daemon/src/controllers/dispatcher.ts
+++ b/packages/daemon/src/controllers/dispatcher.ts
@@ -1,15 +1,8 @@
 /** Queues calls per model and gives each to the worker where it is expected to finish first. */
-import { type Logger, type Metrics, ProblemError, type Progress } from "@marigolddrift/common";
-import {
-    type AdmissionDecision,
-    admit,
-    type CallShape,
-    nextCall,
-    type Placement,
-    type Score,
-    type WaitingCall,
-    type WorkerView,
-} from "@marigolddrift/policy";
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Metrics, Progress } from "@marigolddrift/common";
+import { admit, nextCall } from "@marigolddrift/policy";
+import type { AdmissionDecision, CallShape, Placement, Score, WaitingCall, WorkerView } from "@marigolddrift/policy";
 
 /** A call that asks for a worker. */
 export interface DispatchRequest extends WaitingCall {
--- a/packages/daemon/src/controllers/drain.ts
+++ b/packages/daemon/src/controllers/drain.ts
@@ -1,5 +1,6 @@
 /** A graceful stop: no request in flight is interrupted. */
-import { type Logger, Progress } from "@marigolddrift/common";
+import { Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 
 import type { CallerServer } from "../http/callerServer.js";
 import type { Owner } from "../owner.js";
--- a/packages/daemon/src/controllers/engineMemory.ts
+++ b/packages/daemon/src/controllers/engineMemory.ts
@@ -1,6 +1,8 @@
 /** Engine memory of programs: what is believed to be cached, kept over pauses, and released at the end. */
-import { asError, type Logger, type Metrics, Progress } from "@marigolddrift/common";
-import { CacheView, type CostModel, decideRetention, PauseModel, type RetentionDecision } from "@marigolddrift/policy";
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger, Metrics } from "@marigolddrift/common";
+import { CacheView, decideRetention, PauseModel } from "@marigolddrift/policy";
+import type { CostModel, RetentionDecision } from "@marigolddrift/policy";
 
 import type { EngineClient } from "../upstreams/engineClient.js";
 
--- a/packages/daemon/src/controllers/groupCommit.ts
+++ b/packages/daemon/src/controllers/groupCommit.ts
@@ -1,5 +1,6 @@
 /** Stores the mutations of many slots together, so that the number of writes follows the instances and not the calls. */
-import { asError, type Logger, type Metrics, ProblemError, Progress } from "@marigolddrift/common";
+import { asError, ProblemError, Progress } from "@marigolddrift/common";
+import type { Logger, Metrics } from "@marigolddrift/common";
 import {
     beginWrite,
     compact,
@@ -9,11 +10,12 @@
     onRefused,
     packRecord,
     RecordError,
-    type StoredRecord,
     unpackRecord,
 } from "@marigolddrift/ledger";
+import type { StoredRecord } from "@marigolddrift/ledger";
 
-import { type Store, StoreError, type TxnResult } from "@marigolddrift/platform";
+import { StoreError } from "@marigolddrift/platform";
+import type { Store, TxnResult } from "@marigolddrift/platform";
 import { createNonce } from "../peers/handshake.js";
 import type { OwnedSlot } from "./ownedSlot.js";
 
--- a/packages/daemon/src/controllers/leaseKeeper.ts
+++ b/packages/daemon/src/controllers/leaseKeeper.ts
@@ -1,5 +1,6 @@
 /** Keeps this instance's lease in the store; a lease proves that nobody else has taken its slots. */
-import { asError, type Logger, Progress } from "@marigolddrift/common";
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 import { performance } from "node:perf_hooks";
 
 import type { Store } from "@marigolddrift/platform";
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -1,14 +1,13 @@
 /** Knows the live instances: from the platform's list, the seeds of the settings, and heartbeats. */
-import { asError, type Logger, Progress, rendezvous } from "@marigolddrift/common";
+import { asError, Progress, rendezvous } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 
 import type { InstanceList, ListedInstance } from "@marigolddrift/platform";
-import {
-    createInstanceLifecycle,
-    type InstanceLifecycle,
-    type InstanceState,
-} from "../lifecycles/instanceLifecycle.js";
+import { createInstanceLifecycle } from "../lifecycles/instanceLifecycle.js";
+import type { InstanceLifecycle, InstanceState } from "../lifecycles/instanceLifecycle.js";
 import type { HandshakeKeys } from "../peers/handshake.js";
-import { type Identity, instanceName } from "../peers/identity.js";
+import { instanceName } from "../peers/identity.js";
+import type { Identity } from "../peers/identity.js";
 import type { Heartbeat, Hello, PeerMessage } from "../peers/messages.js";
 import { PeerLink } from "../peers/peerLink.js";
 import type { TlsFiles } from "../peers/tls.js";
--- a/packages/daemon/src/controllers/ownedSlot.ts
+++ b/packages/daemon/src/controllers/ownedSlot.ts
@@ -1,6 +1,7 @@
 /** One slot that this instance owns: the confirmed record, and the mutations that wait to be stored. */
 import { asError } from "@marigolddrift/common";
-import { openWriter, type SlotRecord, type StoredRecord, type WriterState } from "@marigolddrift/ledger";
+import { openWriter } from "@marigolddrift/ledger";
+import type { SlotRecord, StoredRecord, WriterState } from "@marigolddrift/ledger";
 
 import { NotOwnerError } from "../peers/peerErrors.js";
 
--- a/packages/daemon/src/controllers/poolOrders.ts
+++ b/packages/daemon/src/controllers/poolOrders.ts
@@ -1,20 +1,15 @@
 /** Orders engines to load models and adapters and to change role; each pool has one orderer with a fencing number. */
-import {
-    asError,
-    type Logger,
-    type Metrics,
-    parseAddress,
-    type Pool,
-    Progress,
-    rendezvous,
-} from "@marigolddrift/common";
+import { asError, parseAddress, Progress, rendezvous } from "@marigolddrift/common";
+import type { Logger, Metrics, Pool } from "@marigolddrift/common";
 import type { Compare, Store } from "@marigolddrift/platform";
 import { z } from "zod";
 
 import { createNonce } from "../peers/handshake.js";
-import { type Identity, instanceName } from "../peers/identity.js";
+import { instanceName } from "../peers/identity.js";
+import type { Identity } from "../peers/identity.js";
 import type { EngineClient, EngineLoadReport, EngineOrder } from "../upstreams/engineClient.js";
-import { instanceKey, type LeaseKeeper } from "./leaseKeeper.js";
+import { instanceKey } from "./leaseKeeper.js";
+import type { LeaseKeeper } from "./leaseKeeper.js";
 import type { Membership } from "./membership.js";
 
 const tickMs = 2_000;
--- a/packages/daemon/src/controllers/programs.ts
+++ b/packages/daemon/src/controllers/programs.ts
@@ -1,17 +1,12 @@
 /** The programs of the slots that this instance owns. */
-import {
-    type Bundle,
-    decodeProgramId,
-    encodeProgramId,
-    type Logger,
-    newNonce,
-    ProblemError,
-    type ProgramClaims,
-} from "@marigolddrift/common";
-import type { SlotRecord } from "@marigolddrift/ledger";
+import { decodeProgramId, encodeProgramId, newNonce, ProblemError } from "@marigolddrift/common";
+import type { Bundle, Logger, ProgramClaims } from "@marigolddrift/common";
+import { handedOverOf } from "@marigolddrift/ledger";
+import type { ProgramEntry, SlotRecord } from "@marigolddrift/ledger";
 
 import type { OpenRequest } from "../calls.js";
-import { type EndReason, ProgramState } from "../programs/programState.js";
+import { ProgramState } from "../programs/programState.js";
+import type { EndReason } from "../programs/programState.js";
 import type { OwnedSlot } from "./ownedSlot.js";
 
 /** Bytes of messages that are held for all programs together. */
@@ -118,7 +113,9 @@
         if (agent === undefined) {
             throw new ProblemError("invalid_request", "notRun", `Agent "${claims.agent}" was removed from the bundle.`);
         }
-        const program = new ProgramState(id, claims, agent, slot.record.programs[ledgerName(claims)], false);
+        const entry = slot.record.programs[ledgerName(claims)];
+        const handed = handedOverOf(slot.record, ledgerName(claims));
+        const program = new ProgramState(id, claims, agent, entry, false, handed);
         this.programs.set(id, program);
         this.log.info("program inherited", { program: claims.nonce, slot: slot.slot, epoch: slot.epoch });
         return program;
@@ -158,12 +155,16 @@
 
     /** Records exactly what each program of a slot has spent, before the slot is handed over. */
     settle(record: SlotRecord): SlotRecord {
-        const programs = { ...record.programs };
+        const programs = Object.fromEntries(
+            Object.entries(record.programs).map(([name, entry]) => [name, passOn(entry, record.epoch)]),
+        );
         for (const program of this.programs.values()) {
             if (program.claims.slot === record.slot) {
                 const { account, claims } = program;
                 const reserved = account.spent + account.held;
-                programs[ledgerName(claims)] = { reserved, deadline: claims.deadline, ended: program.isEnded };
+                const handedOver = program.handOver(record.epoch);
+                const entry = { reserved, deadline: claims.deadline, ended: program.isEnded };
+                programs[ledgerName(claims)] = handedOver === undefined ? entry : { ...entry, handedOver };
             }
         }
         return { ...record, programs };
@@ -180,3 +181,7 @@
         }
     }
 }
+
+/** Entry of a program that made no call under this owner: what the former owner handed over still holds. */
+const passOn = (entry: ProgramEntry, epoch: number): ProgramEntry =>
+    entry.handedOver?.epoch === epoch - 1 ? { ...entry, handedOver: { ...entry.handedOver, epoch } } : entry;
--- a/packages/daemon/src/controllers/slots.ts
+++ b/packages/daemon/src/controllers/slots.ts
@@ -1,39 +1,25 @@
 /** Owns slots: claims, verifies, loses and hands them over. */
-import { asError, type Logger, type Metrics, ProblemError, Progress } from "@marigolddrift/common";
-import {
-    beginWrite,
-    handOver,
-    onApplied,
-    onNoReply,
-    onReadBack,
-    onRefused,
-    openWriter,
-    packRecord,
-    type SlotRecord,
-    takeOver,
-    type WriterState,
-} from "@marigolddrift/ledger";
-
-import { type Compare, type Store, StoreError } from "@marigolddrift/platform";
-import { createNonce } from "../peers/handshake.js";
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Metrics, Progress } from "@marigolddrift/common";
+import { takeOver } from "@marigolddrift/ledger";
+import type { SlotRecord } from "@marigolddrift/ledger";
+
+import type { Store } from "@marigolddrift/platform";
 import type { Identity } from "../peers/identity.js";
 import { NotOwnerError } from "../peers/peerErrors.js";
-import { GroupCommit, slotKey } from "./groupCommit.js";
-import { instanceKey, LeaseKeeper } from "./leaseKeeper.js";
-import type { Member, Membership } from "./membership.js";
-import { type Mutation, OwnedSlot } from "./ownedSlot.js";
+import { GroupCommit } from "./groupCommit.js";
+import { LeaseKeeper } from "./leaseKeeper.js";
+import type { Membership } from "./membership.js";
+import { OwnedSlot } from "./ownedSlot.js";
+import type { Mutation } from "./ownedSlot.js";
+import { PreferredOwners } from "./preferredOwners.js";
+import { SlotAcquirer } from "./slotAcquirer.js";
+import { SlotClaims } from "./slotClaims.js";
 import { SlotDirectory } from "./slotDirectory.js";
+import { SlotHandOvers } from "./slotHandOvers.js";
 
 const tickMs = 500;
-const claimTimeoutMs = 2_000;
-const parallelClaims = 8;
-
-/** Time between two requests to hand the same slot over, in milliseconds. */
-const handOverRetryMs = 2_000;
 
-/** Time for which a slot stays open for new calls while its hand-over waits for a quiet moment, in milliseconds. */
-const handOverPatienceMs = 3_000;
-const handOverPollMs = 50;
 const announceDelayMs = 10;
 
 /** What the slots need from the rest of the daemon. */
@@ -66,11 +52,12 @@
     /** Raised whenever the set of owned slots changes. */
     version = 1;
     private readonly owned = new Map<number, OwnedSlot>();
-    private readonly claiming = new Map<number, Promise<void>>();
-    private readonly askedAt = new Map<number, number>();
+    private readonly claims: SlotClaims;
+    private readonly acquirer: SlotAcquirer;
     private timer: NodeJS.Timeout | undefined;
     private announceTimer: NodeJS.Timeout | undefined;
-    private preferred: { key: string; slots: (Member | undefined)[]; } = { key: "", slots: [] };
+    private readonly preferred: PreferredOwners;
+    private readonly handOvers: SlotHandOvers;
 
     constructor(
         private readonly self: Identity,
@@ -90,6 +77,19 @@
             log,
             metrics,
         );
+        this.preferred = new PreferredOwners(membership, () => options.slotCount(), () => options.zones());
+        const write = (owned: OwnedSlot, mutation: Mutation): Promise<void> => this.mutate(owned, mutation);
+        this.handOvers = new SlotHandOvers(write, record => options.beforeHandOver(record), log);
+        this.claims = new SlotClaims({
+            instance: self.instance,
+            store,
+            commit: this.commit,
+            isAlive: instance => membership.isAlive(instance),
+            isOwned: slot => this.owned.get(slot)?.provisional === false,
+            onClaimed: slot => this.own(slot),
+            log,
+        });
+        this.acquirer = new SlotAcquirer(self.instance, this.directory, membership, this.claims, log);
         this.lease = new LeaseKeeper(
             store,
             self.instance,
@@ -120,6 +120,13 @@
         return [...this.owned.values()];
     }
 
+    /** Number of slots that this instance owns and should own. */
+    get settledSlots(): number {
+        const isSettled = (slot: OwnedSlot): boolean =>
+            !slot.provisional && this.preferred.ownerOf(slot.slot)?.instance === this.self.instance;
+        return this.all().filter(isSettled).length;
+    }
+
     get(slot: number): OwnedSlot | undefined {
         return this.owned.get(slot);
     }
@@ -133,7 +140,7 @@
         if (announced !== undefined && this.membership.isAlive(announced)) {
             return announced;
         }
-        return this.preferredOwner(slot)?.instance;
+        return this.preferred.ownerOf(slot)?.instance;
     }
 
     /**
@@ -200,44 +207,30 @@
         }
     }
 
-    /** Gives a slot up, once no call is being worked on. */
+    /** Gives a slot up, once no call is being worked on; returns whether it is given up. */
     async handOver(slot: number, progress: Progress): Promise<boolean> {
+        if (this.owned.get(slot) === undefined) {
+            await this.claimIfNamed(slot, progress);
+        }
         const owned = this.owned.get(slot);
-        if (owned === undefined || owned.closing) {
+        if (owned === undefined || owned.closing || !this.lease.isProven()) {
             return owned === undefined;
         }
-        const patience = Date.now() + handOverPatienceMs;
-        try {
-            while (owned.active > 0) {
-                owned.closing ||= Date.now() > patience;
-                await progress.sleep(handOverPollMs);
-            }
-            owned.closing = true;
-            if (!owned.provisional && !owned.isLost) {
-                const mutation: Mutation = record => handOver(this.options.beforeHandOver(record));
-                await progress.race(this.mutate(owned, mutation));
-            }
-        }
-        catch (err) {
-            owned.closing = false;
-            this.log.warn("slot not handed over", { slot, error: asError(err).message });
+        if (!await this.handOvers.prepare(owned, progress)) {
             return false;
         }
-        this.release(slot, "handed over");
+        if (this.owned.get(slot) === owned) {
+            this.release(slot, "handed over");
+        }
         return true;
     }
 
-    private preferredOwner(slot: number): Member | undefined {
-        const members = this.membership.members();
-        const key = members.map(member => member.instance).sort().join() + this.options.zones().join() +
-            this.options.slotCount();
-        if (this.preferred.key !== key) {
-            const count = this.options.slotCount();
-            const zones = this.options.zones();
-            const slots = Array.from({ length: count }, (_, index) => this.membership.preferredOwner(index, zones));
-            this.preferred = { key, slots };
+    /** Takes a slot whose record names this instance although it does not hold the slot. */
+    private async claimIfNamed(slot: number, progress: Progress): Promise<void> {
+        const stored = await this.commit.read(slot, progress);
+        if (stored?.record.owner === this.self.instance && !this.membership.leaving) {
+            await this.claims.claim(slot);
         }
-        return this.preferred.slots[slot];
     }
 
     private tick(): void {
@@ -247,134 +240,25 @@
         const wanted: number[] = [];
         for (let slot = 0; slot < this.options.slotCount(); slot++) {
             const mine = this.owned.get(slot);
-            const isPreferred = this.preferredOwner(slot)?.instance === this.self.instance;
-            if (isPreferred && (mine === undefined || mine.provisional) && !this.claiming.has(slot)) {
+            const isPreferred = this.preferred.ownerOf(slot)?.instance === this.self.instance;
+            if (isPreferred && (mine === undefined || mine.provisional) && !this.claims.isClaiming(slot)) {
                 wanted.push(slot);
             }
         }
-        void this.acquireAll(wanted);
-    }
-
-    private async acquireAll(slots: readonly number[]): Promise<void> {
-        if (!this.lease.isProven()) {
-            return;
-        }
-        const queue = [...slots];
-        const worker = async (): Promise<void> => {
-            for (let slot = queue.shift(); slot !== undefined; slot = queue.shift()) {
-                await this.acquire(slot);
-            }
-        };
-        await Promise.all(Array.from({ length: parallelClaims }, worker));
-    }
-
-    /** Claims a slot, or asks its owner for it. */
-    private async acquire(slot: number): Promise<void> {
-        const owner = this.directory.ownerOf(slot);
-        const peer = owner === undefined || owner === this.self.instance ? undefined : this.membership.peerOf(owner);
-        if (peer === undefined) {
-            return this.claimOnce(slot);
-        }
-        const asked = this.askedAt.get(slot) ?? 0;
-        if (asked + handOverRetryMs > Date.now()) {
-            return;
-        }
-        this.askedAt.set(slot, Date.now());
-        const progress = new Progress(Date.now() + claimTimeoutMs + handOverPatienceMs);
-        try {
-            if (await peer.link.ask({ kind: "handOver", slot }, progress) === true) {
-                await this.claimOnce(slot);
-            }
-        }
-        catch (err) {
-            this.log.debug("hand-over not answered", { slot, error: asError(err).message });
-        }
-        finally {
-            progress.dispose();
+        if (this.lease.isProven()) {
+            void this.acquirer.acquireAll(wanted);
         }
     }
 
     private async claimIfPreferred(slot: number, progress: Progress): Promise<void> {
         const owner = this.directory.ownerOf(slot);
         const ownerAlive = owner !== undefined && this.membership.isAlive(owner);
-        const isPreferred = this.preferredOwner(slot)?.instance === this.self.instance;
+        const isPreferred = this.preferred.ownerOf(slot)?.instance === this.self.instance;
         if (!isPreferred || ownerAlive || this.membership.leaving) {
-            throw new NotOwnerError(slot, ownerAlive ? owner : this.preferredOwner(slot)?.instance);
+            throw new NotOwnerError(slot, ownerAlive ? owner : this.preferred.ownerOf(slot)?.instance);
         }
         if (await this.lease.prove() === "proven") {
-            await progress.race(this.claimOnce(slot));
-        }
-    }
-
-    private claimOnce(slot: number): Promise<void> {
-        let claim = this.claiming.get(slot);
-        if (claim === undefined) {
-            claim = this.claim(slot).finally(() => this.claiming.delete(slot));
-            this.claiming.set(slot, claim);
-        }
-        return claim;
-    }
-
-    private async claim(slot: number): Promise<void> {
-        const progress = new Progress(Date.now() + claimTimeoutMs);
-        try {
-            const writer = await this.writeClaim(slot, progress);
-            if (writer?.kind === "idle") {
-                this.own(new OwnedSlot(slot, writer.stored, false));
-            }
-        }
-        catch (err) {
-            this.log.debug("slot not claimed", { slot, error: asError(err).message });
-        }
-        finally {
-            progress.dispose();
-        }
-    }
-
-    /** Takes a slot over: only if its record is unchanged and its former owner's lease has ended. */
-    private async writeClaim(slot: number, progress: Progress): Promise<WriterState | undefined> {
-        const stored = await this.commit.read(slot, progress);
-        const former = stored?.record.owner ?? "";
-        if (former !== "" && former !== this.self.instance && this.membership.isAlive(former)) {
-            return undefined;
-        }
-        const base = stored ?? { record: takeOver(undefined, slot, ""), revision: 0 };
-        const next = takeOver(stored?.record, slot, this.self.instance);
-        let writer = beginWrite(openWriter(base), next, createNonce());
-        const fence: Compare[] = former === "" || former === this.self.instance ?
-            [] :
-            [{ key: instanceKey(former), revision: 0 }];
-        while (writer.kind === "writing") {
-            writer = await this.tryClaim(slot, writer, fence, progress);
-        }
-        return writer;
-    }
-
-    private async tryClaim(
-        slot: number,
-        writer: WriterState & { kind: "writing"; },
-        fence: readonly Compare[],
-        progress: Progress,
-    ): Promise<WriterState> {
-        const compares = [{ key: slotKey(slot), revision: writer.stored.revision }, ...fence];
-        try {
-            const result = await this.store.txn(
-                compares,
-                [{ key: slotKey(slot), value: packRecord(writer.next) }],
-                progress,
-            );
-            if (result.succeeded) {
-                return onApplied(writer, result.revision);
-            }
-            const settled = onRefused(writer, await this.commit.read(slot, progress));
-            // The record is unchanged, so the former owner's lease must still hold.
-            return settled.kind === "writing" ? { kind: "lost" } : settled;
-        }
-        catch (err) {
-            if (!(err instanceof StoreError) || err.applied === "no") {
-                throw err;
-            }
-            return onReadBack(onNoReply(writer), await this.commit.read(slot, progress));
+            await progress.race(this.claims.claim(slot));
         }
     }
 
@@ -392,7 +276,7 @@
         for (let slot = 0; slot < count; slot++) {
             const announced = this.directory.ownerOf(slot);
             const free = announced === undefined || !this.membership.isAlive(announced);
-            if (free && this.preferredOwner(slot)?.instance === this.self.instance) {
+            if (free && this.preferred.ownerOf(slot)?.instance === this.self.instance) {
                 const record = { ...takeOver(undefined, slot, this.self.instance), epoch: 0 };
                 const owned = new OwnedSlot(slot, { record, revision: 0 }, true);
                 this.own(owned);
@@ -409,7 +293,7 @@
         }
         const state = await progress.race(this.lease.prove());
         if (state === "proven" && this.owned.get(slot)?.provisional === true) {
-            await progress.race(this.claimOnce(slot));
+            await progress.race(this.claims.claim(slot));
         }
         return state === "proven";
     }
--- a/packages/daemon/src/controllers/sweeper.ts
+++ b/packages/daemon/src/controllers/sweeper.ts
@@ -1,5 +1,6 @@
 /** Finds engine memory that is held for programs that have ended, also when their owner died in between. */
-import { asError, type Logger, type Metrics, Progress } from "@marigolddrift/common";
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger, Metrics } from "@marigolddrift/common";
 import { z } from "zod";
 
 import type { Identity } from "../peers/identity.js";
--- a/packages/daemon/src/controllers/upstream.ts
+++ b/packages/daemon/src/controllers/upstream.ts
@@ -1,5 +1,6 @@
 /** What this instance knows of one upstream. */
-import { createUpstreamLifecycle, type UpstreamLifecycle } from "../lifecycles/upstreamLifecycle.js";
+import { createUpstreamLifecycle } from "../lifecycles/upstreamLifecycle.js";
+import type { UpstreamLifecycle } from "../lifecycles/upstreamLifecycle.js";
 import type { UpstreamNotice, WorkerLoad } from "../peers/messages.js";
 
 type LeavingSource = UpstreamNotice["source"];
--- a/packages/daemon/src/controllers/upstreams.ts
+++ b/packages/daemon/src/controllers/upstreams.ts
@@ -1,15 +1,9 @@
 /** All upstreams of the bundle: their circuits, loads, models, and whether they are leaving. */
-import {
-    asError,
-    type Bundle,
-    type Logger,
-    parseAddress,
-    type Pool,
-    Progress,
-    rendezvous,
-} from "@marigolddrift/common";
-
-import { type CostModel, defaultCostModel } from "@marigolddrift/policy";
+import { asError, parseAddress, Progress, rendezvous } from "@marigolddrift/common";
+import type { Bundle, Logger, Pool } from "@marigolddrift/common";
+
+import { defaultCostModel } from "@marigolddrift/policy";
+import type { CostModel } from "@marigolddrift/policy";
 
 import type { ListedInstance } from "@marigolddrift/platform";
 import type { Identity } from "../peers/identity.js";
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,8 @@
 /** Puts the parts of a daemon together, starts them and stops them. */
-import { type Bundle, createLogger, createMetrics, type Logger, type Metrics } from "@marigolddrift/common";
-import { HttpInstanceList, type InstanceList, type Store, StoreClient } from "@marigolddrift/platform";
+import { createLogger, createMetrics } from "@marigolddrift/common";
+import type { Bundle, Logger, Metrics } from "@marigolddrift/common";
+import { HttpInstanceList, StoreClient } from "@marigolddrift/platform";
+import type { InstanceList, Store } from "@marigolddrift/platform";
 import { place, RetryBudget } from "@marigolddrift/policy";
 import { Agent } from "undici";
 
@@ -21,12 +23,14 @@
 import { AdminServer } from "./http/adminServer.js";
 import { CallerServer } from "./http/callerServer.js";
 import { Owner } from "./owner.js";
-import { createInstanceId, type Identity } from "./peers/identity.js";
+import { createInstanceId } from "./peers/identity.js";
+import type { Identity } from "./peers/identity.js";
 import type { Ask, Heartbeat } from "./peers/messages.js";
 import { PeerServer } from "./peers/peerServer.js";
 import { TlsFiles } from "./peers/tls.js";
 import { Router } from "./router.js";
-import { peerAddress, type Settings } from "./settings.js";
+import { peerAddress } from "./settings.js";
+import type { Settings } from "./settings.js";
 import { EngineClient } from "./upstreams/engineClient.js";
 import { ServiceClient } from "./upstreams/serviceClient.js";
 import { WorkerPool } from "./workerPool.js";
--- a/packages/daemon/src/filters/authenticateFilter.ts
+++ b/packages/daemon/src/filters/authenticateFilter.ts
@@ -1,5 +1,6 @@
 /** Finds the workspace of a caller by its key. */
-import { type Bundle, ProblemError } from "@marigolddrift/common";
+import { ProblemError } from "@marigolddrift/common";
+import type { Bundle } from "@marigolddrift/common";
 import { createHash } from "node:crypto";
 
 import type { EdgeContext } from "./edgeContext.js";
--- a/packages/daemon/src/filters/budgetHold.ts
+++ b/packages/daemon/src/filters/budgetHold.ts
@@ -3,7 +3,8 @@
 import { hold, onReserved, reserve, settle } from "@marigolddrift/ledger";
 
 import { ledgerName } from "../controllers/programs.js";
-import { type SlotHold, Slots } from "../controllers/slots.js";
+import { Slots } from "../controllers/slots.js";
+import type { SlotHold } from "../controllers/slots.js";
 import type { ProgramState } from "../programs/programState.js";
 
 /** Tokens that are set aside for one attempt. */
--- a/packages/daemon/src/filters/chatDispatchFilter.ts
+++ b/packages/daemon/src/filters/chatDispatchFilter.ts
@@ -1,6 +1,8 @@
 /** Sends a model call to engines until its answer is complete. */
-import { type Logger, type Message, type Metrics, ProblemError } from "@marigolddrift/common";
-import { enginePriority, type RetryBudget } from "@marigolddrift/policy";
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Message, Metrics } from "@marigolddrift/common";
+import { enginePriority } from "@marigolddrift/policy";
+import type { RetryBudget } from "@marigolddrift/policy";
 
 import type { Usage } from "../calls.js";
 import type { Dispatcher, DispatchLease } from "../controllers/dispatcher.js";
--- a/packages/daemon/src/filters/intentFilter.ts
+++ b/packages/daemon/src/filters/intentFilter.ts
@@ -1,6 +1,8 @@
 /** Makes a call that must not be repeated run at most once: its intent is stored before it is sent. */
-import { digest, type Logger, ProblemError } from "@marigolddrift/common";
-import { conclude, intend, lookupIntent, type Outcome, withdraw } from "@marigolddrift/ledger";
+import { digest, ProblemError } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+import { conclude, intend, lookupIntent, withdraw } from "@marigolddrift/ledger";
+import type { Outcome } from "@marigolddrift/ledger";
 
 import type { ServiceRequest } from "../calls.js";
 import { Slots } from "../controllers/slots.js";
--- a/packages/daemon/src/filters/parseFilter.ts
+++ b/packages/daemon/src/filters/parseFilter.ts
@@ -1,10 +1,12 @@
 /** Turns a caller's request into a request for an owner. */
-import { digest, ProblemError, type ProgramClaims, slotOf } from "@marigolddrift/common";
+import { digest, ProblemError, slotOf } from "@marigolddrift/common";
+import type { ProgramClaims } from "@marigolddrift/common";
 import type { IncomingMessage } from "node:http";
 
 import type { ChatRequest, OpenRequest, OwnerRequest, ServiceRequest } from "../calls.js";
 import type { Programs } from "../controllers/programs.js";
-import { type ChatBody, chatBodySchema, engineOptionNames, openBodySchema } from "../http/callerSchemas.js";
+import { chatBodySchema, engineOptionNames, openBodySchema } from "../http/callerSchemas.js";
+import type { ChatBody } from "../http/callerSchemas.js";
 import { parseJson } from "../http/requestBody.js";
 import type { EdgeContext, EdgeRoute } from "./edgeContext.js";
 import type { Filter } from "./filterChain.js";
--- a/packages/daemon/src/filters/serviceDispatchFilter.ts
+++ b/packages/daemon/src/filters/serviceDispatchFilter.ts
@@ -1,5 +1,6 @@
 /** Sends a service call to an upstream; again only where that is safe. */
-import { type Logger, ProblemError, type Service } from "@marigolddrift/common";
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Service } from "@marigolddrift/common";
 import type { RetryBudget } from "@marigolddrift/policy";
 
 import type { ServiceRequest } from "../calls.js";
--- a/packages/daemon/src/http/adminServer.ts
+++ b/packages/daemon/src/http/adminServer.ts
@@ -1,8 +1,10 @@
 /** The port for operators: health, status and orders. */
 import { asError } from "@marigolddrift/common";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import polka, { type Polka } from "polka";
+import polka from "polka";
+import type { Polka } from "polka";
 
 import { macEquals } from "../peers/handshake.js";
 import { sendJson } from "./httpErrors.js";
@@ -21,7 +23,7 @@
     /** Documents by path, for example `status`. */
     readonly views: Readonly<Record<string, (query: URLSearchParams) => unknown>>;
     /** Orders by path, for example `drain`. */
-    readonly orders: Readonly<Record<string, (body: unknown) => Promise<unknown> | unknown>>;
+    readonly orders: Readonly<Record<string, (body: unknown) => unknown>>;
 }
 
 /** Accepts the requests of operators. */
--- a/packages/daemon/src/http/callerServer.ts
+++ b/packages/daemon/src/http/callerServer.ts
@@ -1,19 +1,15 @@
 /** The port for callers. */
-import {
-    asError,
-    type Bundle,
-    type Logger,
-    type Metrics,
-    ProblemError,
-    Progress,
-    toProblemError,
-} from "@marigolddrift/common";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { asError, ProblemError, Progress, toProblemError } from "@marigolddrift/common";
+import type { Bundle, Logger, Metrics } from "@marigolddrift/common";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import polka, { type Polka } from "polka";
+import polka from "polka";
+import type { Polka } from "polka";
 
 import type { EdgeContext, EdgeRoute } from "../filters/edgeContext.js";
-import { type Filter, runChain } from "../filters/filterChain.js";
+import { runChain } from "../filters/filterChain.js";
+import type { Filter } from "../filters/filterChain.js";
 import { sendProblem } from "./httpErrors.js";
 
 const maxHeaderBytes = 32 * 1024;
--- a/packages/daemon/src/http/requestBody.ts
+++ b/packages/daemon/src/http/requestBody.ts
@@ -1,7 +1,8 @@
 /** Reads request bodies within limits. */
-import { ProblemError, type Progress } from "@marigolddrift/common";
+import { ProblemError } from "@marigolddrift/common";
+import type { Progress } from "@marigolddrift/common";
 import type { IncomingMessage } from "node:http";
-import { z } from "zod";
+import type { z } from "zod";
 
 /** Largest body of a caller: the longest history with room to spare. */
 export const maxBodyBytes = 8 * 1024 * 1024;
--- a/packages/daemon/src/lifecycles/instanceLifecycle.ts
+++ b/packages/daemon/src/lifecycles/instanceLifecycle.ts
@@ -16,5 +16,6 @@
 
 export type InstanceLifecycle = Lifecycle<InstanceState, InstanceEvent>;
 
+/** Starts the lifecycle of an instance. */
 export const createInstanceLifecycle = (onChange: (state: InstanceState) => void): InstanceLifecycle =>
     new Lifecycle(machine, onChange);
--- a/packages/daemon/src/lifecycles/lifecycle.ts
+++ b/packages/daemon/src/lifecycles/lifecycle.ts
@@ -1,5 +1,6 @@
 /** Runs robot3 machines. */
-import { interpret, type Machine, type Service } from "robot3";
+import { interpret } from "robot3";
+import type { Machine, Service } from "robot3";
 
 /** One running machine, for example the lifecycle of one request. */
 export class Lifecycle<S extends string, E extends string> {
--- a/packages/daemon/src/lifecycles/programLifecycle.ts
+++ b/packages/daemon/src/lifecycles/programLifecycle.ts
@@ -15,4 +15,5 @@
 
 export type ProgramLifecycle = Lifecycle<ProgramLifecycleState, ProgramEvent>;
 
+/** Starts the lifecycle of a program. */
 export const createProgramLifecycle = (): ProgramLifecycle => new Lifecycle(machine);
--- a/packages/daemon/src/lifecycles/requestLifecycle.ts
+++ b/packages/daemon/src/lifecycles/requestLifecycle.ts
@@ -29,6 +29,7 @@
 
 export type RequestLifecycle = Lifecycle<RequestState, RequestEvent>;
 
+/** Starts the lifecycle of a request. */
 export const createRequestLifecycle = (): RequestLifecycle => new Lifecycle(machine);
 
 const verdicts: Record<RequestState, Verdict> = {
--- a/packages/daemon/src/lifecycles/upstreamLifecycle.ts
+++ b/packages/daemon/src/lifecycles/upstreamLifecycle.ts
@@ -21,5 +21,6 @@
 
 export type UpstreamLifecycle = Lifecycle<UpstreamState, UpstreamEvent>;
 
+/** Starts the lifecycle of an upstream. */
 export const createUpstreamLifecycle = (onChange: (state: UpstreamState) => void): UpstreamLifecycle =>
     new Lifecycle(machine, onChange);
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -1,13 +1,16 @@
 /** Works on the requests of the slots that this instance owns. */
-import { digest, type Logger, type Metrics, ProblemError, Progress, toProblemError } from "@marigolddrift/common";
+import { digest, ProblemError, Progress, toProblemError } from "@marigolddrift/common";
+import type { Logger, Metrics } from "@marigolddrift/common";
 import { endProgram } from "@marigolddrift/ledger";
 
 import { AnswerLog } from "./answerLog.js";
 import type { AnswerEvent, ChatRequest, OpenRequest, OwnerRequest, ServiceRequest } from "./calls.js";
 import type { EngineMemory } from "./controllers/engineMemory.js";
-import { ledgerName, type Programs } from "./controllers/programs.js";
+import { ledgerName } from "./controllers/programs.js";
+import type { Programs } from "./controllers/programs.js";
 import type { SlotHold, Slots } from "./controllers/slots.js";
-import { type Filter, runChain } from "./filters/filterChain.js";
+import { runChain } from "./filters/filterChain.js";
+import type { Filter } from "./filters/filterChain.js";
 import { requestDigest } from "./filters/intentFilter.js";
 import type { ChatContext, OwnerContext, ServiceContext } from "./filters/ownerContext.js";
 import { createRequestLifecycle, verdictOf } from "./lifecycles/requestLifecycle.js";
--- a/packages/daemon/src/peers/frames.ts
+++ b/packages/daemon/src/peers/frames.ts
@@ -2,7 +2,8 @@
 import { Packr } from "msgpackr";
 import VError from "verror";
 
-import { type PeerMessage, peerMessageSchema } from "./messages.js";
+import { peerMessageSchema } from "./messages.js";
+import type { PeerMessage } from "./messages.js";
 
 const packr = new Packr({ useRecords: false });
 
@@ -16,6 +17,7 @@
     }
 }
 
+/** Packs a message. */
 export const packFrame = (message: PeerMessage): Buffer => packr.pack(message);
 
 /**
--- a/packages/daemon/src/peers/handshake.ts
+++ b/packages/daemon/src/peers/handshake.ts
@@ -3,6 +3,7 @@
 
 const nonceBytes = 16;
 
+/** Creates a value that is used once. */
 export const createNonce = (): string => randomBytes(nonceBytes).toString("base64url");
 
 /** Proof of one side over both nonces and its identity; a recorded proof is useless on another connection. */
--- a/packages/daemon/src/peers/peerLink.ts
+++ b/packages/daemon/src/peers/peerLink.ts
@@ -1,12 +1,15 @@
 /** The outgoing connection to one peer: requests and control messages. */
-import { asError, type Logger, type Progress } from "@marigolddrift/common";
+import { asError } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
 import { WebSocket } from "ws";
 
 import type { AnswerEvent, OwnerRequest } from "../calls.js";
 import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
-import { createMac, createNonce, type HandshakeKeys, macEquals } from "./handshake.js";
+import { createMac, createNonce, macEquals } from "./handshake.js";
+import type { HandshakeKeys } from "./handshake.js";
 import type { Identity } from "./identity.js";
-import { type Ask, type PeerMessage, protocolVersion } from "./messages.js";
+import { protocolVersion } from "./messages.js";
+import type { Ask, PeerMessage } from "./messages.js";
 import { NotOwnerError, PeerLostError } from "./peerErrors.js";
 import type { TlsFiles } from "./tls.js";
 
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -1,22 +1,20 @@
 /** Accepts the connections of peers. */
-import { asError, type Logger, Progress } from "@marigolddrift/common";
-import { createServer, type Server } from "node:http";
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
 import type { Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import { type WebSocket, WebSocketServer } from "ws";
+import { WebSocketServer } from "ws";
+import type { WebSocket } from "ws";
 
 import type { AnswerEvent, OwnerRequest } from "../calls.js";
 import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
-import { createMac, createNonce, findKey, type HandshakeKeys } from "./handshake.js";
+import { createMac, createNonce, findKey } from "./handshake.js";
+import type { HandshakeKeys } from "./handshake.js";
 import type { Identity } from "./identity.js";
-import {
-    type Ask,
-    type Heartbeat,
-    type Hello,
-    type PeerMessage,
-    protocolVersion,
-    type UpstreamNotice,
-} from "./messages.js";
+import { protocolVersion } from "./messages.js";
+import type { Ask, Heartbeat, Hello, PeerMessage, UpstreamNotice } from "./messages.js";
 import { NotOwnerError } from "./peerErrors.js";
 import type { TlsFiles } from "./tls.js";
 
--- a/packages/daemon/src/peers/tls.ts
+++ b/packages/daemon/src/peers/tls.ts
@@ -1,6 +1,7 @@
 /** TLS between daemons, from files that are read again at each connection, so that keys rotate without a restart. */
 import { readFileSync } from "node:fs";
-import { createServer, type Server } from "node:https";
+import { createServer } from "node:https";
+import type { Server } from "node:https";
 
 /** Options of an outgoing connection. */
 export interface TlsClientOptions {
--- a/packages/daemon/src/programs/callSequencer.ts
+++ b/packages/daemon/src/programs/callSequencer.ts
@@ -1,5 +1,6 @@
 /** Lets the calls of one program run one at a time, in the order of their numbers. */
-import { ProblemError, type Progress } from "@marigolddrift/common";
+import { ProblemError } from "@marigolddrift/common";
+import type { Progress } from "@marigolddrift/common";
 
 /** After a change of owner, calls that arrive within this time run in order; in milliseconds. */
 const inheritGraceMs = 300;
--- a/packages/daemon/src/programs/programHistory.ts
+++ b/packages/daemon/src/programs/programHistory.ts
@@ -1,5 +1,6 @@
 /** The history of one program: never lost, and never mixed with another's. */
-import { emptyHistory, extendHistory, historyChain, type Message, ProblemError } from "@marigolddrift/common";
+import { emptyHistory, extendHistory, historyChain, ProblemError } from "@marigolddrift/common";
+import type { Message } from "@marigolddrift/common";
 
 /** What the owner knows of a program's history. */
 export class ProgramHistory {
@@ -16,6 +17,20 @@
         this.known = !inherited;
     }
 
+    /** A history that a former owner handed over: its digest and length are known, its messages are not held. */
+    static handedOver(programId: string, digest: string, length: number): ProgramHistory {
+        const history = new ProgramHistory(programId, false);
+        history.newest = digest;
+        history.length = length;
+        history.messages = length === 0 ? [] : undefined;
+        return history;
+    }
+
+    /** Number of messages in the history; undefined if a former owner may have added some. */
+    get knownLength(): number | undefined {
+        return this.known ? this.length : undefined;
+    }
+
     /** Digest of the whole history. */
     get digest(): string {
         return this.newest;
--- a/packages/daemon/src/programs/programState.ts
+++ b/packages/daemon/src/programs/programState.ts
@@ -1,10 +1,13 @@
 /** Everything the owner keeps of one live program. */
 import type { Agent, ProgramClaims } from "@marigolddrift/common";
-import { type BudgetAccount, inheritAccount, openAccount, type ProgramEntry } from "@marigolddrift/ledger";
-import { type LoopState, noLoop, type Score } from "@marigolddrift/policy";
+import { inheritAccount, openAccount } from "@marigolddrift/ledger";
+import type { BudgetAccount, HandedOver, ProgramEntry } from "@marigolddrift/ledger";
+import { noLoop } from "@marigolddrift/policy";
+import type { LoopState, Score } from "@marigolddrift/policy";
 
 import type { AnswerLog } from "../answerLog.js";
-import { createProgramLifecycle, type ProgramLifecycle } from "../lifecycles/programLifecycle.js";
+import { createProgramLifecycle } from "../lifecycles/programLifecycle.js";
+import type { ProgramLifecycle } from "../lifecycles/programLifecycle.js";
 import { CallSequencer } from "./callSequencer.js";
 import { ProgramHistory } from "./programHistory.js";
 
@@ -54,6 +57,7 @@
     /**
      * @param entry What the ledger knows of the program.
      * @param opened Whether this instance has just opened the program.
+     * @param handed What the former owner handed over.
      */
     constructor(
         readonly id: string,
@@ -61,12 +65,17 @@
         readonly agent: Agent,
         entry: ProgramEntry | undefined,
         opened: boolean,
+        handed?: HandedOver,
     ) {
         this.account = opened ?
             openAccount(claims.budget, claims.firstChunk) :
             inheritAccount(claims.budget, claims.firstChunk, entry?.reserved);
-        this.sequencer = new CallSequencer(opened ? 1 : undefined);
-        this.history = new ProgramHistory(id, !opened);
+        this.sequencer = new CallSequencer(opened ? 1 : handed?.nextCall);
+        this.history = handed === undefined ?
+            new ProgramHistory(id, !opened) :
+            ProgramHistory.handedOver(id, handed.historyDigest, handed.historyLength);
+        this.turns = handed?.turns ?? 0;
+        this.historyTokens = handed?.historyTokens ?? 0;
         if (entry?.ended === true) {
             this.end("ended");
         }
@@ -82,6 +91,17 @@
         this.history.dropMessages();
     }
 
+    /** What the next owner needs to go on, if this one knows it. */
+    handOver(epoch: number): HandedOver | undefined {
+        const { nextCall } = this.sequencer;
+        const historyLength = this.history.knownLength;
+        if (nextCall === undefined || historyLength === undefined) {
+            return undefined;
+        }
+        const { turns, historyTokens } = this;
+        return { epoch, nextCall, turns, historyDigest: this.history.digest, historyLength, historyTokens };
+    }
+
     answerOf(call: number): CallEntry | undefined {
         return this.answers.get(call);
     }
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -1,5 +1,6 @@
 /** Finds the owner of a request, wherever it is, and follows the answer over failures of owners. */
-import { type Logger, type Metrics, ProblemError, type Progress } from "@marigolddrift/common";
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Metrics, Progress } from "@marigolddrift/common";
 
 import type { AnswerEvent, OwnerRequest } from "./calls.js";
 import type { Membership } from "./controllers/membership.js";
--- a/packages/daemon/src/upstreams/engineClient.ts
+++ b/packages/daemon/src/upstreams/engineClient.ts
@@ -1,7 +1,8 @@
 /** Client of a model engine: OpenAI-style completions, load, cache and admin orders. */
-import { type Message, type Progress } from "@marigolddrift/common";
+import type { Message, Progress } from "@marigolddrift/common";
 import { createParser } from "eventsource-parser";
-import { type Agent, request } from "undici";
+import { request } from "undici";
+import type { Agent } from "undici";
 import { z } from "zod";
 
 import type { Usage } from "../calls.js";
--- a/packages/daemon/src/upstreams/serviceClient.ts
+++ b/packages/daemon/src/upstreams/serviceClient.ts
@@ -1,6 +1,7 @@
 /** Client of tools and plain services. */
 import type { Progress } from "@marigolddrift/common";
-import { type Agent, request } from "undici";
+import { request } from "undici";
+import type { Agent } from "undici";
 
 import type { ServiceRequest } from "../calls.js";
 import { toUpstreamError } from "./upstreamError.js";
--- a/packages/daemon/src/upstreams/upstreamError.ts
+++ b/packages/daemon/src/upstreams/upstreamError.ts
@@ -1,5 +1,6 @@
 /** A failed call to an upstream. */
-import { asError, type Verdict } from "@marigolddrift/common";
+import { asError } from "@marigolddrift/common";
+import type { Verdict } from "@marigolddrift/common";
 import VError from "verror";
 
 const notSentCodes = new Set(["ECONNREFUSED", "ENOTFOUND", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
--- a/packages/ledger/src/recordCodec.ts
+++ b/packages/ledger/src/recordCodec.ts
@@ -2,7 +2,8 @@
 import { pack, unpack } from "msgpackr";
 import VError from "verror";
 
-import { maxRecordBytes, type SlotRecord, slotRecordSchema } from "./slotRecord.js";
+import { maxRecordBytes, slotRecordSchema } from "./slotRecord.js";
+import type { SlotRecord } from "./slotRecord.js";
 
 /** A stored value that is not a slot record, or a record that has grown beyond the store's limit. */
 export class RecordError extends VError {
--- a/packages/ledger/src/slotRecord.ts
+++ b/packages/ledger/src/slotRecord.ts
@@ -2,11 +2,23 @@
 import { ProblemError } from "@marigolddrift/common";
 import { z } from "zod";
 
+const handedOverSchema = z.strictObject({
+    /** Epoch of the owner that handed the program over; only its direct successor may use what follows. */
+    epoch: z.number().int(),
+    nextCall: z.number().int().min(1),
+    turns: z.number().int().min(0),
+    historyDigest: z.string(),
+    historyLength: z.number().int().min(0),
+    historyTokens: z.number().int().min(0),
+});
+export type HandedOver = z.infer<typeof handedOverSchema>;
+
 const programEntrySchema = z.strictObject({
     /** Tokens that the store knows to be reserved; after a change of owner they count as spent. */
     reserved: z.number().int().min(0),
     deadline: z.number().int(),
     ended: z.boolean(),
+    handedOver: handedOverSchema.optional(),
 });
 export type ProgramEntry = z.infer<typeof programEntrySchema>;
 
@@ -61,6 +73,12 @@
 /** Gives a slot up, so that the next owner need not wait for a lease to lapse. */
 export const handOver = (record: SlotRecord): SlotRecord => ({ ...record, owner: "" });
 
+/** What the former owner handed over of a program, unless another owner came in between. */
+export const handedOverOf = (record: SlotRecord, program: string): HandedOver | undefined => {
+    const handed = record.programs[program]?.handedOver;
+    return handed?.epoch === record.epoch - 1 ? handed : undefined;
+};
+
 /** Raises the reserved tokens of a program. */
 export const reserve = (record: SlotRecord, program: string, reserved: number, deadline: number): SlotRecord => {
     const entry = record.programs[program] ?? { reserved: 0, deadline, ended: false };
--- a/packages/platform/src/bundleChain.ts
+++ b/packages/platform/src/bundleChain.ts
@@ -1,16 +1,11 @@
 /** The chain of bundle versions in the store: each step is a compare-and-swap, and a lost reply is settled by a nonce. */
-import {
-    type BundleDocument,
-    bundleDocumentSchema,
-    digest,
-    type Progress,
-    type Rollout,
-    rolloutSchema,
-} from "@marigolddrift/common";
+import { bundleDocumentSchema, digest, rolloutSchema } from "@marigolddrift/common";
+import type { BundleDocument, Progress, Rollout } from "@marigolddrift/common";
 import { randomBytes } from "node:crypto";
 import VError from "verror";
 
-import { type Store, type StoredValue, StoreError } from "./storeClient.js";
+import { StoreError } from "./storeClient.js";
+import type { Store, StoredValue } from "./storeClient.js";
 
 /** Prefix of all keys of the chain. */
 export const bundlePrefix = "/marigolddrift/bundle/";
@@ -18,6 +13,7 @@
 const versionsPrefix = `${bundlePrefix}versions/`;
 const versionDigits = 8;
 
+/** Key of a version. */
 export const versionKey = (version: number): string =>
     `${versionsPrefix}${String(version).padStart(versionDigits, "0")}`;
 
--- a/packages/platform/src/storeClient.ts
+++ b/packages/platform/src/storeClient.ts
@@ -1,5 +1,6 @@
 /** Client of the key-value service: the JSON gateway of etcd v3. */
-import { asError, type Progress } from "@marigolddrift/common";
+import { asError } from "@marigolddrift/common";
+import type { Progress } from "@marigolddrift/common";
 import { Agent, request } from "undici";
 import VError from "verror";
 import { z } from "zod";
@@ -39,6 +40,7 @@
     readonly lease?: string;
 }
 
+/** Result of a transaction. */
 export interface TxnResult {
     readonly succeeded: boolean;
     readonly revision: number;
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -1,5 +1,6 @@
 /** Chooses the worker on which a call is expected to finish first. */
-import { type CostModel, decodeStepMs } from "./costModel.js";
+import { decodeStepMs } from "./costModel.js";
+import type { CostModel } from "./costModel.js";
 
 /** What one instance knows of one worker. */
 export interface WorkerView {
--- a/packages/standins/src/engine/engineCore.ts
+++ b/packages/standins/src/engine/engineCore.ts
@@ -1,5 +1,6 @@
 /** A model engine in miniature: continuous batching, chunked prefill, priorities and a prefix cache. */
-import { type CacheChange, PrefixCache, type Segment } from "./prefixCache.js";
+import { PrefixCache } from "./prefixCache.js";
+import type { CacheChange, Segment } from "./prefixCache.js";
 
 /** Speed and size of an engine. */
 export interface EngineProfile {
@@ -31,6 +32,7 @@
     onDone(usage: EngineUsage): void;
 }
 
+/** Token counts of a completed call. */
 export interface EngineUsage {
     readonly promptTokens: number;
     readonly cachedTokens: number;
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -4,9 +4,11 @@
 
 import { sendJson } from "../faults.js";
 import { readJson, StandinServer } from "../standinServer.js";
-import { EngineCore, type EngineLoad, type EngineProfile, type EngineUsage } from "./engineCore.js";
+import { EngineCore } from "./engineCore.js";
+import type { EngineLoad, EngineProfile, EngineUsage } from "./engineCore.js";
 import type { CacheChange } from "./prefixCache.js";
-import { answeredDigest, answerText, type CompletionRequest, completionSchema, parsePrompt } from "./prompt.js";
+import { answeredDigest, answerText, completionSchema, parsePrompt } from "./prompt.js";
+import type { CompletionRequest } from "./prompt.js";
 
 /** Settings of one engine. */
 export interface EngineOptions {
--- a/packages/standins/src/serviceStandin.ts
+++ b/packages/standins/src/serviceStandin.ts
@@ -21,7 +21,7 @@
     constructor(private readonly options: ServiceOptions) {
         this.server = new StandinServer(() => ({
             total: this.total,
-            doubled: [...this.executions.values()].filter(count => count > 1).length,
+            doubled: [...this.counts().values()].filter(count => count > 1).length,
             executions: Object.fromEntries(this.executions),
             lastNewWorkAt: this.lastNewWorkAt,
         }));
@@ -30,6 +30,11 @@
         }
     }
 
+    /** Executions by idempotency key; calls without a key are left out. */
+    counts(): Map<string, number> {
+        return new Map([...this.executions].filter(([key]) => key !== ""));
+    }
+
     async close(): Promise<void> {
         await this.server.close();
     }
--- a/packages/standins/src/standinServer.ts
+++ b/packages/standins/src/standinServer.ts
@@ -1,8 +1,10 @@
 /** An HTTP server for one stand-in, with `POST /faults` and `GET /counters`. */
 import { asError } from "@marigolddrift/common";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import polka, { type Polka } from "polka";
+import polka from "polka";
+import type { Polka } from "polka";
 
 import { faultOrderSchema, Faults, sendJson } from "./faults.js";
 
--- a/packages/standins/src/store/keyValueState.ts
+++ b/packages/standins/src/store/keyValueState.ts
@@ -1,5 +1,6 @@
 /** Keys, revisions and leases of the stand-in for the key-value service. */
 
+/** A key with its value and revisions. */
 export interface KeyValue {
     readonly key: string;
     readonly value: Buffer;
@@ -9,6 +10,7 @@
     readonly lease: string;
 }
 
+/** A change of a key. */
 export interface KeyEvent {
     readonly type: "PUT" | "DELETE";
     readonly kv: KeyValue;
--- a/packages/standins/src/store/storeStandin.ts
+++ b/packages/standins/src/store/storeStandin.ts
@@ -3,7 +3,8 @@
 import { z } from "zod";
 
 import { readJson, StandinServer } from "../standinServer.js";
-import { type KeyEvent, type KeyValue, KeyValueState } from "./keyValueState.js";
+import { KeyValueState } from "./keyValueState.js";
+import type { KeyEvent, KeyValue } from "./keyValueState.js";
 
 const int64 = z.union([z.string(), z.number()]).transform(Number);
 
--- /dev/null
+++ b/tools/imports.js
@@ -0,0 +1,58 @@
+// What each folder may import of the project's own packages and folders; everything else is refused by the linter.
+
+/** Packages of this workspace that code in a folder may import. */
+const allowedPackages = {
+    "packages/common/src": [],
+    "packages/policy/src": ["common"],
+    "packages/ledger/src": ["common"],
+    "packages/platform/src": ["common"],
+    "packages/standins/src": ["common"],
+    "packages/workload/src": ["common"],
+    "packages/cli/src": ["common", "platform", "workload"],
+    "packages/daemon/src": ["common", "policy", "ledger", "platform"],
+    "spec": ["common", "ledger", "daemon"],
+    "bench": ["common", "policy", "ledger", "platform", "daemon", "standins", "workload"],
+    "tests": ["common", "policy", "ledger", "platform", "daemon", "standins", "workload", "cli"],
+};
+
+/** Folders of the daemon that code in one of its folders must not import. */
+const deniedFolders = {
+    "packages/daemon/src/lifecycles": ["controllers", "filters", "http", "peers", "programs", "upstreams"],
+    "packages/daemon/src/peers": ["controllers", "filters", "http", "programs", "upstreams"],
+    "packages/daemon/src/programs": ["controllers", "filters", "http", "peers", "upstreams"],
+    "packages/daemon/src/upstreams": ["controllers", "filters", "http", "peers", "programs"],
+};
+
+/** Modules of the runtime that must not be used in a daemon or in pure code. */
+const deniedModules = {
+    "packages/daemon/src": ["node:child_process", "node:cluster", "node:worker_threads"],
+    "packages/policy/src": ["node:fs", "node:http", "node:net", "node:timers", "node:child_process"],
+    "packages/ledger/src": ["node:fs", "node:http", "node:net", "node:timers", "node:child_process"],
+};
+
+const packages = ["common", "policy", "ledger", "platform", "standins", "cli", "workload", "daemon"];
+
+const restrict = (folder, allowed) => ({
+    files: [`${folder}/**/*.ts`],
+    rules: {
+        "no-restricted-imports": ["error", {
+            paths: [
+                ...packages.filter(name => !allowed.includes(name)).map(name => ({
+                    name: `@marigolddrift/${name}`,
+                    message: `${folder} may import ${allowed.join(", ") || "no other package"}; see tools/imports.js.`,
+                })),
+                ...Object.entries(deniedModules).filter(([prefix]) => folder.startsWith(prefix)).flatMap(([prefix, names]) =>
+                    names.map(name => ({ name, message: `${prefix} must not use ${name}.` }))
+                ),
+            ],
+            patterns: Object.entries(deniedFolders).filter(([prefix]) => folder === prefix).flatMap(([prefix, names]) =>
+                names.map(name => ({ group: [`../${name}/*`], message: `${prefix} must not import ${name}; see tools/imports.js.` }))
+            ),
+        }],
+    },
+});
+
+export const boundaryConfigs = [
+    ...Object.entries(allowedPackages).map(([folder, allowed]) => restrict(folder, allowed)),
+    ...Object.keys(deniedFolders).map(folder => restrict(folder, allowedPackages["packages/daemon/src"])),
+];
