--- a/bench/fleetFiles.ts
+++ b/bench/fleetFiles.ts
@@ -98,7 +98,15 @@
                 const id = `${zone}-${index + 1}`;
                 const port = next;
                 next += portsPerDaemon;
-                return { id, zone, region, http: port, admin: port + 1, peer: port + 2, file: join(this.folder, `${id}.ini`) };
+                return {
+                    id,
+                    zone,
+                    region,
+                    http: port,
+                    admin: port + 1,
+                    peer: port + 2,
+                    file: join(this.folder, `${id}.ini`),
+                };
             })
         );
     }
@@ -106,14 +114,21 @@
     private addresses(kind: "engines" | "services") {
         let next = this.basePort + offsets[kind];
         return this.layout.zones.flatMap(zone =>
-            Array.from({ length: zone[kind] }, () => ({ address: `127.0.0.1:${next++}`, zone: zone.zone, region: zone.region }))
+            Array.from(
+                { length: zone[kind] },
+                () => ({ address: `127.0.0.1:${next++}`, zone: zone.zone, region: zone.region }),
+            )
         );
     }
 
     private renderBundle(): string {
         const keys = Object.fromEntries(Object.entries(this.operators).map(([name, pair]) => [name, pair.publicKey]));
         const name = ({ address, zone }: { address: string; zone: string; }): string => `${zone}=${address}`;
-        return renderBundle(this.layout, { engines: this.engines().map(name), services: this.services().map(name) }, keys);
+        return renderBundle(
+            this.layout,
+            { engines: this.engines().map(name), services: this.services().map(name) },
+            keys,
+        );
     }
 
     private renderStandins(): string {
@@ -125,7 +140,13 @@
         };
         this.engines().forEach(({ address, zone, region }, index) => {
             const port = Number(address.split(":")[1]);
-            sections[`engine.${layout.pool}-${index + 1}`] = { port, zone, region, models: layout.model, ...options.engine };
+            sections[`engine.${layout.pool}-${index + 1}`] = {
+                port,
+                zone,
+                region,
+                models: layout.model,
+                ...options.engine,
+            };
         });
         this.services().forEach(({ address, zone, region }, index) => {
             const port = Number(address.split(":")[1]);
@@ -139,7 +160,9 @@
 
     private renderSettings(daemon: DaemonFile, index: number): string {
         const { id, zone, region, http, admin, peer } = daemon;
-        const operators = Object.fromEntries(Object.entries(this.operators).map(([name, pair]) => [name, `"${pair.publicKey}"`]));
+        const operators = Object.fromEntries(
+            Object.entries(this.operators).map(([name, pair]) => [name, `"${pair.publicKey}"`]),
+        );
         const hasDisk = index === 0;
         return renderIni({
             instance: { id, zone, region },
--- a/bench/processFleet.ts
+++ b/bench/processFleet.ts
@@ -92,7 +92,9 @@
     /** Reads a document of a stand-in or an admin port. */
     async get<T>(address: string, path: string): Promise<T | undefined> {
         try {
-            const res = await request(`http://${address}/${path}`, { headers: { authorization: `Bearer ${sampleAdminKey}` } });
+            const res = await request(`http://${address}/${path}`, {
+                headers: { authorization: `Bearer ${sampleAdminKey}` },
+            });
             return res.statusCode === 200 ? await res.body.json() as T : undefined;
         }
         catch {
@@ -116,9 +118,9 @@
     /** Waits until the live daemons own all slots. */
     async waitUntilSettled(): Promise<void> {
         await this.waitFor(async () => {
-            const views = await Promise.all(this.files.daemons.map(daemon =>
-                this.get<readonly unknown[]>(`127.0.0.1:${daemon.admin}`, "slots")
-            ));
+            const views = await Promise.all(
+                this.files.daemons.map(daemon => this.get<readonly unknown[]>(`127.0.0.1:${daemon.admin}`, "slots")),
+            );
             return views.reduce((sum, view) => sum + (view?.length ?? 0), 0) >= 64;
         });
     }
@@ -135,7 +137,9 @@
 
     private async installBundle(): Promise<void> {
         const store = ["--store", this.files.store];
-        const as = (operator: "amira" | "basil"): string[] => ["--operator", operator, "--key-file", this.files.keyFile(operator)];
+        const as = (
+            operator: "amira" | "basil",
+        ): string[] => ["--operator", operator, "--key-file", this.files.keyFile(operator)];
         const regions = [...new Set(this.files.layout.zones.map(zone => zone.region))];
         const steps = [
             ["bundle", "propose", this.files.bundleFile, ...store, ...as("amira")],
