--- a/bench/processFleet.ts
+++ b/bench/processFleet.ts
@@ -7,8 +7,8 @@
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 
-import { FleetFiles, sampleAdminKey } from "./fleetFiles.js";
-import type { DaemonFile } from "./fleetFiles.js";
+import { sampleAdminKey } from "./fleetFiles.js";
+import type { DaemonFile , FleetFiles} from "./fleetFiles.js";
 
 const root = fileURLToPath(new URL("../..", import.meta.url));
 const commands = {
@@ -115,13 +115,21 @@
         return byKey;
     }
 
-    /** Waits until the live daemons own all slots. */
+    /** Waits until the daemons know each other and own all slots. */
     async waitUntilSettled(): Promise<void> {
         await this.waitFor(async () => {
             const views = await Promise.all(
-                this.files.daemons.map(daemon => this.get<readonly unknown[]>(`127.0.0.1:${daemon.admin}`, "slots")),
+                this.files.daemons.map(daemon =>
+                    this.get<{ slots: number; peers: readonly { state: string; }[]; }>(
+                        `127.0.0.1:${daemon.admin}`,
+                        "status",
+                    )
+                ),
             );
-            return views.reduce((sum, view) => sum + (view?.length ?? 0), 0) >= 64;
+            const slots = views.reduce((sum, view) => sum + (view?.slots ?? 0), 0);
+            const others = this.files.daemons.length - 1;
+            return slots === 64 &&
+                views.every(view => view?.peers.filter(peer => peer.state === "live").length === others);
         });
     }
 
--- a/packages/daemon/src/controllers/slotAcquirer.ts
+++ b/packages/daemon/src/controllers/slotAcquirer.ts
@@ -11,7 +11,7 @@
 const replyTimeoutMs = 2_000;
 
 /** Time between two requests to hand the same slot over, in milliseconds. */
-const askAgainMs = 2_000;
+const askAgainMs = 500;
 
 /** Acquires slots, some at a time. */
 export class SlotAcquirer {
--- a/packages/daemon/src/controllers/slotDirectory.ts
+++ b/packages/daemon/src/controllers/slotDirectory.ts
@@ -40,6 +40,11 @@
         return this.entries.get(slot)?.epoch ?? 0;
     }
 
+    /** Instances that own at least one slot. */
+    owners(): string[] {
+        return [...new Set([...this.entries.values()].map(entry => entry.owner))];
+    }
+
     all(): { readonly slot: number; readonly owner: string; readonly epoch: number; }[] {
         return [...this.entries].map(([slot, entry]) => ({ slot, ...entry })).sort((a, b) => a.slot - b.slot);
     }
--- a/packages/daemon/src/controllers/slots.ts
+++ b/packages/daemon/src/controllers/slots.ts
@@ -127,6 +127,11 @@
         return this.all().filter(isSettled).length;
     }
 
+    /** Whether a program can be opened here. */
+    get hasOpenSlot(): boolean {
+        return this.all().some(slot => !slot.closing);
+    }
+
     get(slot: number): OwnedSlot | undefined {
         return this.owned.get(slot);
     }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -160,7 +160,8 @@
 
     /** Whether the instance can work on requests. */
     get isReady(): boolean {
-        return this.bundles.current !== undefined && !this.membership.leaving;
+        const canServe = this.slots.hasOpenSlot || this.slots.directory.owners().length > 0;
+        return this.bundles.current !== undefined && !this.membership.leaving && canServe;
     }
 
     async start(): Promise<void> {
--- a/packages/daemon/src/filters/chatDispatchFilter.ts
+++ b/packages/daemon/src/filters/chatDispatchFilter.ts
@@ -21,7 +21,9 @@
 
 /** Factor on the expected time of a first token after which an engine counts as stalled. */
 const firstTokenPatience = 3;
-const maxAttempts = 6;
+
+/** Attempts in a row that bring the answer no further. */
+const maxFruitlessAttempts = 6;
 const defaultAnswerTokens = 64;
 const meanRate = 0.3;
 const middlePriority = 5;
@@ -44,8 +46,6 @@
 interface Delivered {
     text: string;
     tokens: number;
-    /** Text that the caller had before this owner worked on the call. */
-    readonly before: number;
 }
 
 /** Result of one attempt that completed the answer. */
@@ -62,9 +62,14 @@
     async handle(ctx: ChatContext): Promise<void> {
         const { req } = ctx;
         this.parts.retries.onRequest();
-        const delivered: Delivered = { text: req.resumeText, tokens: req.resumeTokens, before: req.resumeText.length };
+        const delivered: Delivered = { text: req.resumeText, tokens: req.resumeTokens };
+        if (req.resumeText !== "") {
+            // The answer is always whole in the log, for callers that join it.
+            ctx.log.append({ kind: "delta", text: req.resumeText, tokens: req.resumeTokens });
+        }
         const excluded = new Set<string>();
         for (let attempt = 1;; attempt++) {
+            const before = delivered.tokens;
             try {
                 return this.finish(ctx, delivered, await this.attempt(ctx, delivered, excluded));
             }
@@ -72,6 +77,7 @@
                 if (!(err instanceof UpstreamError)) {
                     throw err;
                 }
+                attempt = delivered.tokens > before ? 0 : attempt;
                 this.onUpstreamFailure(ctx, err, attempt, excluded);
             }
         }
@@ -89,7 +95,7 @@
             error: err.message,
         });
         ctx.progress.check();
-        if (attempt >= maxAttempts || (err.verdict !== "notRun" && !retries.tryTake())) {
+        if (attempt >= maxFruitlessAttempts || (err.verdict !== "notRun" && !retries.tryTake())) {
             throw new ProblemError("upstream_failed", "mayHaveRun", `No engine completed the answer: ${err.message}`, {
                 cause: err,
             });
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -1,5 +1,5 @@
 /** Accepts the connections of peers. */
-import { asError, Progress } from "@marigolddrift/common";
+import { asError, Progress, toProblemError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
@@ -180,8 +180,12 @@
             this.send({ type: "notOwner", id, ...(err.owner === undefined ? {} : { owner: err.owner }) });
         }
         else if (this.calls.get(id)?.signal.aborted !== true) {
-            this.log.error("peer request failed", { error: asError(err).message });
-            this.socket.terminate();
+            const problem = toProblemError(err, "mayHaveRun");
+            if (problem.code === "internal") {
+                this.log.error("peer request failed", { error: problem.message });
+            }
+            this.send({ type: "event", id, event: { kind: "problem", problem: problem.toProblem() } });
+            this.send({ type: "event", id, event: { kind: "end" } });
         }
     }
 
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -23,6 +23,9 @@
 
 /** Routes requests to owners. */
 export class Router {
+    /** Spreads requests that any instance may answer. */
+    private turn = 0;
+
     constructor(
         private readonly self: string,
         private readonly slots: Slots,
@@ -60,8 +63,12 @@
         if (slot !== undefined) {
             return this.slots.routeTo(slot);
         }
-        const others = this.membership.members().filter(member => member.instance !== this.self);
-        return this.slots.all().length > 0 || others.length === 0 ? this.self : others[0]!.instance;
+        if (this.slots.hasOpenSlot) {
+            return this.self;
+        }
+        const owners = this.slots.directory.owners().filter(owner => this.membership.peerOf(owner) !== undefined);
+        this.turn += 1;
+        return owners[this.turn % Math.max(1, owners.length)] ?? this.self;
     }
 
     /** Notes a failure that another attempt may cure, or throws; returns who the owner is said to be. */
--- /dev/null
+++ b/tests/history/programHistory.test.ts
@@ -0,0 +1,66 @@
+import { emptyHistory, extendHistory } from "@marigolddrift/common";
+import type { Message , ProblemError } from "@marigolddrift/common";
+import { ProgramHistory } from "@marigolddrift/daemon";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+const user = (content: string): Message => ({ role: "user", content });
+const answer = (content: string): Message => ({ role: "assistant", content });
+
+const oneTurn = (): ProgramHistory => {
+    const history = new ProgramHistory("p1", false);
+    history.commit([user("a")], [user("a")], answer("b"));
+    return history;
+};
+
+const codeOf = (action: () => unknown): string => {
+    try {
+        action();
+        return "none";
+    }
+    catch (err) {
+        return (err as ProblemError).code;
+    }
+};
+
+describe("a program's history", () => {
+    it("should accept the whole conversation and find what is new", () => {
+        const { fresh } = oneTurn().resolve([user("a"), answer("b"), user("c")], undefined);
+        expect(fresh).toEqual([user("c")]);
+    });
+
+    it("should refuse a conversation that was changed", () => {
+        expect(codeOf(() => oneTurn().resolve([user("a"), answer("changed"), user("c")], undefined))).toEqual(
+            "history_mismatch",
+        );
+        expect(codeOf(() => oneTurn().resolve([user("a")], undefined))).toEqual("history_mismatch");
+    });
+
+    it("should accept only what is new against the digest", () => {
+        const history = oneTurn();
+        const { all } = history.resolve([user("c")], history.digest);
+        expect(all).toEqual([user("a"), answer("b"), user("c")]);
+    });
+
+    it("should refuse the digest of another program", () => {
+        const other = extendHistory(emptyHistory("p2"), [user("a"), answer("b")]);
+        expect(codeOf(() => oneTurn().resolve([user("c")], other))).toEqual("history_mismatch");
+    });
+
+    it("should ask for the whole conversation when no messages are held", () => {
+        const history = oneTurn();
+        const { digest } = history;
+        history.dropMessages();
+        expect(codeOf(() => history.resolve([user("c")], digest))).toEqual("send_in_full");
+        expect(codeOf(() => new ProgramHistory("p1", true).resolve([user("c")], digest))).toEqual("send_in_full");
+    });
+
+    it("should go on from what a former owner handed over", () => {
+        const { digest } = oneTurn();
+        const history = ProgramHistory.handedOver("p1", digest, 2);
+        expect(codeOf(() => history.resolve([user("x"), answer("b"), user("c")], undefined))).toEqual(
+            "history_mismatch",
+        );
+        expect(history.resolve([user("a"), answer("b"), user("c")], undefined).fresh).toEqual([user("c")]);
+    });
+});
