--- a/packages/daemon/src/controllers/upstreams.ts
+++ b/packages/daemon/src/controllers/upstreams.ts
@@ -94,6 +94,12 @@
         return pool === undefined ? defaultCostModel : poolCost(pool);
     }
 
+    /** Calls that one worker runs at a time. */
+    batchOf(model: string): number {
+        const pools = Object.values(this.options.bundle().pool).filter(pool => pool.models.includes(model));
+        return Math.max(0, ...pools.map(pool => pool.maxInFlightPerWorker));
+    }
+
     regionOf(zone: string): string {
         return this.options.bundle().zone[zone]?.region ?? "";
     }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -109,7 +109,7 @@
             bundle: () => this.bundle,
             onEvicted: (worker, program) => this.memory.view.onDropped(program, worker),
         }, this.log);
-        const pool = new WorkerPool(this.identity, this.upstreams, this.memory, this.link, () => this.bundle);
+        const pool = new WorkerPool(this.identity, this.upstreams, this.memory, this.link);
         this.dispatcher = new Dispatcher(pool, { place, admission: true, random }, this.log, this.metrics);
         this.owner = this.createOwner(random);
         this.router = new Router(
--- a/packages/daemon/src/workerPool.ts
+++ b/packages/daemon/src/workerPool.ts
@@ -1,26 +1,33 @@
 /** Connects the dispatcher with what is known of the workers. */
-import type { Bundle } from "@marigolddrift/common";
-import type { WorkerView } from "@marigolddrift/policy";
+import type { CostModel, WorkerView } from "@marigolddrift/policy";
 
 import type { DispatchRequest, DispatchTarget } from "./controllers/dispatcher.js";
 import type { EngineMemory } from "./controllers/engineMemory.js";
 import type { LinkBudget } from "./controllers/linkBudget.js";
 import type { Upstream } from "./controllers/upstream.js";
-import type { Upstreams } from "./controllers/upstreams.js";
 import type { Identity } from "./peers/identity.js";
 
 const sameZoneRoundTripMs = 1;
 const otherZoneRoundTripMs = 4;
 const otherRegionRoundTripMs = 45;
 
+/** What the pool needs to know of the upstreams. */
+export interface WorkerDirectory {
+    workersFor(model: string): Upstream[];
+    get(address: string): Upstream | undefined;
+    costOf(worker: string): CostModel;
+    regionOf(zone: string): string;
+    /** Calls that one worker runs at a time. */
+    batchOf(model: string): number;
+}
+
 /** The workers as the dispatcher sees them. */
 export class WorkerPool implements DispatchTarget {
     constructor(
         private readonly self: Identity,
-        private readonly upstreams: Upstreams,
+        private readonly upstreams: WorkerDirectory,
         private readonly memory: EngineMemory,
         private readonly link: LinkBudget,
-        private readonly bundle: () => Bundle,
     ) {}
 
     /** Workers of the own region; those of other regions only if none is left here. */
@@ -34,9 +41,8 @@
     }
 
     capacity(model: string): number {
-        const pools = Object.values(this.bundle().pool).filter(pool => pool.models.includes(model));
         const workers = this.upstreams.workersFor(model).filter(worker => worker.lifecycle.state === "live").length;
-        return workers * Math.max(0, ...pools.map(pool => pool.maxInFlightPerWorker));
+        return workers * this.upstreams.batchOf(model);
     }
 
     onAssigned(worker: string): void {
