Weigh the delay that a call causes to the calls beside it

Cause: placement compared only the call's own finish, and so left a cached prefix for a slightly emptier worker, where its prefill slowed 15 others. Change: candidates are ranked by own delay plus the delay of the calls beside.

--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -39,6 +39,8 @@
     readonly waitMs: number;
     readonly prefillMs: number;
     readonly decodeMs: number;
+    /** Delay that the call causes to the calls beside it, summed up over them. */
+    readonly othersMs: number;
     /** Whether the worker may get another call now. */
     readonly open: boolean;
 }
@@ -75,8 +77,11 @@
     const prefillMs = (fresh * cost.prefillMsPerToken + imported * cost.importMsPerToken) * view.slowdown;
     const ahead = Math.max(0, load + 1 - cost.maxBatch);
     const waitMs = (ahead / cost.maxBatch) * (decodeMs + prefillMs);
+    const beside = Math.min(load, cost.maxBatch - 1);
+    const othersMs = beside * (prefillMs + call.expectedTokens * cost.decodePerSequenceMs * view.slowdown);
     return {
         worker: view.worker,
+        othersMs,
         expectedMs: waitMs + prefillMs + decodeMs + view.roundTripMs,
         waitMs,
         prefillMs,
@@ -98,7 +103,7 @@
         return { worker: undefined, reason: "noWorker", scores: [] };
     }
     const candidates = sampleCandidates(views, random);
-    const scores = candidates.map(view => scoreWorker(view, call)).sort((a, b) => a.expectedMs - b.expectedMs);
+    const scores = candidates.map(view => scoreWorker(view, call)).sort(byTotalDelay);
     const best = scores.find(score => score.open) ?? lastResort(views, candidates, call);
     if (best === undefined) {
         return { worker: undefined, reason: "allBusy", scores };
@@ -107,9 +112,12 @@
     return { worker: best.worker, reason: chosen.cachedTokens > 0 ? "cached" : "leastExpected", scores };
 };
 
+/** A call that finishes early but holds many others up is not well placed. */
+const byTotalDelay = (a: Score, b: Score): number => a.expectedMs + a.othersMs - (b.expectedMs + b.othersMs);
+
 const lastResort = (views: readonly WorkerView[], tried: readonly WorkerView[], call: CallShape): Score | undefined => {
     const rest = views.filter(view => !tried.includes(view)).map(view => scoreWorker(view, call));
-    return rest.filter(score => score.open).sort((a, b) => a.expectedMs - b.expectedMs)[0];
+    return rest.filter(score => score.open).sort(byTotalDelay)[0];
 };
 
 const sampleCandidates = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
