Compare load reports with the own calls of the time of the report

Cause: a report 0.5 s old was set against the own calls of the moment it arrived, so calls started in between were counted as others'. Change: an upstream remembers its own calls over the last 10 s.

--- a/packages/daemon/src/controllers/upstream.ts
+++ b/packages/daemon/src/controllers/upstream.ts
@@ -11,6 +11,9 @@
 const slownessRate = 0.2;
 const maxSlowdown = 20;
 
+/** Time for which own calls are remembered, so that load reports can be compared with them; in milliseconds. */
+const callHistoryMs = 10_000;
+
 /** A load report with the time at which it was true. */
 export interface ReceivedLoad {
     readonly load: WorkerLoad;
@@ -22,14 +25,15 @@
 /** One engine or one upstream of a service. */
 export class Upstream {
     readonly lifecycle: UpstreamLifecycle;
-    /** Calls of this instance that are on the upstream now. */
-    inFlight = 0;
     /** Observed time of calls relative to what was expected. */
     slowdown = 1;
     reported: ReceivedLoad | undefined;
     private failures = 0;
     private brokenMs = minBrokenMs;
     private brokenUntil = 0;
+    private calls = 0;
+    /** Calls of this instance on the upstream after each recent change. */
+    private readonly recentCalls: { readonly at: number; readonly calls: number; }[] = [];
     private readonly leavingSources = new Set<LeavingSource>();
 
     constructor(
@@ -40,6 +44,21 @@
         this.lifecycle = createUpstreamLifecycle(() => onChange(this));
     }
 
+    /** Calls of this instance that are on the upstream now. */
+    get inFlight(): number {
+        return this.calls;
+    }
+
+    /** Notes that a call is sent to the upstream. */
+    onAssigned(): void {
+        this.setCalls(this.calls + 1);
+    }
+
+    /** Notes that a call has left the upstream. */
+    onReleased(): void {
+        this.setCalls(this.calls - 1);
+    }
+
     /** Whether the upstream may get a call now. */
     mayServe(now: number): boolean {
         if (this.lifecycle.state === "broken" && now >= this.brokenUntil) {
@@ -90,7 +109,22 @@
     onLoad(load: WorkerLoad, now: number): void {
         const at = now - load.ageMs;
         if (this.reported === undefined || at > this.reported.at) {
-            this.reported = { load, at, ownInFlight: this.inFlight };
+            this.reported = { load, at, ownInFlight: this.callsAt(at) };
         }
     }
+
+    private setCalls(calls: number): void {
+        this.calls = calls;
+        this.recentCalls.push({ at: Date.now(), calls });
+        const horizon = Date.now() - callHistoryMs;
+        while (this.recentCalls.length > 1 && this.recentCalls[1]!.at <= horizon) {
+            this.recentCalls.shift();
+        }
+    }
+
+    /** Calls of this instance that were on the upstream at a recent time. */
+    private callsAt(at: number): number {
+        const known = this.recentCalls.findLast(change => change.at <= at);
+        return known?.calls ?? 0;
+    }
 }
--- a/packages/daemon/src/filters/serviceDispatchFilter.ts
+++ b/packages/daemon/src/filters/serviceDispatchFilter.ts
@@ -78,7 +78,7 @@
         await this.parts.recheck(ctx);
         const progress = ctx.progress.child(service.timeoutSeconds * 1000);
         ctx.lifecycle.send("dispatch");
-        upstream.inFlight += 1;
+        upstream.onAssigned();
         try {
             const reply = await this.parts.client.call(upstream.address, ctx.req, progress);
             upstream.onSuccess();
@@ -91,7 +91,7 @@
             throw err;
         }
         finally {
-            upstream.inFlight -= 1;
+            upstream.onReleased();
             progress.dispose();
         }
     }
--- a/packages/daemon/src/workerPool.ts
+++ b/packages/daemon/src/workerPool.ts
@@ -46,14 +46,11 @@
     }
 
     onAssigned(worker: string): void {
-        this.upstreams.get(worker)!.inFlight += 1;
+        this.upstreams.get(worker)!.onAssigned();
     }
 
     onReleased(worker: string): void {
-        const upstream = this.upstreams.get(worker);
-        if (upstream !== undefined) {
-            upstream.inFlight -= 1;
-        }
+        this.upstreams.get(worker)?.onReleased();
     }
 
     allows(worker: string, req: DispatchRequest): boolean {
