--- a/packages/daemon/src/controllers/upstream.ts
+++ b/packages/daemon/src/controllers/upstream.ts
@@ -8,7 +8,7 @@
 const failuresToTrip = 3;
 const minBrokenMs = 1_000;
 const maxBrokenMs = 15_000;
-const slownessRate = 0.2;
+const slownessRate = 0.05;
 const maxSlowdown = 20;
 
 /** Time for which own calls are remembered, so that load reports can be compared with them; in milliseconds. */
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -21,7 +21,7 @@
 const middlePriority = 5;
 
 /** Milliseconds of attained service that one millisecond of waiting outweighs. */
-const agingRate = 2;
+const agingRate = 0.5;
 
 /** Slack, as a multiple of the expected time, below which a call is urgent. */
 const urgentSlack = 3;
--- a/packages/policy/src/retention.ts
+++ b/packages/policy/src/retention.ts
@@ -25,7 +25,7 @@
 }
 
 /** Memory pressure below which holding a prefix displaces nothing. */
-const freePressure = 0.5;
+const freePressure = 0.3;
 
 /** Tokens of other programs that a busy engine serves at once; weighs prefill time against memory. */
 const displacedTokens = 8_000;
