--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -18,6 +18,12 @@
 const otherZoneFactor = 3;
 const otherRegionFactor = 5;
 
+/** Bytes per second that this instance's heartbeats may take; with more peers they become rarer. */
+const maxHeartbeatBytesPerSecond = 6_000;
+
+/** Bytes of an ordinary heartbeat, with the loads of two workers and the frame around it. */
+const heartbeatBytes = 115;
+
 /** Missed heartbeats after which an instance is suspect, and dead. */
 const suspectAfter = 2;
 const deadAfter = 4;
@@ -31,6 +37,8 @@
     zone: string;
     region: string;
     lastHeartbeat: number;
+    /** Time until its next heartbeat, as it said, in milliseconds. */
+    periodMs: number;
     bundle: number;
 }
 
@@ -64,6 +72,8 @@
     private readonly peers = new Map<string, Peer>();
     private readonly timers: NodeJS.Timeout[] = [];
     private beat = 0;
+    /** Factor by which all heartbeats are rarer, so that they stay within their budget. */
+    private stretch = 1;
 
     constructor(
         private readonly self: Identity,
@@ -171,6 +181,7 @@
         }
         this.seen(peer);
         peer.bundle = heartbeat.bundle;
+        peer.periodMs = heartbeat.periodMs;
         if (heartbeat.leaving) {
             peer.lifecycle.send("leave");
         }
@@ -193,7 +204,18 @@
         }, this.log);
         const lifecycle = this.createLifecycle(address);
         const lastHeartbeat = Date.now();
-        const peer: Peer = { address, link, lifecycle, instance: undefined, zone, region, lastHeartbeat, bundle: 0 };
+        const periodMs = this.options.heartbeatMs * otherRegionFactor;
+        const peer: Peer = {
+            address,
+            link,
+            lifecycle,
+            instance: undefined,
+            zone,
+            region,
+            lastHeartbeat,
+            periodMs,
+            bundle: 0,
+        };
         this.peers.set(address, peer);
         return peer;
     }
@@ -241,14 +263,20 @@
 
     private tick(): void {
         this.beat += 1;
+        this.stretch = stretchFor(this.all().map(peer => this.factor(peer)), this.options.heartbeatMs);
         for (const peer of this.peers.values()) {
-            if (this.beat % this.factor(peer) === 0) {
+            if (this.beat % (this.factor(peer) * this.stretch) === 0) {
                 peer.link.send(this.events.heartbeat(peer));
             }
             this.checkHeartbeat(peer);
         }
     }
 
+    /** Time between two heartbeats to a peer, in milliseconds. */
+    periodOf(peer: Peer): number {
+        return this.options.heartbeatMs * this.factor(peer) * this.stretch;
+    }
+
     private factor(peer: Peer): number {
         if (peer.zone === this.self.zone) {
             return 1;
@@ -257,7 +285,7 @@
     }
 
     private checkHeartbeat(peer: Peer): void {
-        const missed = (Date.now() - peer.lastHeartbeat) / (this.options.heartbeatMs * this.factor(peer));
+        const missed = (Date.now() - peer.lastHeartbeat) / peer.periodMs;
         if (missed > deadAfter) {
             peer.lifecycle.send("lose");
         }
@@ -285,3 +313,13 @@
 
 const isPresent = (state: InstanceState): boolean => state === "live" || state === "suspect" || state === "leaving";
 const mayOwn = (state: InstanceState): boolean => state === "live" || state === "suspect";
+
+/**
+ * Factor by which heartbeats must be rarer to stay within their budget.
+ *
+ * @param factors Heartbeat periods of the peers, as multiples of `heartbeatMs`.
+ */
+export const stretchFor = (factors: readonly number[], heartbeatMs: number): number => {
+    const perSecond = factors.reduce((sum, factor) => sum + 1000 / (heartbeatMs * factor), 0);
+    return Math.max(1, Math.ceil(perSecond * heartbeatBytes / maxHeartbeatBytesPerSecond));
+};
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -275,6 +275,7 @@
             leaving: this.membership.leaving,
             bundle: this.bundles.version,
             slotsVersion: this.slots.version,
+            periodMs: this.membership.periodOf(to),
             loads: to.region === this.identity.region ? this.upstreams.ownLoads() : [],
         };
     }
--- a/packages/daemon/src/peers/messages.ts
+++ b/packages/daemon/src/peers/messages.ts
@@ -52,6 +52,8 @@
     leaving: z.boolean(),
     bundle: z.number().int().min(0),
     slotsVersion: z.number().int().min(0),
+    /** Time until the next heartbeat to the receiver, in milliseconds. */
+    periodMs: z.number().min(0),
     loads: z.array(loadSchema).max(1000),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- a/packages/daemon/src/peers/peerLink.ts
+++ b/packages/daemon/src/peers/peerLink.ts
@@ -4,7 +4,7 @@
 import { WebSocket } from "ws";
 
 import type { AnswerEvent, OwnerRequest } from "../calls.js";
-import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
+import { FrameCodec, maxFrameBytes } from "./frames.js";
 import { createMac, createNonce, macEquals } from "./handshake.js";
 import type { HandshakeKeys } from "./handshake.js";
 import type { Identity } from "./identity.js";
@@ -46,6 +46,7 @@
     private attempt = 0;
     private retryTimer: NodeJS.Timeout | undefined;
     private nextId = 1;
+    private outgoing = new FrameCodec();
     private readonly calls = new Map<number, PendingCall>();
     private readonly asks = new Map<number, PendingAsk>();
 
@@ -67,7 +68,7 @@
     /** Sends a control message if the connection is up. */
     send(message: PeerMessage): void {
         if (this.ready) {
-            const bytes = packFrame(message);
+            const bytes = this.outgoing.pack(message);
             this.controlBytes += bytes.length;
             this.socket!.send(bytes);
         }
@@ -88,7 +89,7 @@
         this.calls.set(id, queue);
         let ended = false;
         try {
-            this.socket!.send(packFrame({ type: "call", id, leftMs: progress.leftMs, request }));
+            this.socket!.send(this.outgoing.pack({ type: "call", id, leftMs: progress.leftMs, request }));
             while (!ended) {
                 const event = await progress.race(queue.next());
                 ended = event.kind === "end";
@@ -135,6 +136,8 @@
             ...(this.tls?.clientOptions() ?? {}),
         });
         this.socket = socket;
+        this.outgoing = new FrameCodec();
+        const incoming = new FrameCodec();
         const key = this.attempt % 2 === 1 && this.keys.previousKey !== undefined ?
             this.keys.previousKey :
             this.keys.key;
@@ -144,7 +147,7 @@
         let refused = false;
         socket.on("message", (data: Buffer) => {
             try {
-                const message = unpackFrame(data);
+                const message = incoming.unpack(data);
                 if (message.type === "challenge") {
                     challenge = message.nonce;
                     this.answerChallenge(message.version, challenge, nonce, key);
@@ -172,7 +175,7 @@
             throw new Error(`the peer speaks version ${version} of the protocol, this instance ${protocolVersion}`);
         }
         const mac = createMac(key, "connecting", challenge, nonce, this.self.instance);
-        this.socket!.send(packFrame({ type: "hello", version: protocolVersion, ...this.self, nonce, mac }));
+        this.socket!.send(this.outgoing.pack({ type: "hello", version: protocolVersion, ...this.self, nonce, mac }));
     }
 
     private onWelcome(
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -9,7 +9,7 @@
 import type { WebSocket } from "ws";
 
 import type { AnswerEvent, OwnerRequest } from "../calls.js";
-import { maxFrameBytes, packFrame, unpackFrame } from "./frames.js";
+import { FrameCodec, maxFrameBytes } from "./frames.js";
 import { createMac, createNonce, findKey } from "./handshake.js";
 import type { HandshakeKeys } from "./handshake.js";
 import type { Identity } from "./identity.js";
@@ -81,6 +81,8 @@
 class PeerSession {
     private hello: Hello | undefined;
     private readonly nonce = createNonce();
+    private readonly incoming = new FrameCodec();
+    private readonly outgoing = new FrameCodec();
     private readonly calls = new Map<number, Progress>();
     private readonly timer: NodeJS.Timeout;
 
@@ -101,7 +103,7 @@
 
     private onFrame(data: Buffer): void {
         try {
-            const message = unpackFrame(data);
+            const message = this.incoming.unpack(data);
             if (this.hello === undefined) {
                 this.authenticate(message);
             }
@@ -205,7 +207,7 @@
 
     private send(message: PeerMessage): void {
         if (this.socket.readyState === this.socket.OPEN) {
-            this.socket.send(packFrame(message));
+            this.socket.send(this.outgoing.pack(message));
         }
     }
 
