--- a/packages/daemon/src/controllers/bundles.ts
+++ b/packages/daemon/src/controllers/bundles.ts
@@ -200,7 +200,8 @@
         return this.options.dataFolder === undefined ? undefined : join(this.options.dataFolder, "bundle.json");
     }
 
-    private readFolder(): void {
+    /** Takes the version in the data folder, if there is one. */
+    readFolder(): void {
         if (this.file === undefined) {
             return;
         }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The daemon's parts, for tests and benchmarks. */
 export * from "./answerLog.js";
 export * from "./calls.js";
+export * from "./controllers/bundles.js";
 export * from "./controllers/dispatcher.js";
 export * from "./controllers/engineMemory.js";
 export * from "./controllers/groupCommit.js";
--- /dev/null
+++ b/tests/configuration/bundleChain.test.ts
@@ -0,0 +1,170 @@
+import {
+    createKeyPair,
+    nextBundle,
+    parseBundle,
+    Progress,
+    refusalOf,
+    SettingsError,
+    signBundle,
+    silentLogger,
+} from "@marigolddrift/common";
+import type { BundleDocument, CarriedBundle } from "@marigolddrift/common";
+import { Bundles } from "@marigolddrift/daemon";
+import type { Membership } from "@marigolddrift/daemon";
+import { BundleChain, BundleConflictError } from "@marigolddrift/platform";
+import { expect } from "earl";
+import * as fc from "fast-check";
+import { mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+
+import { barbeDouce, renderBundle } from "../../bench/sampleBundle.js";
+import { FakeStore } from "../fakeStore.js";
+
+const operators = { amira: createKeyPair(), basil: createKeyPair() };
+const keys = { amira: operators.amira.publicKey, basil: operators.basil.publicKey };
+const region = "tunis-north";
+const addresses = { engines: ["tunis-a=127.0.0.1:1"], services: ["tunis-a=127.0.0.1:2"] };
+const textOf = (version: number): string => renderBundle(barbeDouce, addresses, keys, { version });
+
+const carry = (version: number, signer: "amira" | "basil" = "basil", proposer = "amira"): CarriedBundle => {
+    const base: BundleDocument = {
+        version,
+        parent: "",
+        text: textOf(version),
+        proposer,
+        proposedAt: "",
+        reviews: [],
+        nonce: "",
+    };
+    const document = {
+        ...base,
+        signOff: { operator: signer, signature: signBundle(base, "sign-off", operators[signer].privateKey) },
+    };
+    const entry = {
+        region,
+        at: "",
+        operator: "amira",
+        signature: signBundle(document, `rollout:${region}`, operators.amira.privateKey),
+    };
+    return { document, rollout: { version, regions: [entry], nonce: "" } };
+};
+
+const withProgress = async <T>(action: (progress: Progress) => Promise<T>): Promise<T> => {
+    const progress = new Progress(Date.now() + 5_000);
+    try {
+        return await action(progress);
+    }
+    finally {
+        progress.dispose();
+    }
+};
+
+describe("the chain of bundles", () => {
+    it("should tell the slower of two racing operators who won", async () => {
+        const chain = new BundleChain(new FakeStore());
+        await withProgress(async progress => {
+            const results = await Promise.allSettled([
+                chain.propose(textOf(1), 1, "amira", progress),
+                chain.propose(textOf(1), 1, "basil", progress),
+            ]);
+            const lost = results.filter(result => result.status === "rejected");
+            expect(lost.length).toEqual(1);
+            expect(lost[0]!.reason).toBeA(BundleConflictError);
+            expect(String((lost[0]!.reason as Error).message).includes("amira")).toEqual(true);
+        });
+    });
+
+    it("should settle a lost reply without a second version", async () => {
+        const store = new FakeStore();
+        const chain = new BundleChain(store);
+        await withProgress(async progress => {
+            await chain.versions(progress);
+            const proposing = chain.propose(textOf(1), 1, "amira", progress);
+            store.fault = "loseReply";
+            store.faultsLeft = 3;
+            await proposing.catch(() => {});
+            store.fault = "none";
+            expect((await chain.versions(progress)).length <= 1).toEqual(true);
+        });
+    });
+
+    it("should refuse to roll out an older version", async () => {
+        const chain = new BundleChain(new FakeStore());
+        await withProgress(async progress => {
+            await chain.roll(undefined, { version: 5, regions: [] }, progress);
+            const current = await chain.rollout(progress);
+            await expect(chain.roll(current, { version: 4, regions: [] }, progress)).toBeRejectedWith(
+                BundleConflictError,
+            );
+        });
+    });
+
+    it("should accept only versions that another operator signed off, for this region, unchanged", () => {
+        const good = carry(2);
+        expect(refusalOf(good.document, good.rollout, region, keys)).toEqual(undefined);
+        expect(refusalOf(good.document, good.rollout, "sfax-south", keys)).not.toEqual(undefined);
+        const alone = carry(2, "amira");
+        expect(refusalOf(alone.document, alone.rollout, region, keys)).not.toEqual(undefined);
+        const changed = { ...good.document, text: textOf(3) };
+        expect(refusalOf(changed, good.rollout, region, keys)).not.toEqual(undefined);
+        expect(refusalOf(good.document, good.rollout, region, { basil: keys.amira })).not.toEqual(undefined);
+    });
+
+    it("should never take an older version, whatever arrives in whatever order", () => {
+        const versions = Array.from({ length: 5 }, (_, index) => carry(index + 1));
+        fc.assert(
+            fc.property(fc.array(fc.nat(4), { maxLength: 12 }), order => {
+                let current = 0;
+                for (const index of order) {
+                    const offered = versions[index]!;
+                    const next = nextBundle(current, offered, region, keys).kind === "take" ?
+                        offered.document.version :
+                        current;
+                    expect(next >= current).toEqual(true);
+                    current = next;
+                }
+            }),
+            { seed: 6, numRuns: 60 },
+        );
+    });
+
+    it("should come back from the data folder while the store is away, and not go below it", () => {
+        const store = new FakeStore();
+        const dataFolder = mkdtempSync(join(tmpdir(), "marigolddrift-"));
+        const create = (): Bundles =>
+            new Bundles(store, () => undefined as unknown as Membership, {
+                region,
+                operators: keys,
+                dataFolder,
+                onChange: () => {},
+            }, silentLogger);
+        const first = create();
+        expect(first.take(carry(3), "test")).toEqual(true);
+        const second = create();
+        second.readFolder();
+        expect(second.version).toEqual(3);
+        expect(second.take(carry(2), "a stale watch")).toEqual(false);
+        expect(second.version).toEqual(3);
+    });
+
+    it("should turn malformed bundles into errors that name section and key", () => {
+        const wrong = textOf(1).replace("slots = 64", "slots = 63");
+        expect(() => parseBundle(wrong)).toThrow(
+            SettingsError,
+            "bundle is not valid:\n  - [limits] slots: must be a power of two. Set \"slots\" in section [limits] accordingly.",
+        );
+        fc.assert(
+            fc.property(fc.string(), text => {
+                try {
+                    parseBundle(text);
+                }
+                catch (err) {
+                    expect(err).toBeA(SettingsError);
+                }
+            }),
+            { seed: 7, numRuns: 200 },
+        );
+    });
+});
