--- a/packages/daemon/src/controllers/drain.ts
+++ b/packages/daemon/src/controllers/drain.ts
@@ -54,10 +54,19 @@
         }
         finally {
             callers.stopAccepting();
+            await this.finishLate(progress);
             progress.dispose();
         }
     }
 
+    /** Answers requests that came on open connections just before the port was closed. */
+    private async finishLate(progress: Progress): Promise<void> {
+        const { callers, owner } = this.parts;
+        while (owner.active + callers.active > 0 && !progress.signal.aborted) {
+            await progress.sleep(pollMs).catch(() => {});
+        }
+    }
+
     private async handOverAll(progress: Progress): Promise<void> {
         const queue = this.parts.slots.all().map(slot => slot.slot);
         const worker = async (): Promise<void> => {
--- a/packages/daemon/src/controllers/programs.ts
+++ b/packages/daemon/src/controllers/programs.ts
@@ -19,7 +19,7 @@
 export interface ProgramsOptions {
     bundle(): Bundle;
     /** Keys with which ids are signed; the first one signs. */
-    readonly idKeys: readonly string[];
+    idKeys(): readonly string[];
     /** A program ended: its engine memory must be released. */
     onEnded(program: ProgramState): void;
 }
@@ -44,7 +44,7 @@
      * @throws ProblemError `unknown_program` or `forbidden`.
      */
     claimsOf(id: string, workspace: string): ProgramClaims {
-        const claims = decodeProgramId(id, this.options.idKeys);
+        const claims = decodeProgramId(id, this.options.idKeys());
         if (claims === undefined) {
             throw new ProblemError("unknown_program", "notRun", "The program id was not issued by this system.");
         }
@@ -56,7 +56,7 @@
 
     /** Claims of an id whatever its workspace, or undefined. */
     decode(id: string): ProgramClaims | undefined {
-        return decodeProgramId(id, this.options.idKeys);
+        return decodeProgramId(id, this.options.idKeys());
     }
 
     /** Opens a program on an owned slot. Nothing is written: the id carries what a later owner needs to know. */
@@ -82,7 +82,7 @@
             firstChunk: Math.max(1, Math.ceil(budget * bundle.limits.budgetChunkShare)),
             deadline: Date.now() + req.deadlineMs,
         };
-        const id = encodeProgramId(claims, this.options.idKeys[0]!);
+        const id = encodeProgramId(claims, this.options.idKeys()[0]!);
         const program = new ProgramState(id, claims, agent, undefined, true);
         this.programs.set(id, program);
         this.log.info("program opened", { program: claims.nonce, slot: slot.slot, agent: req.agent, budget });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -86,7 +86,6 @@
         this.list = overrides.list ?? new HttpInstanceList(cfg.platform.list);
         const random = overrides.random ?? Math.random;
         const tls = cfg.tls === undefined ? undefined : new TlsFiles(cfg.tls);
-        const idKeys = [cfg.peer.key, ...(cfg.peer.previousKey === undefined ? [] : [cfg.peer.previousKey])];
         const onLeaving = (address: string): void =>
             this.upstreams.note([{ address, leaving: true, source: "report" }]);
         this.engines = new EngineClient(this.agent, onLeaving);
@@ -100,7 +99,7 @@
         }, this.log);
         this.programs = new Programs({
             bundle: () => this.bundle,
-            idKeys,
+            idKeys: () => [cfg.peer.key, cfg.peer.previousKey].filter(key => key !== undefined),
             onEnded: program => this.onProgramEnded(program.id, program.pauseKind),
         }, this.log);
         this.slots = this.createSlots();
@@ -195,6 +194,14 @@
         this.metrics.close();
     }
 
+    /** Takes the keys of settings that were read again, so that keys rotate without a restart. */
+    reloadKeys(cfg: Settings): void {
+        Object.assign(this.cfg.peer, { key: cfg.peer.key, previousKey: cfg.peer.previousKey });
+        Object.assign(this.cfg.admin, { key: cfg.admin.key, previousKey: cfg.admin.previousKey });
+        this.peers.reloadTls();
+        this.log.info("keys reloaded");
+    }
+
     private common() {
         const { slots, programs, upstreams, membership, memory, engines, log, metrics } = this;
         return { slots, programs, upstreams, membership, memory, engines, log, metrics };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -16,6 +16,14 @@
         await daemon.stop();
         process.exit(0);
     };
+    process.on("SIGHUP", () => {
+        try {
+            daemon.reloadKeys(readSettings(file));
+        }
+        catch (err) {
+            daemon.log.error("keys not reloaded", { error: asError(err).message });
+        }
+    });
     process.once("SIGTERM", () => void stop());
     process.once("SIGINT", () => void stop());
 };
--- a/packages/daemon/src/router.ts
+++ b/packages/daemon/src/router.ts
@@ -150,7 +150,9 @@
             throw new PeerLostError(target, false);
         }
         this.metrics.count("route.forwarded");
-        this.log.info("routing", { kind: req.kind, choice: target, reason: "ownerOfSlot" });
+        const program = "program" in req ? req.program : undefined;
+        const call = "call" in req ? req.call : undefined;
+        this.log.info("routing", { kind: req.kind, program, call, choice: target, reason: "ownerOfSlot" });
         return peer.link.call(req, progress);
     }
 }
