Tell a loop from a person who repeats a request

Cause: four identical requests in a row ended a program, also when a person wrote "go on" four times and got new answers. Change: a turn counts as repeated if a tool reports the same again, or if both the request and the answer are the same.

--- a/packages/daemon/src/filters/chatDispatchFilter.ts
+++ b/packages/daemon/src/filters/chatDispatchFilter.ts
@@ -243,6 +243,7 @@
     private finish(ctx: ChatContext, delivered: Delivered, finished: Finished): void {
         const { program } = ctx;
         const { usage, reason, worker } = finished;
+        ctx.answer = delivered.text;
         const answer: Message = { role: "assistant", content: delivered.text };
         program.history.commit(ctx.all, ctx.fresh, answer);
         program.historyTokens = usage.promptTokens + usage.completionTokens;
--- a/packages/daemon/src/filters/loopFilter.ts
+++ b/packages/daemon/src/filters/loopFilter.ts
@@ -6,7 +6,7 @@
 import type { Filter } from "./filterChain.js";
 import type { ChatContext } from "./ownerContext.js";
 
-/** Counts turns and identical requests. */
+/** Counts turns, and identical ones in a row. */
 export class LoopFilter implements Filter<ChatContext> {
     constructor(private readonly programs: Programs) {}
 
@@ -20,19 +20,24 @@
                 `The program made ${program.turns} calls, as many as are allowed.`,
             );
         }
-        const loop = addTurn(program.loop, digest(JSON.stringify(ctx.fresh)));
-        if (isLooping(loop, program.agent.loopLimit)) {
+        if (isLooping(program.loop, program.agent.loopLimit)) {
             this.programs.end(program, "loop");
             throw new ProblemError(
                 "loop_detected",
                 "notRun",
-                `The same turn was asked for ${loop.repeats} times in a row.`,
+                `The same turn was made ${program.loop.repeats} times in a row.`,
             );
         }
         await next();
         if (ctx.lifecycle.state === "done") {
-            program.loop = loop;
+            program.loop = addTurn(program.loop, turnDigest(ctx));
             program.turns += 1;
         }
     }
 }
+
+/** A person may ask the same thing again and get on; a tool that reports the same again shows that the program does not. */
+const turnDigest = (ctx: ChatContext): string => {
+    const isToolReport = ctx.fresh.every(message => message.role === "tool");
+    return digest(JSON.stringify(ctx.fresh), isToolReport ? "" : ctx.answer);
+};
--- a/packages/daemon/src/filters/ownerContext.ts
+++ b/packages/daemon/src/filters/ownerContext.ts
@@ -26,6 +26,8 @@
     /** The whole conversation, and what of it is new. */
     all: readonly Message[];
     fresh: readonly Message[];
+    /** The whole answer, once it is complete. */
+    answer: string;
 }
 
 /** A service call at its owner. */
--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -129,7 +129,14 @@
                 return joined;
             }
             this.noteReturn(program);
-            const ctx = { ...this.context(progress, hold, program, call), req, program, all: [], fresh: [] };
+            const ctx = {
+                ...this.context(progress, hold, program, call),
+                req,
+                program,
+                all: [],
+                fresh: [],
+                answer: "",
+            };
             this.run(ctx, { call, request, log: ctx.log }, this.parts.chatFilters);
             return ctx.log;
         }
