--- a/bench/bounds.ts
+++ b/bench/bounds.ts
@@ -2,7 +2,7 @@
 import { barbeDouceWorkload, brazosWorkload } from "@marigolddrift/workload";
 import { existsSync, readFileSync } from "node:fs";
 
-import { runBench } from "./policy/benchRun.js";
+import { benchFaults, runBench } from "./policy/benchRun.js";
 import type { BenchFault, BenchResult } from "./policy/benchRun.js";
 import { baselines, marigolddrift } from "./policy/policies.js";
 import type { BenchPolicy } from "./policy/policies.js";
@@ -17,15 +17,7 @@
 const maxBetweenTokensMs = 34;
 const minGoodput = 0.95;
 const maxFaultFactor = 1.5;
-const faults: readonly BenchFault[] = [
-    "engine dies",
-    "engine hangs",
-    "engine slows to a fifth",
-    "load reports 5 s old",
-    "zone leaves",
-    "region cut",
-    "cache forgotten",
-];
+const faults = benchFaults.filter(fault => fault !== "none");
 
 /** A bound with what was measured. */
 interface Bound {
--- a/bench/policy/benchRun.ts
+++ b/bench/policy/benchRun.ts
@@ -30,15 +30,18 @@
     readonly engines: number;
 }
 
-export type BenchFault =
-    | "none"
-    | "engine dies"
-    | "engine hangs"
-    | "engine slows to a fifth"
-    | "load reports 5 s old"
-    | "zone leaves"
-    | "region cut"
-    | "cache forgotten";
+/** Faults that a run can have. */
+export const benchFaults = [
+    "none",
+    "engine dies",
+    "engine hangs",
+    "engine slows to a fifth",
+    "load reports 5 s old",
+    "zone leaves",
+    "region cut",
+    "cache forgotten",
+] as const;
+export type BenchFault = typeof benchFaults[number];
 
 /** What is run. */
 export interface BenchSpec {
--- a/bench/policy/policies.ts
+++ b/bench/policy/policies.ts
@@ -1,8 +1,7 @@
 /** The scheduler's policy and the baselines that it is measured against. */
-import type { OrderFunction, PlaceFunction } from "@marigolddrift/daemon";
-import { nextCall, place, scoreWorker } from "@marigolddrift/policy";
-import type { CallShape, Placement, WorkerView } from "@marigolddrift/policy";
-import { createHash } from "node:crypto";
+import type { OrderFunction } from "@marigolddrift/daemon";
+import { createPlacement, firstCome, nextCall } from "@marigolddrift/policy";
+import type { PlaceFunction, PlacementName } from "@marigolddrift/policy";
 
 /** A way to schedule. */
 export interface BenchPolicy {
@@ -18,28 +17,9 @@
     readonly retention: boolean;
 }
 
-const firstCome: OrderFunction = calls => calls.length > 0 ? 0 : -1;
-
-const placementOn = (view: WorkerView, shape: CallShape): Placement => ({
-    worker: view.worker,
-    reason: "leastExpected",
-    scores: [scoreWorker(view, shape)],
-});
-
-const inFlight = (view: WorkerView): number => view.ownInFlight + Math.max(0, view.reportedInFlight - view.ownAtReport);
-
-const leastOf = (views: readonly WorkerView[]): WorkerView =>
-    views.reduce((best, view) => inFlight(view) < inFlight(best) ? view : best);
-
-const rank = (key: string, worker: string): number =>
-    createHash("md5").update(`${key}/${worker}`).digest().readUInt32BE(0);
-
-const byHash = (views: readonly WorkerView[], program: string): WorkerView =>
-    views.reduce((best, view) => rank(program, view.worker) > rank(program, best.worker) ? view : best);
-
-const baseline = (name: string, createPlace: () => PlaceFunction): BenchPolicy => ({
+const baseline = (name: string, placement: PlacementName): BenchPolicy => ({
     name,
-    createPlace,
+    createPlace: () => createPlacement(placement),
     order: firstCome,
     admission: false,
     boundsInFlight: false,
@@ -47,24 +27,9 @@
     retention: false,
 });
 
-/** Load above the least loaded worker's at which cache affinity gives way. */
-const affinityThreshold = 4;
-
-const roundRobin = (): PlaceFunction => {
-    let turn = 0;
-    return (views, shape) => placementOn(views[turn++ % views.length]!, shape);
-};
-
-const cacheAffinity = (): PlaceFunction => (views, shape) => {
-    const cached = views.reduce((best, view) => view.cachedTokens > best.cachedTokens ? view : best);
-    const least = leastOf(views);
-    const isTooBusy = inFlight(cached) > inFlight(least) + affinityThreshold;
-    return placementOn(cached.cachedTokens > 0 && !isTooBusy ? cached : least, shape);
-};
-
 export const marigolddrift: BenchPolicy = {
     name: "marigolddrift",
-    createPlace: () => place,
+    createPlace: () => createPlacement("expectedFinish"),
     order: nextCall,
     admission: true,
     boundsInFlight: true,
@@ -73,10 +38,10 @@
 };
 
 export const baselines: readonly BenchPolicy[] = [
-    baseline("round robin", roundRobin),
-    baseline("least outstanding", () => (views, shape) => placementOn(leastOf(views), shape)),
-    baseline("consistent hashing", () => (views, shape, _, program) => placementOn(byHash(views, program), shape)),
-    baseline("cache affinity", cacheAffinity),
+    baseline("round robin", "roundRobin"),
+    baseline("least outstanding", "leastOutstanding"),
+    baseline("consistent hashing", "consistentHashing"),
+    baseline("cache affinity", "cacheAffinity"),
     { ...marigolddrift, name: "first come", order: firstCome, priorities: false, retention: false, admission: false },
 ];
 
--- a/bench/policyBench.ts
+++ b/bench/policyBench.ts
@@ -5,23 +5,13 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
-import { runBench } from "./policy/benchRun.js";
+import { benchFaults, runBench } from "./policy/benchRun.js";
 import type { BenchFault, BenchResult, BenchZone } from "./policy/benchRun.js";
 import { ablations, baselines, marigolddrift } from "./policy/policies.js";
 import { drawReport } from "./policy/report.js";
 import { benchUsers } from "./policy/users.js";
 
 const reportFolder = "bench/report";
-const allFaults: readonly BenchFault[] = [
-    "none",
-    "engine dies",
-    "engine hangs",
-    "engine slows to a fifth",
-    "load reports 5 s old",
-    "zone leaves",
-    "region cut",
-    "cache forgotten",
-];
 
 /** One line of the results. */
 export interface BenchLine {
@@ -77,7 +67,7 @@
     const lines: BenchLine[] = [];
     const policies = [marigolddrift, ...baselines, ...ablations]
         .filter(policy => options.policies === "all" || options.policies.split(",").includes(policy.name));
-    const faults = allFaults.filter(fault => options.faults === "all" || options.faults.split(",").includes(fault));
+    const faults = benchFaults.filter(fault => options.faults === "all" || options.faults.split(",").includes(fault));
     for (const { workload, zones } of chosenWorkloads(options)) {
         for (const seed of String(options.seed).split(",").map(Number)) {
             for (const load of String(options.loads).split(",").map(Number)) {
--- a/packages/daemon/src/controllers/dispatcher.ts
+++ b/packages/daemon/src/controllers/dispatcher.ts
@@ -2,7 +2,15 @@
 import { ProblemError } from "@marigolddrift/common";
 import type { Logger, Metrics, Progress } from "@marigolddrift/common";
 import { admit, nextCall } from "@marigolddrift/policy";
-import type { AdmissionDecision, CallShape, Placement, Score, WaitingCall, WorkerView } from "@marigolddrift/policy";
+import type {
+    AdmissionDecision,
+    CallShape,
+    PlaceFunction,
+    Placement,
+    Score,
+    WaitingCall,
+    WorkerView,
+} from "@marigolddrift/policy";
 
 /** A call that asks for a worker. */
 export interface DispatchRequest extends WaitingCall {
@@ -36,14 +44,6 @@
     allows(worker: string, req: DispatchRequest): boolean;
 }
 
-/** Chooses among workers; the policy's `place`, or a baseline in benchmarks. */
-export type PlaceFunction = (
-    views: readonly WorkerView[],
-    shape: CallShape,
-    random: () => number,
-    program: string,
-) => Placement;
-
 /** Chooses the next of the waiting calls. */
 export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
 
--- a/packages/daemon/src/controllers/engineMemory.ts
+++ b/packages/daemon/src/controllers/engineMemory.ts
@@ -29,6 +29,8 @@
         private readonly engines: Pick<EngineClient, "release" | "export">,
         private readonly log: Logger,
         private readonly metrics: Metrics,
+        /** Whether prefixes are demoted or dropped at pauses; otherwise the engine decides alone. */
+        private readonly retains = true,
     ) {}
 
     /** Decides what happens to a prefix while its program pauses, and orders it. */
@@ -41,6 +43,9 @@
             canExport: true,
             cost: pause.cost,
         });
+        if (!this.retains) {
+            return { ...decision, action: "keep", reason: "the engine decides" };
+        }
         this.metrics.count(`retention.${decision.action}`);
         if (decision.action === "demote") {
             void this.export(pause.worker, pause.program);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,11 +3,12 @@
 import type { Bundle, Logger, Metrics } from "@marigolddrift/common";
 import { HttpInstanceList, StoreClient } from "@marigolddrift/platform";
 import type { InstanceList, Store } from "@marigolddrift/platform";
-import { place, RetryBudget } from "@marigolddrift/policy";
+import { createPlacement, firstCome, nextCall, RetryBudget } from "@marigolddrift/policy";
 import { Agent } from "undici";
 
 import { Bundles } from "./controllers/bundles.js";
 import { Dispatcher } from "./controllers/dispatcher.js";
+import type { DispatcherOptions } from "./controllers/dispatcher.js";
 import { Drain } from "./controllers/drain.js";
 import { EngineMemory } from "./controllers/engineMemory.js";
 import { LinkBudget } from "./controllers/linkBudget.js";
@@ -89,7 +90,7 @@
         const onLeaving = (address: string): void =>
             this.upstreams.note([{ address, leaving: true, source: "report" }]);
         this.engines = new EngineClient(this.agent, onLeaving);
-        this.memory = new EngineMemory(this.engines, this.log, this.metrics);
+        this.memory = new EngineMemory(this.engines, this.log, this.metrics, cfg.policy.placement === "expectedFinish");
         this.membership = this.createMembership(tls);
         this.bundles = new Bundles(this.store, () => this.membership, {
             region,
@@ -109,7 +110,7 @@
             onEvicted: (worker, program) => this.memory.view.onDropped(program, worker),
         }, this.log);
         const pool = new WorkerPool(this.identity, this.upstreams, this.memory, this.link);
-        this.dispatcher = new Dispatcher(pool, { place, admission: true, random }, this.log, this.metrics);
+        this.dispatcher = new Dispatcher(pool, this.dispatcherOptions(random), this.log, this.metrics);
         this.owner = this.createOwner(random);
         this.router = new Router(
             this.identity.instance,
@@ -194,6 +195,13 @@
         this.metrics.close();
     }
 
+    /** The policy, or a baseline to compare it with. */
+    private dispatcherOptions(random: () => number): DispatcherOptions {
+        const { placement } = this.cfg.policy;
+        const isOwn = placement === "expectedFinish";
+        return { place: createPlacement(placement), order: isOwn ? nextCall : firstCome, admission: isOwn, random };
+    }
+
     /** Takes the keys of settings that were read again, so that keys rotate without a restart. */
     reloadKeys(cfg: Settings): void {
         Object.assign(this.cfg.peer, { key: cfg.peer.key, previousKey: cfg.peer.previousKey });
--- a/packages/daemon/src/http/adminServer.ts
+++ b/packages/daemon/src/http/adminServer.ts
@@ -2,12 +2,12 @@
 import { asError } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
 import polka from "polka";
 import type { Polka } from "polka";
 
 import { macEquals } from "../peers/handshake.js";
 import { sendJson } from "./httpErrors.js";
+import { listen } from "./listen.js";
 
 const maxBodyBytes = 64 * 1024;
 
@@ -49,13 +49,8 @@
         }
     }
 
-    async listen(host: string, port: number): Promise<number> {
-        const { app } = this;
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            app.listen(port, host, () => resolve());
-        });
-        return (this.server.address() as AddressInfo).port;
+    listen(host: string, port: number): Promise<number> {
+        return listen(this.app, this.server, host, port);
     }
 
     close(): void {
--- a/packages/daemon/src/http/callerServer.ts
+++ b/packages/daemon/src/http/callerServer.ts
@@ -3,7 +3,7 @@
 import type { Bundle, Logger, Metrics } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import polka from "polka";
 import type { Polka } from "polka";
 
@@ -11,6 +11,7 @@
 import { runChain } from "../filters/filterChain.js";
 import type { Filter } from "../filters/filterChain.js";
 import { sendProblem } from "./httpErrors.js";
+import { listen } from "./listen.js";
 
 const maxHeaderBytes = 32 * 1024;
 const headersTimeoutMs = 10_000;
@@ -53,13 +54,8 @@
         this.addRoutes();
     }
 
-    async listen(host: string, port: number): Promise<number> {
-        const { app } = this;
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            app.listen(port, host, () => resolve());
-        });
-        return (this.server.address() as AddressInfo).port;
+    listen(host: string, port: number): Promise<number> {
+        return listen(this.app, this.server, host, port);
     }
 
     /** Stops to accept connections; answers in progress go on. */
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of a daemon. */
 import { iniList, iniNumber, readIni } from "@marigolddrift/common";
+import { placementNames } from "@marigolddrift/policy";
 import { z } from "zod";
 
 const minKeyLength = 16;
@@ -37,6 +38,10 @@
         level: z.enum(["error", "warn", "info", "debug"]).default("info"),
     }).prefault({}),
     metrics: z.strictObject({ host: z.string().default(""), port: port.default(8125) }).prefault({}),
+    policy: z.strictObject({
+        /** How workers are chosen; anything but expectedFinish is for comparisons, without ordering and retention. */
+        placement: z.enum(placementNames).default("expectedFinish"),
+    }).prefault({}),
     timing: z.strictObject({
         leaseSeconds: iniNumber(1, 600).default(6),
         heartbeatMs: iniNumber(50).default(1000),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 /** Pure scheduling decisions: no I/O, no timers, no module state. */
 export * from "./admission.js";
+export * from "./baselines.js";
 export * from "./cacheView.js";
 export * from "./costModel.js";
 export * from "./loopDetection.js";
--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -54,3 +54,6 @@
 /** Priority that an engine gets for a call: logarithmic classes of attained service. */
 export const enginePriority = (attainedMs: number, priority: number): number =>
     Math.round(Math.log2(1 + attainedMs / 250)) + priority;
+
+/** The order in which the calls came, to compare with. */
+export const firstCome = (calls: readonly WaitingCall[]): number => calls.length > 0 ? 0 : -1;
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -48,7 +48,7 @@
 /** A placement with its reason, or no worker that may get the call now. */
 export interface Placement {
     readonly worker: string | undefined;
-    readonly reason: "cached" | "leastExpected" | "allBusy" | "noWorker" | "waitForCache";
+    readonly reason: "cached" | "leastExpected" | "allBusy" | "noWorker" | "baseline";
     readonly scores: readonly Score[];
 }
 
