Let an owner know its own unsent intents again

Cause: an order that was refused as not run while the store was away was, sent again, answered with mayHaveRun: its intent waited to be stored, though it was never sent. Ruled out: intents left by another owner; the runs had no change of owner. Change: a call that is sent again waits for the same write; an intent that nobody waits for is withdrawn once it is stored.

--- a/bench/localFleet.ts
+++ b/bench/localFleet.ts
@@ -23,6 +23,7 @@
     readonly limits?: Record<string, string | number>;
     readonly pool?: Record<string, string | number | boolean>;
     readonly listLagMs?: number;
+    readonly placement?: string;
     /** Seed of the daemons' random choices. */
     readonly random?: () => number;
 }
@@ -189,6 +190,7 @@
             },
             platform: { store: this.storeAddress, list: `127.0.0.1:${this.standins.ports.get("list")}` },
             operators,
+            policy: { placement: this.options.placement ?? "expectedFinish" },
             timing: { heartbeatMs: 200, listPollMs: 200, loadPollMs: 200, ...this.options.timing },
         });
     }
--- a/packages/daemon/src/filters/intentFilter.ts
+++ b/packages/daemon/src/filters/intentFilter.ts
@@ -5,6 +5,7 @@
 import type { Outcome } from "@marigolddrift/ledger";
 
 import type { ServiceRequest } from "../calls.js";
+import type { OwnedSlot } from "../controllers/ownedSlot.js";
 import { Slots } from "../controllers/slots.js";
 import { verdictOf } from "../lifecycles/requestLifecycle.js";
 import type { Filter } from "./filterChain.js";
@@ -17,8 +18,17 @@
 export const requestDigest = (req: ServiceRequest): string =>
     digest(req.method, req.path, req.contentType, Buffer.from(req.body).toString("base64"));
 
+/** An intent that is being stored. */
+interface PendingIntent {
+    readonly slot: OwnedSlot;
+    readonly stored: Promise<void>;
+    waiters: number;
+}
+
 /** Looks the call up, stores its intent, runs it, and stores its outcome. */
 export class IntentFilter implements Filter<ServiceContext> {
+    private readonly pending = new Map<string, PendingIntent>();
+
     constructor(
         private readonly slots: Slots,
         private readonly isIdempotent: (service: string) => boolean,
@@ -59,6 +69,9 @@
                 "The Idempotency-Key was used for a different request.",
             );
         }
+        if (found.kind === "unresolved" && this.ownPending(ctx, intentKey(ctx.req)) !== undefined) {
+            return false;
+        }
         if (found.kind === "unresolved") {
             throw new ProblemError(
                 "outcome_unknown",
@@ -80,20 +93,46 @@
         return true;
     }
 
+    /** Stores the intent; a call that is sent again meanwhile waits for the same write. */
     private async store(ctx: ServiceContext, key: string, request: string): Promise<void> {
-        const { slot } = ctx.hold;
-        const stored = this.slots.mutate(slot, record => intend(record, key, request, Date.now()));
+        const intent = this.ownPending(ctx, key) ?? this.begin(ctx, key, request);
+        intent.waiters += 1;
         try {
-            await ctx.progress.race(stored);
+            await ctx.progress.race(intent.stored);
+            this.pending.delete(key);
         }
         catch (err) {
-            // The intent may still be stored, but this owner will not send the call.
-            void stored.then(() => this.withdraw(ctx, key), () => {});
             if (ctx.progress.signal.aborted) {
                 throw Slots.notDurable("The intent was not stored before the deadline; the call was not sent.");
             }
             throw err;
         }
+        finally {
+            intent.waiters -= 1;
+        }
+    }
+
+    private begin(ctx: ServiceContext, key: string, request: string): PendingIntent {
+        const { slot } = ctx.hold;
+        const stored = this.slots.mutate(slot, record => intend(record, key, request, Date.now()));
+        const intent: PendingIntent = { slot, stored, waiters: 0 };
+        this.pending.set(key, intent);
+        void stored.then(() => this.onStored(ctx, key, intent), () => this.pending.delete(key));
+        return intent;
+    }
+
+    /** Takes an intent back that nobody waits for any more: the call was never sent. */
+    private onStored(ctx: ServiceContext, key: string, intent: PendingIntent): void {
+        if (intent.waiters === 0) {
+            this.pending.delete(key);
+            this.withdraw(ctx, key);
+        }
+    }
+
+    /** An intent of this owner that is not stored yet, so that its call cannot have been sent. */
+    private ownPending(ctx: ServiceContext, key: string): PendingIntent | undefined {
+        const intent = this.pending.get(key);
+        return intent?.slot === ctx.hold.slot ? intent : undefined;
     }
 
     private settle(ctx: ServiceContext, key: string): void {
