Serve programs in the order they come until they have used 10 s of engine time

Cause: on long prompts the policy lost to plain arrival order: with classes of 0.25 s nearly every pair of programs was reordered, and prefills took turns. Ruled out: the bound of calls in flight (queueing at engines gave the same figures) and over-committing workers that hold the prefix (no change). Change: the first class of engine priorities spans 10 s of attained service.

--- a/packages/policy/src/ordering.ts
+++ b/packages/policy/src/ordering.ts
@@ -51,9 +51,12 @@
     return best;
 };
 
+/** Attained service up to which programs are served in the order in which they come, in milliseconds. */
+const firstClassMs = 10_000;
+
 /** Priority that an engine gets for a call: logarithmic classes of attained service. */
 export const enginePriority = (attainedMs: number, priority: number): number =>
-    Math.round(Math.log2(1 + attainedMs / 250)) + priority;
+    Math.floor(Math.log2(1 + attainedMs / firstClassMs)) + priority;
 
 /** The order in which the calls came, to compare with. */
 export const firstCome = (calls: readonly WaitingCall[]): number => calls.length > 0 ? 0 : -1;
