Remove dead code and a wrong comment

Cause: reading the whole change once more found a constant whose comment described something else and whose bound was never reached, two methods and a test value that nothing used. Change: they are gone; behaviour is the same.

--- a/packages/daemon/src/owner.ts
+++ b/packages/daemon/src/owner.ts
@@ -20,9 +20,6 @@
 /** How long a call goes on although nobody reads its answer, so that a caller can come back; in milliseconds. */
 const abandonGraceMs = 2_000;
 
-/** A slot's epoch at which the owner could not be found. */
-const maxClockMs = 24 * 3_600_000;
-
 /** What the owner works with. */
 export interface OwnerParts {
     readonly slots: Slots;
@@ -175,7 +172,7 @@
 
     private context(progress: Progress, hold: SlotHold, program: ProgramState | undefined, call: number) {
         // The work goes on for a while without its reader, so it has a deadline of its own.
-        const own = new Progress(Math.min(progress.deadline, Date.now() + maxClockMs));
+        const own = new Progress(progress.deadline);
         return { progress: own, log: new AnswerLog(), lifecycle: createRequestLifecycle(), hold, program, call };
     }
 
--- a/packages/policy/src/cacheView.ts
+++ b/packages/policy/src/cacheView.ts
@@ -45,17 +45,6 @@
         return workers;
     }
 
-    /** Forgets a worker that restarted or left. */
-    forgetWorker(worker: string): void {
-        for (const program of [...this.programs.keys()]) {
-            this.onDropped(program, worker);
-        }
-    }
-
-    workersOf(program: string): string[] {
-        return [...this.programs.get(program)?.keys() ?? []];
-    }
-
     cachedTokens(program: string, worker: string, now: number): number {
         const belief = this.programs.get(program)?.get(worker);
         return belief === undefined ? 0 : Math.floor(belief.tokens * 0.5 ** ((now - belief.at) / halfLifeMs));
--- a/tests/fakeStore.ts
+++ b/tests/fakeStore.ts
@@ -1,5 +1,4 @@
 /** A key-value service in memory, whose faults tests set call by call. */
-import type { Progress } from "@marigolddrift/common";
 import { StoreError } from "@marigolddrift/platform";
 import type { Compare, Put, Store, StoredValue, TxnResult } from "@marigolddrift/platform";
 import { KeyValueState } from "@marigolddrift/standins";
@@ -80,6 +79,3 @@
         return result;
     }
 }
-
-/** A progress that tests pass where its deadline does not matter. */
-export const anyProgress = undefined as unknown as Progress;
