Serve the users' platform end to end: routes, placement, conversations and budgets

Cause: the product had no plain HTTP entry, no continued conversations without an owner and no client of the platform. Change: packages/gateway serves calls by a filter chain; platform/ translates settings, store, entries and headers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 import { boundaryConfigs } from "./tools/imports.js";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "bench/report/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "bench/report/**", "target/**"] },
     {
         files: ["**/*.ts"],
         extends: [...tseslint.configs.recommendedTypeChecked],
--- a/packages/daemon/src/http/httpErrors.ts
+++ b/packages/common/src/httpAnswers.ts
@@ -1,7 +1,8 @@
 /** Renders problems as HTTP answers. */
-import type { ProblemError } from "@marigolddrift/common";
 import type { ServerResponse } from "node:http";
 
+import type { ProblemError } from "./verdict.js";
+
 /** Answers with a problem document; does nothing if the answer has begun. */
 export const sendProblem = (res: ServerResponse, err: ProblemError): void => {
     if (res.headersSent || res.destroyed) {
--- a/packages/daemon/src/filters/answerFilter.ts
+++ b/packages/daemon/src/filters/answerFilter.ts
@@ -1,10 +1,9 @@
 /** Writes the answer of an owner to the caller. */
-import { ProblemError } from "@marigolddrift/common";
+import { ProblemError, sendJson, sendProblem } from "@marigolddrift/common";
 import type { Filter } from "@marigolddrift/common";
 import { once } from "node:events";
 
 import type { AnswerEvent, OwnerRequest } from "../calls.js";
-import { sendJson, sendProblem } from "../http/httpErrors.js";
 import type { Router } from "../router.js";
 import type { EdgeContext } from "./edgeContext.js";
 
--- a/packages/daemon/src/http/adminServer.ts
+++ b/packages/daemon/src/http/adminServer.ts
@@ -1,13 +1,11 @@
 /** The port for operators: health, status and orders. */
-import { asError } from "@marigolddrift/common";
+import { asError, listen, sendJson } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
 import type { Polka } from "polka";
 
 import { macEquals } from "../peers/handshake.js";
-import { sendJson } from "./httpErrors.js";
-import { listen } from "./listen.js";
 
 const maxBodyBytes = 64 * 1024;
 
--- a/packages/daemon/src/http/callerServer.ts
+++ b/packages/daemon/src/http/callerServer.ts
@@ -1,5 +1,5 @@
 /** The port for callers. */
-import { asError, ProblemError, Progress, runChain, toProblemError } from "@marigolddrift/common";
+import { asError, listen, ProblemError, Progress, runChain, sendProblem, toProblemError } from "@marigolddrift/common";
 import type { Bundle, Filter, Logger, Metrics } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -8,8 +8,6 @@
 import type { Polka } from "polka";
 
 import type { EdgeContext, EdgeRoute } from "../filters/edgeContext.js";
-import { sendProblem } from "./httpErrors.js";
-import { listen } from "./listen.js";
 
 const maxHeaderBytes = 32 * 1024;
 const headersTimeoutMs = 10_000;
--- a/packages/daemon/src/workerPool.ts
+++ b/packages/daemon/src/workerPool.ts
@@ -1,5 +1,6 @@
 /** Connects the dispatcher with what is known of the workers. */
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
+import { expectedRoundTripMs } from "@marigolddrift/policy";
 import type { CostModel, WorkerView } from "@marigolddrift/policy";
 
 import type { EngineMemory } from "./controllers/engineMemory.js";
@@ -7,10 +8,6 @@
 import type { Upstream } from "./controllers/upstream.js";
 import type { Identity } from "./peers/identity.js";
 
-const sameZoneRoundTripMs = 1;
-const otherZoneRoundTripMs = 4;
-const otherRegionRoundTripMs = 45;
-
 /** What the pool needs to know of the upstreams. */
 export interface WorkerDirectory {
     workersFor(model: string): Upstream[];
@@ -71,16 +68,12 @@
             cachedTokens: this.memory.view.cachedTokens(req.program, worker.address, now),
             exportedTokens: this.memory.view.exportedTokens(req.program, worker.address),
             slowdown: worker.slowdown,
-            roundTripMs: this.roundTrip(worker.zone),
+            roundTripMs: expectedRoundTripMs(this.self, {
+                zone: worker.zone,
+                region: this.upstreams.regionOf(worker.zone),
+            }),
             maxInFlight: cost.maxBatch,
             cost,
         };
     }
-
-    private roundTrip(zone: string): number {
-        if (zone === this.self.zone) {
-            return sameZoneRoundTripMs;
-        }
-        return this.upstreams.regionOf(zone) === this.self.region ? otherZoneRoundTripMs : otherRegionRoundTripMs;
-    }
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -32,29 +32,29 @@
 }
 
 /** What the dispatcher knows of the workers, and what it tells others. */
-export interface DispatchTarget {
+export interface DispatchTarget<R extends DispatchRequest = DispatchRequest> {
     /** Workers that may get calls for the model now. */
-    views(req: DispatchRequest): WorkerView[];
+    views(req: R): WorkerView[];
     /** Calls that the model's workers run at a time. */
     capacity(model: string): number;
     /** Notes that a call goes to a worker, or left it. */
     onAssigned(worker: string): void;
     onReleased(worker: string): void;
     /** Whether the call may go there, for example within the budget of the region link. */
-    allows(worker: string, req: DispatchRequest): boolean;
+    allows(worker: string, req: R): boolean;
 }
 
 /** Chooses the next of the waiting calls. */
 export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
 
-interface Waiting {
-    readonly req: DispatchRequest;
+interface Waiting<R extends DispatchRequest> {
+    readonly req: R;
     resolve(lease: DispatchLease): void;
     reject(err: Error): void;
 }
 
-interface ModelQueue {
-    readonly waiting: Waiting[];
+interface ModelQueue<R extends DispatchRequest> {
+    readonly waiting: Waiting<R>[];
     meanServiceMs: number;
 }
 
@@ -73,13 +73,13 @@
 }
 
 /** The queues of one instance. */
-export class Dispatcher {
-    private readonly queues = new Map<string, ModelQueue>();
+export class Dispatcher<R extends DispatchRequest = DispatchRequest> {
+    private readonly queues = new Map<string, ModelQueue<R>>();
     private readonly running = new Map<string, number>();
     private timer: NodeJS.Timeout | undefined;
 
     constructor(
-        private readonly target: DispatchTarget,
+        private readonly target: DispatchTarget<R>,
         private readonly options: DispatcherOptions,
         private readonly log: Logger,
         private readonly metrics: Metrics,
@@ -110,9 +110,9 @@
     }
 
     /** Waits for a worker. */
-    async acquire(req: DispatchRequest, progress: Progress): Promise<DispatchLease> {
+    async acquire(req: R, progress: Progress): Promise<DispatchLease> {
         const queue = this.queue(req.model);
-        let entry: Waiting | undefined;
+        let entry: Waiting<R> | undefined;
         const granted = new Promise<DispatchLease>((resolve, reject) => {
             entry = { req, resolve, reject };
             queue.waiting.push(entry);
@@ -144,7 +144,7 @@
         [...this.queues.keys()].forEach(model => this.pump(model));
     }
 
-    private queue(model: string): ModelQueue {
+    private queue(model: string): ModelQueue<R> {
         let queue = this.queues.get(model);
         if (queue === undefined) {
             queue = { waiting: [], meanServiceMs: initialServiceMs };
@@ -174,12 +174,12 @@
         }
     }
 
-    private chooseNext(waiting: readonly Waiting[]): number {
+    private chooseNext(waiting: readonly Waiting<R>[]): number {
         const calls = waiting.map(entry => ({ ...entry.req, workspaceLoad: this.runningOf(entry.req.workspace) }));
         return (this.options.order ?? nextCall)(calls, performance.now());
     }
 
-    private grant(entry: Waiting, worker: string, placement: Placement): void {
+    private grant(entry: Waiting<R>, worker: string, placement: Placement): void {
         const { req } = entry;
         const score = placement.scores.find(candidate => candidate.worker === worker) ?? placement.scores[0]!;
         this.log.info("placement", {
--- /dev/null
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -0,0 +1,213 @@
+/** The port for callers: finds the route of each request and runs the filter chain. */
+import { asError, listen, ProblemError, Progress, runChain, sendProblem, toProblemError } from "@marigolddrift/common";
+import type { Filter, Logger } from "@marigolddrift/common";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import polka from "polka";
+import type { Polka } from "polka";
+
+import type { CallContext, CallTrace } from "../filters/callContext.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { CallProtocol } from "../protocol.js";
+import { chooseTarget } from "../routes.js";
+import type { CallerLimits, RouteTable } from "../routes.js";
+
+/** Largest head that the parser accepts, in bytes; the configured limit is checked after it. */
+const parserHeaderBytes = 128 * 1024;
+
+/** Time beyond the configured one for which idle connections stay open, in milliseconds. */
+const idleSlackMs = 1_000;
+
+/** Time that a whole request may take to arrive, in milliseconds. */
+const requestTimeoutMs = 30_000;
+
+/** When callers may come back while there is no configuration or the instance stops, in seconds. */
+const notReadySeconds = 0.5;
+
+/** What the server needs from the rest of the instance. */
+export interface EntryParts {
+    readonly filters: readonly Filter<CallContext>[];
+    readonly protocol: CallProtocol;
+    routes(): RouteTable | undefined;
+    /** Whether the instance stops, so that callers should move to another connection. */
+    isStopping(): boolean;
+    readonly random: () => number;
+    readonly metrics: GatewayMetrics;
+    readonly log: Logger;
+}
+
+/** Accepts the requests of callers. */
+export class EntryServer {
+    /** Requests whose answers have not ended. */
+    active = 0;
+    private readonly server: Server;
+    private readonly app: Polka;
+    private readonly sockets = new Set<Socket>();
+
+    constructor(private readonly parts: EntryParts) {
+        this.server = createServer({
+            maxHeaderSize: parserHeaderBytes,
+            requestTimeout: requestTimeoutMs,
+            noDelay: true,
+            keepAliveTimeout: 0,
+        });
+        this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.on("close", () => this.sockets.delete(socket));
+        });
+        this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
+    }
+
+    listen(host: string, port: number): Promise<number> {
+        return listen(this.app, this.server, host, port);
+    }
+
+    /** Open connections of callers. */
+    get connections(): number {
+        return this.sockets.size;
+    }
+
+    applyLimits(limits: CallerLimits): void {
+        this.server.headersTimeout = limits.headersTimeoutMs;
+        this.server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
+    }
+
+    closeIdle(): void {
+        this.server.closeIdleConnections();
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        this.active += 1;
+        const arrivedAt = performance.now();
+        const trace: CallTrace = {};
+        let progress: Progress | undefined;
+        try {
+            if (this.parts.isStopping()) {
+                res.setHeader("Connection", "close");
+            }
+            const ctx = this.admit(req, res, arrivedAt, trace);
+            progress = ctx.progress;
+            await runChain(this.parts.filters, ctx);
+        }
+        catch (err) {
+            this.onFailed(req, res, trace, toFailure(err, progress));
+        }
+        finally {
+            progress?.dispose();
+            this.active -= 1;
+            this.report(req, arrivedAt, trace);
+        }
+    }
+
+    private admit(
+        req: IncomingMessage,
+        res: ServerResponse,
+        arrivedAt: number,
+        trace: CallTrace,
+    ): CallContext {
+        const table = this.parts.routes();
+        if (table === undefined) {
+            const detail = "This instance has not read the configuration yet.";
+            throw new ProblemError("not_configured", "notRun", detail, { retryAfterSeconds: notReadySeconds });
+        }
+        checkHeaderBytes(req, table.config.limits.maxHeaderBytes);
+        const head = this.parts.protocol.readCall(req.headers);
+        const { program } = head;
+        Object.assign(trace, { request: head.id, program: program?.id, turnOf: program?.continuesTurn });
+        trace.config = table.config.version;
+        const route = table.match(req.headers.host ?? "", req.url ?? "");
+        const service = route && table.service(chooseTarget(route, this.parts.random()));
+        if (route === undefined || service === undefined) {
+            throw new ProblemError("unknown_route", "notRun", "No route matches the host and path.");
+        }
+        if (head.id === undefined) {
+            throw new ProblemError("invalid_request", "notRun", "The request has no id.");
+        }
+        Object.assign(trace, { route: route.name, service: service.name });
+        const progress = new Progress(Math.min(head.leftMs ?? Infinity, route.timeoutMs));
+        res.on("close", () => {
+            if (!res.writableFinished && (route.streams || route.idempotent)) {
+                progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
+            }
+        });
+        return {
+            req,
+            res,
+            head,
+            id: head.id,
+            route,
+            service,
+            arrivedAt,
+            progress,
+            body: Buffer.alloc(0),
+            conversation: undefined,
+            reservation: undefined,
+            trace,
+        };
+    }
+
+    private onFailed(
+        req: IncomingMessage,
+        res: ServerResponse,
+        trace: CallTrace,
+        err: ProblemError,
+    ): void {
+        Object.assign(trace, { status: err.status, error: err.code, verdict: err.verdict, detail: err.message });
+        if (res.headersSent) {
+            // What has been passed on cannot be taken back: only a broken connection says that the answer is not whole.
+            res.destroy();
+            return;
+        }
+        if (!req.complete) {
+            res.setHeader("Connection", "close");
+            req.resume();
+        }
+        sendProblem(res, err);
+    }
+
+    private report(req: IncomingMessage, arrivedAt: number, trace: CallTrace): void {
+        const ms = Math.round(performance.now() - arrivedAt);
+        const { metrics, log } = this.parts;
+        metrics.onCall(trace.route ?? "none", trace.error ?? String(trace.status ?? "gone"), ms);
+        log.info("call", { method: req.method, path: req.url, ...trace, ms });
+    }
+
+    private onClientError(err: Error, socket: Socket): void {
+        const { code } = err as { code?: string; };
+        if (code === "ECONNRESET" || !socket.writable) {
+            socket.destroy();
+            return;
+        }
+        const status = code === "HPE_HEADER_OVERFLOW" ?
+            "431 Request Header Fields Too Large" :
+            code === "ERR_HTTP_REQUEST_TIMEOUT" ?
+            "408 Request Timeout" :
+            "400 Bad Request";
+        this.parts.log.info("request refused", { error: asError(err).message, code, status });
+        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    }
+}
+
+const checkHeaderBytes = (req: IncomingMessage, maxBytes: number): void => {
+    const headers = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    if (headers + (req.url?.length ?? 0) > maxBytes) {
+        throw new ProblemError("headers_too_large", "notRun", `The head is larger than ${maxBytes} bytes.`);
+    }
+};
+
+/** The reason for which the work was given up goes before the error that this caused. */
+const toFailure = (err: unknown, progress: Progress | undefined): ProblemError => {
+    const reason: unknown = progress?.signal.aborted ? progress.signal.reason : undefined;
+    const sent = err instanceof ProblemError && err.verdict !== "notRun";
+    if (reason instanceof ProblemError && sent) {
+        return new ProblemError(reason.code, "mayHaveRun", reason.message);
+    }
+    return toProblemError(err, "mayHaveRun");
+};
--- /dev/null
+++ b/packages/gateway/src/filters/historyFilter.ts
@@ -0,0 +1,20 @@
+/** Finds the conversation that a turn continues. */
+import type { Filter } from "@marigolddrift/common";
+
+import type { TurnStore } from "../turns/turnStore.js";
+import type { CallContext } from "./callContext.js";
+
+/** Loads the turns before this one, from memory or from where they are kept. */
+export class HistoryFilter implements Filter<CallContext> {
+    constructor(private readonly turns: TurnStore) {}
+
+    async handle(ctx: CallContext, next: () => Promise<void>): Promise<void> {
+        const last = ctx.head.program?.continuesTurn;
+        if (ctx.route.keepTurnsMs > 0 && last !== undefined) {
+            const startedAt = performance.now();
+            ctx.conversation = await this.turns.conversation(last, ctx.progress);
+            ctx.trace.historyMs = Math.round(performance.now() - startedAt);
+        }
+        await next();
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,268 @@
+/** Puts the parts of an instance that serves plain HTTP calls together, starts them and stops them. */
+import { delay, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+import { Dispatcher } from "@marigolddrift/dispatch";
+import { createPlacement, nextCall } from "@marigolddrift/policy";
+import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+
+import { Budgets } from "./budgets/budgets.js";
+import { EntryServer } from "./entry/entryServer.js";
+import { BodyFilter } from "./filters/bodyFilter.js";
+import { BudgetFilter } from "./filters/budgetFilter.js";
+import { ForwardFilter } from "./filters/forwardFilter.js";
+import { HistoryFilter } from "./filters/historyFilter.js";
+import { GatewayMetrics } from "./gatewayMetrics.js";
+import { UpstreamPool } from "./placement.js";
+import type { PlacedCall } from "./placement.js";
+import type { CallProtocol } from "./protocol.js";
+import { RouteTable } from "./routes.js";
+import type { RoutingConfig } from "./routes.js";
+import { Follower } from "./state/follower.js";
+import { GroupWriter } from "./state/groupWriter.js";
+import { StoreArchive } from "./turns/storeArchive.js";
+import { TurnStore } from "./turns/turnStore.js";
+import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
+import { Upstreams } from "./upstreams/upstreams.js";
+
+/** Instances that are taken to share an upstream's connections. */
+const assumedInstances = 8;
+
+/** Connections that one instance opens to an upstream at most. */
+const maxConnectionsPerUpstream = 24;
+
+/** Time for which writes gather before they are sent, in milliseconds. */
+const gatherMs = 3;
+
+/** Time after the stop signal during which new connections may still come, in milliseconds. */
+const minDrainMs = 2_600;
+
+/** Time before the end of the grace period at which the instance gives up waiting, in milliseconds. */
+const drainReserveMs = 700;
+
+/** Default size limit of bodies before there is a configuration, in bytes. */
+const initialBodyBytes = 1024 * 1024;
+
+/** Time after an outage of the store for which removed entries may have lapsed only because of it, in milliseconds. */
+const lapseWindowMs = 5_000;
+
+/** Where the configuration and the upstreams stand in the store, and how they are written there. */
+export interface StoreLayout {
+    readonly configKey: string;
+    readonly upstreamsPrefix: string;
+    /** Returns undefined for what is not a valid configuration. */
+    decodeConfig(value: Buffer): RoutingConfig | undefined;
+    /** Returns undefined for what names no upstream to use. */
+    decodeUpstream(key: string, value: Buffer): UpstreamEntry | undefined;
+    upstreamId(key: string): string;
+}
+
+/** Settings of a gateway. */
+export interface GatewayOptions {
+    /** Unique to this process. */
+    readonly instance: string;
+    readonly zone: string;
+    readonly regionOf: (zone: string) => string;
+    readonly host: string;
+    readonly port: number;
+    readonly store: VersionedStore;
+    readonly layout: StoreLayout;
+    readonly protocol: CallProtocol;
+    /** Time between the stop signal and the end, in milliseconds. */
+    readonly graceMs: number;
+    readonly random?: () => number;
+    readonly log: Logger;
+}
+
+/** One serving instance. */
+export class Gateway {
+    readonly metrics = new GatewayMetrics();
+    readonly upstreams: Upstreams;
+    readonly turns: TurnStore;
+    readonly budgets: Budgets;
+    readonly entry: EntryServer;
+    /** Port that callers connect to. */
+    port = 0;
+    private table: RouteTable | undefined;
+    private hasUpstreams = false;
+    private stopping = false;
+    private storeAwayUntil = -Infinity;
+    private readonly writer: GroupWriter;
+    private readonly archive: StoreArchive;
+    private readonly configFollower: Follower;
+    private readonly upstreamFollower: Follower;
+    private readonly dispatcher: Dispatcher<PlacedCall>;
+    private readonly log: Logger;
+
+    constructor(private readonly options: GatewayOptions) {
+        const { store, log, layout } = options;
+        this.log = log;
+        const self = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
+        this.upstreams = new Upstreams(
+            id => pool.prefixes.forget(id),
+            () => this.table,
+            maxConnections => Math.min(maxConnectionsPerUpstream, Math.floor(maxConnections / assumedInstances)),
+            log,
+        );
+        const pool = new UpstreamPool(self, this.upstreams);
+        this.writer = new GroupWriter(store, gatherMs, log);
+        this.archive = new StoreArchive(store, this.writer, log);
+        this.turns = new TurnStore(this.archive, log);
+        this.budgets = new Budgets(options.instance, this.writer, store, log);
+        const random = options.random ?? Math.random;
+        const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
+        this.dispatcher = new Dispatcher(pool, policy, log, this.dispatchMetrics());
+        this.entry = this.createEntry(pool, random);
+        this.configFollower = this.follow(layout.configKey, {
+            onSnapshot: values => values.forEach(stored => this.onConfig(stored)),
+            onChanges: changes => changes.forEach(change => change.kind === "put" && this.onConfig(change.stored)),
+        });
+        this.upstreamFollower = this.follow(layout.upstreamsPrefix, {
+            onSnapshot: values => this.onUpstreamSnapshot(values),
+            onChanges: changes => changes.forEach(change => this.onUpstreamChange(change)),
+        });
+        this.addGauges();
+    }
+
+    /** Whether callers should be sent here. */
+    get isReady(): boolean {
+        return !this.stopping && this.table !== undefined && this.hasUpstreams;
+    }
+
+    async start(): Promise<void> {
+        this.configFollower.start();
+        this.upstreamFollower.start();
+        this.port = await this.entry.listen(this.options.host, this.options.port);
+    }
+
+    /** Serves on until callers have moved elsewhere, or the grace period ends. */
+    async drain(): Promise<void> {
+        const startedAt = performance.now();
+        this.stopping = true;
+        this.log.info("stopping", { active: this.entry.active, connections: this.entry.connections });
+        const elapsed = (): number => performance.now() - startedAt;
+        const endsAt = this.options.graceMs - drainReserveMs;
+        while (elapsed() < minDrainMs || (this.entry.active > 0 && elapsed() < endsAt)) {
+            await delay(50);
+        }
+        this.entry.closeIdle();
+        const progress = new Progress(Math.max(200, this.options.graceMs - drainReserveMs / 2 - elapsed()));
+        await progress.race(this.budgets.returnAll(progress)).catch((err: unknown) => {
+            this.log.warn("budgets not returned", { error: String(err), outcome: "they count as spent" });
+        });
+        progress.dispose();
+        this.log.info("stopped", { ms: Math.round(elapsed()), active: this.entry.active });
+    }
+
+    close(): void {
+        this.configFollower.stop();
+        this.upstreamFollower.stop();
+        this.archive.close();
+        this.budgets.close();
+        this.entry.close();
+        this.upstreams.close();
+    }
+
+    private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
+        const { protocol, log } = this.options;
+        const { dispatcher, upstreams, turns } = this;
+        const forward = new ForwardFilter({
+            dispatcher,
+            upstreams,
+            protocol,
+            turns,
+            log,
+            onRead: (upstream, ctx) => pool.prefixes.onRead(upstream, ctx.head.prompt?.parts ?? []),
+        });
+        const maxBytes = (): number => this.table?.config.limits.maxBodyBytes ?? initialBodyBytes;
+        return new EntryServer({
+            filters: [new BodyFilter(maxBytes), new HistoryFilter(turns), new BudgetFilter(this.budgets), forward],
+            protocol,
+            routes: () => this.table,
+            isStopping: () => this.stopping,
+            random,
+            metrics: this.metrics,
+            log,
+        });
+    }
+
+    private follow(
+        prefix: string,
+        events: {
+            onSnapshot(values: readonly StoredValue[]): void;
+            onChanges(changes: readonly StoreChange[]): void;
+        },
+    ): Follower {
+        return new Follower(this.options.store, prefix, {
+            ...events,
+            onLost: () => this.storeAwayUntil = Infinity,
+            onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
+        }, this.log);
+    }
+
+    private get storeWasAway(): boolean {
+        return performance.now() < this.storeAwayUntil;
+    }
+
+    private onConfig(stored: StoredValue): void {
+        if (stored.key !== this.options.layout.configKey) {
+            return;
+        }
+        const config = this.options.layout.decodeConfig(stored.value);
+        if (config === undefined) {
+            this.log.warn("configuration refused", {
+                revision: stored.revision,
+                reason: "it does not match the schema",
+            });
+            return;
+        }
+        if (this.table !== undefined && config.version <= this.table.config.version) {
+            return;
+        }
+        this.table = new RouteTable(config);
+        this.entry.applyLimits(config.limits);
+        this.log.info("configuration in force", { version: config.version, routes: config.routes.length });
+    }
+
+    private onUpstreamSnapshot(values: readonly StoredValue[]): void {
+        const entries = values.map(stored => this.decodeUpstream(stored)).filter(entry => entry !== undefined);
+        this.upstreams.onSnapshot(entries, this.storeWasAway);
+        this.hasUpstreams = true;
+        this.dispatcher.pumpAll();
+    }
+
+    private onUpstreamChange(change: StoreChange): void {
+        if (change.kind === "removed") {
+            this.upstreams.onGone(this.options.layout.upstreamId(change.key), this.storeWasAway);
+            return;
+        }
+        const entry = this.decodeUpstream(change.stored);
+        if (entry !== undefined) {
+            this.upstreams.onEntry(entry);
+            this.dispatcher.pumpAll();
+        }
+    }
+
+    private decodeUpstream(stored: StoredValue): UpstreamEntry | undefined {
+        const entry = this.options.layout.decodeUpstream(stored.key, stored.value);
+        if (entry === undefined) {
+            this.log.info("upstream entry ignored", { key: stored.key, reason: "it names no upstream to use" });
+        }
+        return entry;
+    }
+
+    private dispatchMetrics() {
+        return { count: () => {}, timing: () => {}, gauge: () => {}, close: () => {} };
+    }
+
+    private addGauges(): void {
+        this.metrics.gauge("calls_active", "Calls whose answers have not ended", () => this.entry.active);
+        this.metrics.gauge("calls_waiting", "Calls that wait for an upstream", () => this.dispatcher.waitingCalls);
+        this.metrics.gauge("upstreams", "Known upstreams", () => this.upstreams.size);
+        this.metrics.gauge("config_version", "Version in force", () => this.table?.config.version ?? 0);
+        this.metrics.gauge(
+            "store_age_milliseconds",
+            "Age of the view of the upstreams",
+            () => this.upstreamFollower.ageMs,
+        );
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/state/follower.ts
@@ -0,0 +1,112 @@
+/** Follows what lies below a prefix of the platform's store: a snapshot, then its changes. */
+import { asError, delay, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+import { HistoryGoneError } from "@marigolddrift/store";
+import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+
+/** Time that one question for changes waits at the store, in milliseconds; bounds how long a silent link goes unseen. */
+const waitMs = 2_000;
+
+/** Time that the store may take beyond the wait, in milliseconds. */
+const slackMs = 1_000;
+
+/** Pause after a failed call, in milliseconds. */
+const retryMs = 150;
+
+/** What a {@link Follower} tells. */
+export interface FollowerEvents {
+    /** All values; everything that is missing is gone. */
+    onSnapshot(values: readonly StoredValue[]): void;
+    onChanges(changes: readonly StoreChange[]): void;
+    onLost(err: Error): void;
+    /** @param awayMs Time for which the store did not answer, in milliseconds. */
+    onRegained(awayMs: number): void;
+}
+
+/** Keeps a view of a part of the store up to date until it is stopped. */
+export class Follower {
+    private readonly stopped = new AbortController();
+    private revision: number | undefined;
+    private lastContactAt = performance.now();
+    private isLost = false;
+
+    constructor(
+        private readonly store: VersionedStore,
+        private readonly prefix: string,
+        private readonly events: FollowerEvents,
+        private readonly log: Logger,
+    ) {}
+
+    /** Age of the view, in milliseconds. */
+    get ageMs(): number {
+        return performance.now() - this.lastContactAt;
+    }
+
+    start(): void {
+        void this.run();
+    }
+
+    stop(): void {
+        this.stopped.abort(new Error("the follower was stopped"));
+    }
+
+    private async run(): Promise<void> {
+        while (!this.stopped.signal.aborted) {
+            try {
+                await this.step();
+            }
+            catch (err) {
+                await this.onError(asError(err));
+            }
+        }
+    }
+
+    private async step(): Promise<void> {
+        const progress = new Progress(waitMs + slackMs, this.stopped.signal);
+        try {
+            if (this.revision === undefined) {
+                const snapshot = await progress.race(this.store.range(this.prefix, progress));
+                this.onContact();
+                this.revision = snapshot.revision;
+                this.events.onSnapshot(snapshot.values);
+                return;
+            }
+            const batch = await progress.race(this.store.changes(this.prefix, this.revision, waitMs, progress));
+            this.onContact();
+            this.revision = Math.max(this.revision, batch.revision);
+            if (batch.changes.length > 0) {
+                this.events.onChanges(batch.changes);
+            }
+        }
+        finally {
+            progress.dispose();
+        }
+    }
+
+    private onContact(): void {
+        const awayMs = this.ageMs;
+        this.lastContactAt = performance.now();
+        if (this.isLost) {
+            this.isLost = false;
+            this.log.info("store regained", { prefix: this.prefix, awayMs: Math.round(awayMs) });
+            this.events.onRegained(awayMs);
+        }
+    }
+
+    private async onError(err: Error): Promise<void> {
+        if (this.stopped.signal.aborted) {
+            return;
+        }
+        if (err instanceof HistoryGoneError) {
+            this.log.info("store history gone", { prefix: this.prefix, revision: this.revision });
+            this.revision = undefined;
+            return;
+        }
+        if (!this.isLost) {
+            this.isLost = true;
+            this.log.warn("store lost", { prefix: this.prefix, error: err.message, ageMs: Math.round(this.ageMs) });
+            this.events.onLost(err);
+        }
+        await delay(retryMs);
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -0,0 +1,97 @@
+/** Keeps turns, and builds the prompt of a turn that continues others. */
+import { ProblemError } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
+
+import { turnBytes } from "./turnRecord.js";
+import type { TurnRecord } from "./turnRecord.js";
+
+/** Bytes of records that stay in memory. */
+const cacheBytes = 24 * 1024 * 1024;
+
+/** Where turns are kept durably. */
+export interface TurnArchive {
+    /** Resolves once the record survives all losses that the settings tolerate. */
+    save(turn: TurnRecord, keepMs: number, progress: Progress): Promise<void>;
+    /** Resolves to undefined only if it is certain that there is no such turn. */
+    load(id: string, progress: Progress): Promise<TurnRecord | undefined>;
+}
+
+/** The conversation that a turn continues. */
+export interface Conversation {
+    /** Ids of its turns, oldest first. */
+    readonly turns: readonly string[];
+    /** Inputs and outputs of its turns in order. */
+    readonly history: Buffer;
+}
+
+/** Turns in memory in front of an archive. */
+export class TurnStore {
+    private readonly cache = new Map<string, TurnRecord>();
+    private cachedBytes = 0;
+
+    constructor(private readonly archive: TurnArchive, private readonly log: Logger) {}
+
+    /** Makes a turn durable. */
+    async save(turn: TurnRecord, keepMs: number, progress: Progress): Promise<void> {
+        await this.archive.save(turn, keepMs, progress);
+        this.remember(turn);
+    }
+
+    /**
+     * Loads the conversation that ends with a turn.
+     *
+     * @throws ProblemError `unknown_turn` if it is certain that there is no such turn.
+     */
+    async conversation(last: string, progress: Progress): Promise<Conversation> {
+        const isCached = this.cache.has(last);
+        const startedAt = performance.now();
+        const turn = await this.load(last, progress);
+        if (turn === undefined) {
+            throw new ProblemError("unknown_turn", "notRun", "No turn with this id is kept.");
+        }
+        const before = await Promise.all(turn.ancestors.map(id => this.load(id, progress)));
+        const missing = turn.ancestors.find((_, index) => before[index] === undefined);
+        if (missing !== undefined) {
+            this.log.warn("conversation has a gap", { turn: last, missing });
+            throw new ProblemError("unknown_turn", "notRun", "A turn of the conversation is no longer kept.");
+        }
+        if (!isCached) {
+            const ms = Math.round(performance.now() - startedAt);
+            this.log.info("conversation loaded", { turn: last, turns: before.length + 1, ms });
+        }
+        const all = [...before as TurnRecord[], turn];
+        return {
+            turns: all.map(({ id }) => id),
+            history: Buffer.concat(all.flatMap(({ input, output }) => [input, output])),
+        };
+    }
+
+    private async load(id: string, progress: Progress): Promise<TurnRecord | undefined> {
+        const cached = this.cache.get(id);
+        if (cached !== undefined) {
+            this.cache.delete(id);
+            this.cache.set(id, cached);
+            return cached;
+        }
+        const turn = await this.archive.load(id, progress);
+        if (turn !== undefined) {
+            this.remember(turn);
+        }
+        return turn;
+    }
+
+    private remember(turn: TurnRecord): void {
+        if (this.cache.has(turn.id)) {
+            return;
+        }
+        this.cache.set(turn.id, turn);
+        this.cachedBytes += turnBytes(turn);
+        for (const [id, oldest] of this.cache) {
+            if (this.cachedBytes <= cacheBytes) {
+                return;
+            }
+            this.cache.delete(id);
+            this.cachedBytes -= turnBytes(oldest);
+        }
+    }
+}
--- a/tools/imports.js
+++ b/tools/imports.js
@@ -5,15 +5,17 @@
     "packages/common/src": [],
     "packages/policy/src": ["common"],
     "packages/dispatch/src": ["common", "policy"],
+    "packages/gateway/src": ["common", "policy", "dispatch", "store"],
     "packages/ledger/src": ["common"],
     "packages/store/src": ["common"],
     "packages/standins/src": ["common"],
     "packages/workload/src": ["common"],
     "packages/cli/src": ["common", "store", "workload"],
     "packages/daemon/src": ["common", "policy", "dispatch", "ledger", "store"],
+    "platform/src": ["common", "gateway", "store"],
     "spec": ["common", "ledger"],
     "bench": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload"],
-    "tests": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload", "cli"],
+    "tests": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload", "cli", "gateway", "platform"],
 };
 
 /** Folders of the daemon that code in one of its folders must not import. */
@@ -27,11 +29,13 @@
 /** Modules of the runtime that must not be used in a daemon or in pure code. */
 const deniedModules = {
     "packages/daemon/src": ["node:child_process", "node:cluster", "node:worker_threads"],
+    "packages/gateway/src": ["node:child_process", "node:cluster", "node:worker_threads"],
+    "platform/src": ["node:child_process", "node:cluster", "node:worker_threads"],
     "packages/policy/src": ["node:fs", "node:http", "node:net", "node:timers", "node:child_process"],
     "packages/ledger/src": ["node:fs", "node:http", "node:net", "node:timers", "node:child_process"],
 };
 
-const packages = ["common", "policy", "dispatch", "ledger", "store", "standins", "cli", "workload", "daemon"];
+const packages = ["common", "policy", "dispatch", "ledger", "store", "standins", "cli", "workload", "daemon", "gateway", "platform"];
 
 const restrict = (folder, allowed) => ({
     files: [`${folder}/**/*.ts`],
