--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -92,8 +92,7 @@
     }
 }
 
-const deadlineError = (): ProblemError =>
-    new ProblemError("deadline_exceeded", "notRun", "The deadline passed before the request was sent on.");
+const deadlineError = (): ProblemError => new ProblemError("deadline_exceeded", "notRun", "The deadline passed.");
 
 /** Waits for a time in milliseconds, outside of any request. */
 export const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms).unref());
--- a/packages/gateway/src/budgets/budgetRecord.ts
+++ b/packages/gateway/src/budgets/budgetRecord.ts
@@ -23,16 +23,9 @@
 export const freeTokens = (record: BudgetRecord): number =>
     record.total - Object.values(record.taken).reduce((sum, tokens) => sum + tokens, 0);
 
-/** Turns that the free part must cover before an instance takes more than it needs. */
-const plentifulTurns = 4;
+/** Turns for which tokens are taken at a time: each write costs a call, and a crash strands what was taken. */
+const turnsAtOnce = 2;
 
-/**
- * Tokens to take for a turn, or 0 if the budget does not hold it. While much is left, a second turn's tokens are taken
- * along, which saves a write; of what is scarce, just what is needed, since a crash strands what was taken.
- */
-export const portionToTake = (free: number, needed: number): number => {
-    if (free < needed) {
-        return 0;
-    }
-    return free >= plentifulTurns * needed ? 2 * needed : needed;
-};
+/** Tokens to take for a turn, or 0 if the budget does not hold it. */
+export const portionToTake = (free: number, needed: number): number =>
+    free < needed ? 0 : Math.min(free, turnsAtOnce * needed);
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -1,26 +1,18 @@
 /** Token budgets of programs: an instance spends only from portions that the store's record grants it. */
-import { asError, ProblemError, Progress } from "@marigolddrift/common";
-import type { Logger } from "@marigolddrift/common";
+import { asError, ProblemError } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
 import type { StoredValue, VersionedStore } from "@marigolddrift/store";
 
+import type { Peers } from "../peers/peers.js";
 import type { GroupWriter } from "../state/groupWriter.js";
 import { freeTokens, packBudget, portionToTake, unpackBudget } from "./budgetRecord.js";
 import type { BudgetRecord } from "./budgetRecord.js";
 
-/** Time after a program's last turn at which the unspent part is returned, in milliseconds. */
-const idleReturnMs = 400;
-
 /** Time after which a program without turns is forgotten here, in milliseconds. */
 const forgetMs = 120_000;
 
-/** Time that a turn waits for other instances to return what they do not use, in milliseconds. */
-const scarceWaitMs = 700;
-
-/** Pause between two looks at a budget that others hold, in milliseconds. */
-const scarceRetryMs = 200;
-
-/** Time that returning the unspent part may take, in milliseconds. */
-const returnTimeoutMs = 2_000;
+/** Time that another instance may take to return what it does not use, in milliseconds. */
+const askTimeoutMs = 500;
 
 interface Account {
     readonly program: string;
@@ -34,7 +26,6 @@
     lastUsedAt: number;
     /** The change of the record that is under way; changes of one record follow each other. */
     change: Promise<unknown>;
-    returnTimer: NodeJS.Timeout | undefined;
 }
 
 /** Tokens that a turn may generate. */
@@ -53,6 +44,7 @@
         private readonly instance: string,
         private readonly writer: GroupWriter,
         private readonly store: Pick<VersionedStore, "get">,
+        private readonly peers: Pick<Peers, "get">,
         private readonly log: Logger,
     ) {
         this.timer = setInterval(() => this.forgetOld(), forgetMs / 4);
@@ -66,7 +58,6 @@
      */
     async reserve(program: string, total: number, needed: number, progress: Progress): Promise<Reservation> {
         const account = this.account(program, total);
-        clearTimeout(account.returnTimer);
         account.running += 1;
         try {
             if (account.available < needed) {
@@ -85,13 +76,24 @@
 
     /** Returns all that is not in use, before the instance stops. */
     async returnAll(progress: Progress): Promise<void> {
-        const idle = [...this.accounts.values()].filter(account => account.running === 0 && account.available > 0);
-        await Promise.all(idle.map(account => this.returnUnspent(account, progress)));
+        const unspent = [...this.accounts.values()].filter(account => account.available > 0);
+        await Promise.all(unspent.map(account => this.returnUnspent(account, progress)));
+    }
+
+    /** Returns what is not in use of a program's budget, for another instance; false if there was nothing. */
+    async returnFor(program: string, progress: Progress): Promise<boolean> {
+        const account = this.accounts.get(program);
+        if (account === undefined || account.available <= 0) {
+            return false;
+        }
+        const unspent = account.available;
+        await this.returnUnspent(account, progress);
+        this.log.info("budget returned", { program, tokens: unspent, reason: "another instance needs it" });
+        return true;
     }
 
     close(): void {
         clearInterval(this.timer);
-        this.accounts.forEach(account => clearTimeout(account.returnTimer));
     }
 
     private account(program: string, total: number): Account {
@@ -106,7 +108,6 @@
                 running: 0,
                 lastUsedAt: 0,
                 change: Promise.resolve(),
-                returnTimer: undefined,
             };
             this.accounts.set(program, account);
         }
@@ -123,31 +124,46 @@
     }
 
     private async refill(account: Account, needed: number, progress: Progress): Promise<void> {
-        const scarceUntil = performance.now() + Math.min(scarceWaitMs, progress.leftMs / 4);
-        for (;;) {
-            if (account.available >= needed) {
-                account.available -= needed;
-                return;
-            }
+        let hasAsked = false;
+        while (account.available < needed) {
             const missing = needed - account.available;
             const record = account.record ?? { total: account.total, taken: {}, nonce: "" };
             const portion = portionToTake(freeTokens(record), missing);
             if (portion > 0) {
                 await this.change(account, record, portion, progress);
+                continue;
             }
-            else if (!this.othersHoldSome(record) || performance.now() > scarceUntil) {
-                this.log.info("budget spent", { program: account.program, needed, ...record, age: account.revision });
+            if (hasAsked || !await this.askOthers(account, record, progress)) {
+                const { program, revision } = account;
+                this.log.info("budget spent", { program, needed, available: account.available, ...record, revision });
                 throw new ProblemError("budget_exhausted", "notRun", "The program's token budget is spent.");
             }
-            else {
-                await progress.sleep(scarceRetryMs);
-                this.accept(account, await progress.race(this.store.get(budgetKey(account.program), progress)));
-            }
+            hasAsked = true;
+            this.accept(account, await progress.race(this.store.get(budgetKey(account.program), progress)));
         }
+        account.available -= needed;
     }
 
-    private othersHoldSome(record: BudgetRecord): boolean {
-        return Object.entries(record.taken).some(([instance, tokens]) => instance !== this.instance && tokens > 0);
+    /** Asks the instances that have taken tokens to return what they do not use; false if none of them answered. */
+    private async askOthers(account: Account, record: BudgetRecord, progress: Progress): Promise<boolean> {
+        const holders = Object.entries(record.taken).filter(([instance, tokens]) =>
+            instance !== this.instance && tokens > 0
+        );
+        const { program } = account;
+        const answers = await Promise.all(holders.map(async ([instance]) => {
+            const asked = progress.child(askTimeoutMs);
+            try {
+                return await this.peers.get(instance)?.ask({ kind: "returnBudget", program }, asked) ?? false;
+            }
+            catch (err) {
+                this.log.info("budget holder silent", { program, holder: instance, error: asError(err).message });
+                return false;
+            }
+            finally {
+                asked.dispose();
+            }
+        }));
+        return answers.includes(true);
     }
 
     /** Changes what this instance has taken; a conflict only refreshes the account, and returns false. */
@@ -155,7 +171,7 @@
         const taken = { ...record.taken, [this.instance]: (record.taken[this.instance] ?? 0) + by };
         const next = { total: record.total, taken, nonce: `${this.instance}/${this.nextNonce++}` };
         const put = { key: budgetKey(account.program), expected: account.revision, value: packBudget(next) };
-        const result = await this.writer.put(put, progress);
+        const result = by > 0 ? await this.writer.putSoon(put, progress) : await this.writer.put(put, progress);
         if (result.kind === "conflict") {
             this.accept(account, result.current);
             return false;
@@ -187,33 +203,11 @@
     private onTurnEnded(account: Account): void {
         account.running -= 1;
         account.lastUsedAt = performance.now();
-        if (account.running === 0 && account.available > 0) {
-            clearTimeout(account.returnTimer);
-            account.returnTimer = setTimeout(() => void this.returnLater(account), idleReturnMs);
-            account.returnTimer.unref();
-        }
-    }
-
-    private async returnLater(account: Account): Promise<void> {
-        if (account.record !== undefined && freeTokens(account.record) * 2 > account.record.total) {
-            return; // Others find plenty; it is not worth a write.
-        }
-        const progress = new Progress(returnTimeoutMs);
-        try {
-            await this.returnUnspent(account, progress);
-        }
-        catch (err) {
-            const { program } = account;
-            this.log.warn("budget not returned", { program, error: asError(err).message, outcome: "counts as spent" });
-        }
-        finally {
-            progress.dispose();
-        }
     }
 
     private async returnUnspent(account: Account, progress: Progress): Promise<void> {
         await this.serialize(account, async () => {
-            while (account.running === 0 && account.available > 0 && account.record !== undefined) {
+            while (account.available > 0 && account.record !== undefined) {
                 const unspent = account.available;
                 // Taken out before the write is sent: an unknown result must not leave tokens in two places.
                 account.available = 0;
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -74,6 +74,12 @@
         this.server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs;
     }
 
+    /** Refuses new connections and closes idle ones; a caller whose request was not read moves to another instance. */
+    stopAccepting(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
     closeIdle(): void {
         this.server.closeIdleConnections();
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,10 @@
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import type { PeerQuestion } from "./peers/peerMessages.js";
+import { Peers } from "./peers/peers.js";
+import { PeerServer } from "./peers/peerServer.js";
+import { answerStoreQuestion, RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { PlacedCall } from "./placement.js";
 import type { CallProtocol } from "./protocol.js";
@@ -36,6 +40,9 @@
 /** Time after the stop signal during which new connections may still come, in milliseconds. */
 const minDrainMs = 2_600;
 
+/** Period at which a stopping instance looks whether calls are left, in milliseconds. */
+const drainPollMs = 25;
+
 /** Time before the end of the grace period at which the instance gives up waiting, in milliseconds. */
 const drainReserveMs = 700;
 
@@ -64,6 +71,9 @@
     readonly regionOf: (zone: string) => string;
     readonly host: string;
     readonly port: number;
+    /** Name of the machine, the same after a restart. */
+    readonly machine: string;
+    readonly peerPort: number;
     readonly store: VersionedStore;
     readonly layout: StoreLayout;
     readonly protocol: CallProtocol;
@@ -82,6 +92,7 @@
     readonly entry: EntryServer;
     /** Port that callers connect to. */
     port = 0;
+    private peerPort = 0;
     private table: RouteTable | undefined;
     private hasUpstreams = false;
     private stopping = false;
@@ -91,11 +102,24 @@
     private readonly configFollower: Follower;
     private readonly upstreamFollower: Follower;
     private readonly dispatcher: Dispatcher<PlacedCall>;
+    private readonly peers: Peers;
+    private readonly peerServer: PeerServer;
+    /** The platform's store, also through peers. */
+    private readonly store: VersionedStore;
     private readonly log: Logger;
 
     constructor(private readonly options: GatewayOptions) {
-        const { store, log, layout } = options;
+        const { log, layout } = options;
+        const random = options.random ?? Math.random;
         this.log = log;
+        this.store = new RelayStore(options.store, () => this.peers.pick(random), log);
+        const store = this.store;
+        this.peers = this.createPeers();
+        this.peerServer = new PeerServer(
+            () => this.peers.key,
+            (question, progress) => this.answer(question, progress),
+            log,
+        );
         const self = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
         this.upstreams = new Upstreams(
             id => pool.prefixes.forget(id),
@@ -107,8 +131,7 @@
         this.writer = new GroupWriter(store, gatherMs, log);
         this.archive = new StoreArchive(store, this.writer, log);
         this.turns = new TurnStore(this.archive, log);
-        this.budgets = new Budgets(options.instance, this.writer, store, log);
-        const random = options.random ?? Math.random;
+        this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.dispatchMetrics());
         this.entry = this.createEntry(pool, random);
@@ -129,9 +152,12 @@
     }
 
     async start(): Promise<void> {
+        const { host } = this.options;
+        this.peerPort = await this.peerServer.listen(host, this.options.peerPort);
+        this.peers.start();
         this.configFollower.start();
         this.upstreamFollower.start();
-        this.port = await this.entry.listen(this.options.host, this.options.port);
+        this.port = await this.entry.listen(host, this.options.port);
     }
 
     /** Serves on until callers have moved elsewhere, or the grace period ends. */
@@ -141,10 +167,12 @@
         this.log.info("stopping", { active: this.entry.active, connections: this.entry.connections });
         const elapsed = (): number => performance.now() - startedAt;
         const endsAt = this.options.graceMs - drainReserveMs;
-        while (elapsed() < minDrainMs || (this.entry.active > 0 && elapsed() < endsAt)) {
-            await delay(50);
+        await delay(minDrainMs);
+        this.entry.stopAccepting();
+        while (this.entry.active > 0 && elapsed() < endsAt) {
+            await delay(drainPollMs);
+            this.entry.closeIdle();
         }
-        this.entry.closeIdle();
         const progress = new Progress(Math.max(200, this.options.graceMs - drainReserveMs / 2 - elapsed()));
         await progress.race(this.budgets.returnAll(progress)).catch((err: unknown) => {
             this.log.warn("budgets not returned", { error: String(err), outcome: "they count as spent" });
@@ -156,12 +184,26 @@
     close(): void {
         this.configFollower.stop();
         this.upstreamFollower.stop();
+        this.peers.stop();
+        this.peerServer.close();
         this.archive.close();
         this.budgets.close();
         this.entry.close();
         this.upstreams.close();
     }
 
+    private createPeers(): Peers {
+        const { instance, zone, regionOf, host, machine } = this.options;
+        const self = () => ({ instance, host, zone, region: regionOf(zone), port: this.peerPort });
+        return new Peers(machine, self, this.store, this.log);
+    }
+
+    private async answer(question: PeerQuestion, progress: Progress): Promise<unknown> {
+        return question.kind === "returnBudget" ?
+            await this.budgets.returnFor(question.program, progress) :
+            await answerStoreQuestion(this.options.store, question, progress);
+    }
+
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
         const { protocol, log } = this.options;
         const { dispatcher, upstreams, turns } = this;
@@ -192,7 +234,7 @@
             onChanges(changes: readonly StoreChange[]): void;
         },
     ): Follower {
-        return new Follower(this.options.store, prefix, {
+        return new Follower(this.store, prefix, {
             ...events,
             onLost: () => this.storeAwayUntil = Infinity,
             onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
--- /dev/null
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -0,0 +1,116 @@
+/** Questions to one peer over a WebSocket connection, which is opened when it is first needed. */
+import type { Progress } from "@marigolddrift/common";
+import { HistoryGoneError, StoreError } from "@marigolddrift/store";
+import { Packr } from "msgpackr";
+import { WebSocket } from "ws";
+
+import type { AnswerFrame, PeerAddress, PeerAnswers, PeerQuestion } from "./peerMessages.js";
+
+const handshakeTimeoutMs = 400;
+
+/** Time after a failure in which the peer is not tried again, in milliseconds. */
+const pauseMs = 1_000;
+
+interface Pending {
+    resolve(value: unknown): void;
+    reject(err: Error): void;
+}
+
+/** A connection to one peer. */
+export class PeerClient {
+    private readonly packr = new Packr({ useRecords: false });
+    private readonly pending = new Map<number, Pending>();
+    private socket: WebSocket | undefined;
+    private opening: Promise<WebSocket> | undefined;
+    private nextId = 1;
+    private failedAt = -Infinity;
+
+    constructor(readonly address: PeerAddress, private readonly key: () => string | undefined) {}
+
+    /** Whether the peer may be asked now. */
+    get isUsable(): boolean {
+        return performance.now() - this.failedAt > pauseMs;
+    }
+
+    /** Asks the peer. @throws StoreError if it does not answer. */
+    async ask<K extends PeerQuestion["kind"]>(
+        question: Extract<PeerQuestion, { kind: K; }>,
+        progress: Progress,
+    ): Promise<PeerAnswers[K]> {
+        const id = this.nextId++;
+        try {
+            const socket = await progress.race(this.connect());
+            const answer = new Promise<unknown>((resolve, reject) => this.pending.set(id, { resolve, reject }));
+            socket.send(this.packr.pack({ id, leftMs: progress.leftMs, question }));
+            return await progress.race(answer) as PeerAnswers[K];
+        }
+        catch (err) {
+            if (progress.signal.aborted) {
+                this.onSilent();
+            }
+            throw err;
+        }
+        finally {
+            this.pending.delete(id);
+        }
+    }
+
+    close(): void {
+        this.socket?.terminate();
+    }
+
+    /** A connection that gave no answer may be dead without a reset; the next question opens a new one. */
+    private onSilent(): void {
+        this.failedAt = performance.now();
+        this.socket?.terminate();
+    }
+
+    private connect(): Promise<WebSocket> {
+        if (this.socket?.readyState === WebSocket.OPEN) {
+            return Promise.resolve(this.socket);
+        }
+        this.opening ??= this.open().finally(() => this.opening = undefined);
+        return this.opening;
+    }
+
+    private open(): Promise<WebSocket> {
+        const { host, port } = this.address;
+        const socket = new WebSocket(`ws://${host}:${port}/peer`, {
+            handshakeTimeout: handshakeTimeoutMs,
+            perMessageDeflate: false,
+            headers: { authorization: `Bearer ${this.key() ?? ""}` },
+        });
+        return new Promise((resolve, reject) => {
+            socket.on("open", () => {
+                this.socket = socket;
+                resolve(socket);
+            });
+            socket.on("message", (data: Buffer) => this.onAnswer(this.packr.unpack(data) as AnswerFrame));
+            socket.on("error", err => {
+                this.failedAt = performance.now();
+                reject(new StoreError("no", `peer ${this.address.instance} is not reachable`, err));
+            });
+            socket.on("close", () => this.onClosed(socket));
+        });
+    }
+
+    private onAnswer(frame: AnswerFrame): void {
+        const pending = this.pending.get(frame.id);
+        if (frame.error === undefined) {
+            pending?.resolve(frame.value);
+            return;
+        }
+        const err = frame.error.name === "historyGone" ?
+            new HistoryGoneError(0) :
+            new StoreError("unknown", `peer ${this.address.instance}: ${frame.error.detail}`);
+        pending?.reject(err);
+    }
+
+    private onClosed(socket: WebSocket): void {
+        if (this.socket === socket) {
+            this.socket = undefined;
+        }
+        const err = new StoreError("unknown", `the connection to peer ${this.address.instance} was lost`);
+        this.pending.forEach(pending => pending.reject(err));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peers.ts
@@ -0,0 +1,117 @@
+/** The other instances: found through the store, remembered while it is away. */
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+import type { StoredValue, VersionedStore } from "@marigolddrift/store";
+import { randomBytes } from "node:crypto";
+
+import { PeerClient } from "./peerClient.js";
+import type { PeerAddress } from "./peerMessages.js";
+
+const membersPrefix = "marigolddrift/members/";
+const keyName = "marigolddrift/peer-key";
+const keyBytes = 24;
+
+/** Period at which the list of instances is read again, in milliseconds. */
+const refreshMs = 8_000;
+
+/** Period while the instance is not registered yet, in milliseconds. */
+const retryMs = 500;
+
+const callTimeoutMs = 1_000;
+
+/** Registers this instance and keeps connections to the others. */
+export class Peers {
+    private readonly clients = new Map<string, PeerClient>();
+    private sharedKey: string | undefined;
+    private registered = false;
+    private stopped = false;
+    private timer: NodeJS.Timeout | undefined;
+
+    constructor(
+        private readonly machine: string,
+        private readonly self: () => PeerAddress,
+        private readonly store: VersionedStore,
+        private readonly log: Logger,
+    ) {}
+
+    /** Key that proves that a peer can read the same store. */
+    get key(): string | undefined {
+        return this.sharedKey;
+    }
+
+    start(): void {
+        void this.refresh();
+    }
+
+    stop(): void {
+        this.stopped = true;
+        clearTimeout(this.timer);
+        this.clients.forEach(client => client.close());
+    }
+
+    /** The peer with an instance id. */
+    get(instance: string): PeerClient | undefined {
+        return [...this.clients.values()].find(client => client.address.instance === instance);
+    }
+
+    /** A peer that may be asked, of the own region if there is one. */
+    pick(random: () => number): PeerClient | undefined {
+        const usable = [...this.clients.values()].filter(client => client.isUsable);
+        const near = usable.filter(client => client.address.region === this.self().region);
+        const candidates = near.length > 0 ? near : usable;
+        return candidates[Math.floor(random() * candidates.length)];
+    }
+
+    private async refresh(): Promise<void> {
+        const progress = new Progress(callTimeoutMs);
+        try {
+            this.sharedKey ??= await progress.race(this.loadKey(progress));
+            await progress.race(this.register(progress));
+            const { values } = await progress.race(this.store.range(membersPrefix, progress, { mayBeStale: true }));
+            this.onMembers(values);
+        }
+        catch (err) {
+            this.log.info("peers not refreshed", { error: asError(err).message, known: this.clients.size });
+        }
+        finally {
+            progress.dispose();
+        }
+        if (!this.stopped) {
+            this.timer = setTimeout(() => void this.refresh(), this.registered ? refreshMs : retryMs);
+        }
+    }
+
+    /** Reads the shared key, or writes a new one; of several writers one wins. */
+    private async loadKey(progress: Progress): Promise<string | undefined> {
+        const stored = await this.store.get(keyName, progress);
+        if (stored === undefined) {
+            const value = Buffer.from(randomBytes(keyBytes).toString("hex"));
+            const result = await this.store.txn([{ key: keyName, revision: 0 }], [{ key: keyName, value }], progress);
+            return result.succeeded ? value.toString() : (await this.store.get(keyName, progress))?.value.toString();
+        }
+        return stored.value.toString();
+    }
+
+    private async register(progress: Progress): Promise<void> {
+        if (this.registered) {
+            return;
+        }
+        const value = Buffer.from(JSON.stringify(this.self()));
+        await this.store.txn([], [{ key: `${membersPrefix}${this.machine}`, value }], progress);
+        this.registered = true;
+        this.log.info("registered", { machine: this.machine });
+    }
+
+    private onMembers(values: readonly StoredValue[]): void {
+        const own = this.self().instance;
+        for (const { key, value } of values) {
+            const address = JSON.parse(value.toString()) as PeerAddress;
+            const known = this.clients.get(key);
+            if (address.instance !== own && known?.address.instance !== address.instance) {
+                known?.close();
+                this.clients.set(key, new PeerClient(address, () => this.sharedKey));
+                this.log.info("peer found", { peer: address.instance, zone: address.zone });
+            }
+        }
+    }
+}
--- a/packages/gateway/src/state/follower.ts
+++ b/packages/gateway/src/state/follower.ts
@@ -1,11 +1,11 @@
 /** Follows what lies below a prefix of the platform's store: a snapshot, then its changes. */
-import { asError, delay, Progress } from "@marigolddrift/common";
+import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
 /** Time that one question for changes waits at the store, in milliseconds; bounds how long a silent link goes unseen. */
-const waitMs = 2_000;
+const waitMs = 4_000;
 
 /** Time that the store may take beyond the wait, in milliseconds. */
 const slackMs = 1_000;
@@ -107,6 +107,6 @@
             this.log.warn("store lost", { prefix: this.prefix, error: err.message, ageMs: Math.round(this.ageMs) });
             this.events.onLost(err);
         }
-        await delay(retryMs);
+        await new Promise(resolve => setTimeout(resolve, retryMs));
     }
 }
--- a/packages/gateway/src/state/groupWriter.ts
+++ b/packages/gateway/src/state/groupWriter.ts
@@ -1,20 +1,27 @@
 /** Writes that wait for the store share its calls. */
 import { asError, ProblemError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import type { Put, StoredValue, TxnResult, VersionedStore } from "@marigolddrift/store";
+import { StoreRefusalError } from "@marigolddrift/store";
+import type { StoredValue, TxnResult, VersionedStore } from "@marigolddrift/store";
 
-/** Writes that one call to the store carries. */
-const maxGroup = 32;
+/** Writes that one call carries: the store takes 32 entries a call, and a conditional write is two. */
+const maxGroup = 16;
 
 /** Calls under way at a time. */
 const maxCalls = 2;
 
 /** Time that the store may take for one call, in milliseconds. */
-const callTimeoutMs = 700;
+const callTimeoutMs = 1_000;
 
 /** Pause after a call that failed, in milliseconds. */
 const retryMs = 100;
 
+/** Time without an answer after which the store is taken to be away, in milliseconds. */
+const awayAfterMs = 600;
+
+/** When callers may come back while the store is away: outages last seconds, and callers have few retries. */
+const awayRetryAfterSeconds = 1.3;
+
 /** A value that is written only if its key still has a revision. */
 export interface ConditionalPut {
     readonly key: string;
@@ -32,6 +39,7 @@
 interface Entry {
     readonly put: ConditionalPut;
     readonly progress: Progress;
+    settled: boolean;
     resolve(result: PutResult): void;
     reject(err: unknown): void;
 }
@@ -41,12 +49,12 @@
  * that it had been applied, so every value must be unique.
  */
 export class GroupWriter {
-    /** Time of the monotonic clock at which the store last answered a write, in milliseconds. */
-    private lastSuccessAt = performance.now();
+    /** Time of the monotonic clock at which the oldest unanswered call was sent, in milliseconds. */
+    private silentSince: number | undefined;
     private failing = false;
     private readonly waiting: Entry[] = [];
     private calls = 0;
-    private retryTimer: NodeJS.Timeout | undefined;
+    private timer: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly store: VersionedStore,
@@ -54,36 +62,56 @@
         private readonly log: Logger,
     ) {}
 
-    /** Milliseconds for which writes have failed; 0 if the last one succeeded. */
-    get failingMs(): number {
-        return this.failing ? performance.now() - this.lastSuccessAt : 0;
+    /** Whether the store has not answered writes for a while. */
+    get isAway(): boolean {
+        return this.silentSince !== undefined && performance.now() - this.silentSince > awayAfterMs;
+    }
+
+    /** Fails with `not_durable` if the store is away and other writes find out when it is back. */
+    checkAvailable(): void {
+        const isAsked = this.calls > 0 || this.waiting.length > 0;
+        if (this.isAway && isAsked) {
+            throw notDurable();
+        }
     }
 
     /** Writes a value; waits no longer than the progress allows, after which the write may still be applied. */
     async put(put: ConditionalPut, progress: Progress): Promise<PutResult> {
         const result = new Promise<PutResult>((resolve, reject) => {
-            this.waiting.push({ put, progress, resolve, reject });
+            this.waiting.push({ put, progress, settled: false, resolve, reject });
         });
-        this.schedule();
+        this.schedule(this.failing ? retryMs : this.gatherMs);
         return await progress.race(result);
     }
 
-    private schedule(): void {
-        if (this.calls >= maxCalls || this.retryTimer !== undefined) {
-            return;
+    /** As {@link put}, for writes without which the call cannot start: gives up as soon as the store is away. */
+    async putSoon(put: ConditionalPut, progress: Progress): Promise<PutResult> {
+        this.checkAvailable();
+        const patience = progress.child(awayAfterMs);
+        try {
+            return await this.put(put, patience);
+        }
+        catch (err) {
+            progress.check();
+            throw patience.signal.aborted ? notDurable() : err;
+        }
+        finally {
+            patience.dispose();
         }
-        this.retryTimer = setTimeout(() => {
-            this.retryTimer = undefined;
-            this.sendNext();
-        }, this.failing ? retryMs : this.gatherMs);
     }
 
-    private sendNext(): void {
-        const group = this.takeGroup();
-        if (group.length > 0) {
-            this.calls += 1;
-            void this.send(group);
+    private schedule(afterMs: number): void {
+        if (this.calls >= maxCalls || this.timer !== undefined || this.waiting.length === 0) {
+            return;
         }
+        this.timer = setTimeout(() => {
+            this.timer = undefined;
+            const group = this.takeGroup();
+            if (group.length > 0) {
+                void this.sendCounted(group);
+            }
+            this.schedule(this.gatherMs);
+        }, afterMs);
     }
 
     /** The next writes, at most one of each key. */
@@ -92,7 +120,7 @@
         const group: Entry[] = [];
         const rest: Entry[] = [];
         for (const entry of this.waiting.splice(0)) {
-            if (entry.progress.signal.aborted) {
+            if (entry.settled || entry.progress.signal.aborted) {
                 continue;
             }
             const fits = group.length < maxGroup && !keys.has(entry.put.key);
@@ -105,36 +133,48 @@
         return group;
     }
 
+    private async sendCounted(group: readonly Entry[]): Promise<void> {
+        this.calls += 1;
+        this.silentSince ??= performance.now();
+        try {
+            await this.send(group);
+        }
+        finally {
+            this.calls -= 1;
+            this.schedule(this.failing ? retryMs : this.gatherMs);
+        }
+    }
+
+    /** Sends a group once; what is not settled by it waits again. */
     private async send(group: readonly Entry[]): Promise<void> {
+        if (group.length === 0) {
+            return;
+        }
         const progress = new Progress(callTimeoutMs);
         try {
             const compares = group.map(({ put }) => ({ key: put.key, revision: put.expected }));
-            const puts: Put[] = group.map(({ put }) => ({ key: put.key, value: put.value }));
+            const puts = group.map(({ put }) => ({ key: put.key, value: put.value }));
             const result = await progress.race(this.store.txn(compares, puts, progress));
             this.onAnswered();
             this.settle(group, result);
         }
         catch (err) {
-            this.onFailed(asError(err));
-            this.waiting.unshift(...group);
+            this.onFailed(group, asError(err));
         }
         finally {
             progress.dispose();
-            this.calls -= 1;
-            if (this.waiting.length > 0) {
-                this.schedule();
-            }
         }
     }
 
     private settle(group: readonly Entry[], result: TxnResult): void {
-        if (result.succeeded) {
-            group.forEach(entry => entry.resolve({ kind: "written", revision: result.revision }));
-            return;
-        }
         const current = new Map((result.current ?? []).map(stored => [stored.key, stored]));
-        for (const entry of group) {
-            this.settleConflict(entry, current.get(entry.put.key));
+        for (const entry of group.filter(({ settled }) => !settled)) {
+            if (result.succeeded) {
+                finish(entry, { kind: "written", revision: result.revision });
+            }
+            else {
+                this.settleConflict(entry, current.get(entry.put.key));
+            }
         }
     }
 
@@ -144,29 +184,55 @@
             this.waiting.push(entry);
         }
         else if (stored?.value.equals(entry.put.value)) {
-            entry.resolve({ kind: "written", revision: stored.revision });
+            finish(entry, { kind: "written", revision: stored.revision });
         }
         else {
-            entry.resolve({ kind: "conflict", current: stored });
+            finish(entry, { kind: "conflict", current: stored });
         }
     }
 
     private onAnswered(): void {
         if (this.failing) {
-            this.log.info("store writes regained", { awayMs: Math.round(this.failingMs) });
+            const awayMs = Math.round(performance.now() - (this.silentSince ?? performance.now()));
+            this.log.info("store writes regained", { awayMs });
         }
         this.failing = false;
-        this.lastSuccessAt = performance.now();
+        this.silentSince = undefined;
     }
 
-    private onFailed(err: Error): void {
+    private onFailed(group: readonly Entry[], err: Error): void {
+        const open = group.filter(({ settled }) => !settled);
+        if (err instanceof StoreRefusalError && !err.isBusy) {
+            this.onNotAcceptable(open, err);
+            return;
+        }
         if (!this.failing) {
-            this.log.warn("store writes lost", { error: err.message });
+            this.log.warn("store writes lost", { error: err.message, writes: open.length });
         }
         this.failing = true;
+        this.waiting.unshift(...open);
+    }
+
+    /** One write that the store does not accept must not hold up the others. */
+    private onNotAcceptable(open: readonly Entry[], err: StoreRefusalError): void {
+        this.silentSince = undefined;
+        this.log.error("store write not accepted", { error: err.message, keys: open.map(({ put }) => put.key) });
+        if (open.length === 1) {
+            open[0]!.settled = true;
+            open[0]!.reject(err);
+            return;
+        }
+        open.forEach(entry => void this.send([entry]));
     }
 }
 
+const finish = (entry: Entry, result: PutResult): void => {
+    entry.settled = true;
+    entry.resolve(result);
+};
+
 /** The error of a call that needs a durable record while the store is away. */
-export const notDurable = (detail: string, retryAfterSeconds: number): ProblemError =>
-    new ProblemError("not_durable", "notRun", detail, { retryAfterSeconds });
+const notDurable = (): ProblemError =>
+    new ProblemError("not_durable", "notRun", "The store is away, and the call needs a durable record first.", {
+        retryAfterSeconds: awayRetryAfterSeconds,
+    });
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -54,6 +54,18 @@
     }
 }
 
+/** The store answered that it will not do a call: it is busy, or the call is not acceptable. */
+export class StoreRefusalError extends StoreError {
+    constructor(call: string, readonly status: number) {
+        super("no", `the store refused ${call} with ${status}`);
+    }
+
+    /** Whether the same call may be accepted later. */
+    get isBusy(): boolean {
+        return this.status === 429 || this.status >= 500;
+    }
+}
+
 /** The store no longer has the changes that were asked for: a new snapshot is needed. */
 export class HistoryGoneError extends VError {
     constructor(revision: number) {
@@ -61,10 +73,16 @@
     }
 }
 
+/** How exact a snapshot must be. */
+export interface RangeOptions {
+    /** Whether values may be seconds old, which costs the store less. */
+    readonly mayBeStale?: boolean;
+}
+
 /** Values under conditions, and their changes. */
 export interface VersionedStore {
     get(key: string, progress: Progress): Promise<StoredValue | undefined>;
-    range(prefix: string, progress: Progress): Promise<Snapshot>;
+    range(prefix: string, progress: Progress, options?: RangeOptions): Promise<Snapshot>;
     /**
      * Waits for changes below a prefix; the batch is empty if there were none in `waitMs`.
      *
--- a/packages/store/src/storeClient.ts
+++ b/packages/store/src/storeClient.ts
@@ -4,7 +4,7 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 
-import { HistoryGoneError, mayHaveApplied, StoreError } from "./store.js";
+import { HistoryGoneError, mayHaveApplied, StoreError, StoreRefusalError } from "./store.js";
 import type { ChangeBatch, Compare, Put, Snapshot, Store, StoreChange, StoredValue, TxnResult } from "./store.js";
 
 const int64 = z.string().transform(Number);
@@ -177,7 +177,7 @@
             throw new StoreError(mayHaveApplied(err), `the store did not answer ${path}`, asError(err));
         }
         if (status !== 200) {
-            throw new StoreError("no", `the store refused ${path}: ${JSON.stringify(reply)}`);
+            throw new StoreRefusalError(`${path}: ${JSON.stringify(reply)}`, status);
         }
         return reply;
     }
