--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -181,6 +181,11 @@
         this.log.info("stopped", { ms: Math.round(elapsed()), active: this.entry.active });
     }
 
+    /** Looks for other instances now, rather than at the next period. */
+    async refreshPeers(): Promise<void> {
+        await this.peers.refresh();
+    }
+
     close(): void {
         this.configFollower.stop();
         this.upstreamFollower.stop();
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -62,7 +62,9 @@
         return candidates[Math.floor(random() * candidates.length)];
     }
 
-    private async refresh(): Promise<void> {
+    /** Reads the list of instances now. */
+    async refresh(): Promise<void> {
+        clearTimeout(this.timer);
         const progress = new Progress(callTimeoutMs);
         try {
             this.sharedKey ??= await progress.race(this.loadKey(progress));
--- a/packages/gateway/src/state/groupWriter.ts
+++ b/packages/gateway/src/state/groupWriter.ts
@@ -19,6 +19,9 @@
 /** Time without an answer after which the store is taken to be away, in milliseconds. */
 const awayAfterMs = 600;
 
+/** Time that a call waits beyond that, so that the next one finds the store away, in milliseconds. */
+const patienceSlackMs = 50;
+
 /** When callers may come back while the store is away: outages last seconds, and callers have few retries. */
 const awayRetryAfterSeconds = 1.3;
 
@@ -69,7 +72,7 @@
 
     /** Fails with `not_durable` if the store is away and other writes find out when it is back. */
     checkAvailable(): void {
-        const isAsked = this.calls > 0 || this.waiting.length > 0;
+        const isAsked = this.calls > 0 || this.waiting.some(({ progress }) => !progress.signal.aborted);
         if (this.isAway && isAsked) {
             throw notDurable();
         }
@@ -87,7 +90,7 @@
     /** As {@link put}, for writes without which the call cannot start: gives up as soon as the store is away. */
     async putSoon(put: ConditionalPut, progress: Progress): Promise<PutResult> {
         this.checkAvailable();
-        const patience = progress.child(awayAfterMs);
+        const patience = progress.child(awayAfterMs + patienceSlackMs);
         try {
             return await this.put(put, patience);
         }
--- /dev/null
+++ b/tests/gateway/budgets.test.ts
@@ -0,0 +1,119 @@
+import { Progress, silentLogger } from "@marigolddrift/common";
+import { Budgets, GroupWriter } from "@marigolddrift/gateway";
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+
+import { FakeStore } from "../fakeStore.js";
+
+interface PeerBudgets {
+    readonly instances: Map<string, Budgets>;
+}
+
+const createInstance = (name: string, store: FakeStore, { instances }: PeerBudgets): Budgets => {
+    const peers = {
+        get: (instance: string) => {
+            const budgets = instances.get(instance);
+            const ask = async (question: { program: string; }, progress: Progress) =>
+                budgets!.returnFor(question.program, progress);
+            return budgets === undefined ? undefined : { ask } as never;
+        },
+    };
+    const budgets = new Budgets(name, new GroupWriter(store, 0, silentLogger), store, peers, silentLogger);
+    instances.set(name, budgets);
+    return budgets;
+};
+
+describe("budgets", () => {
+    it("should spend a budget to the last turn that it holds, over two instances", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>() };
+        const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+        const progress = new Progress(5_000);
+        let spent = 0;
+        for (const budgets of [a, b, a, b]) {
+            const turn = await budgets.reserve("p", 300, 100, progress);
+            turn.settle(60);
+            spent += 60;
+        }
+        expect(spent).toEqual(240);
+        await expect(a.reserve("p", 300, 100, progress)).toBeRejectedWith("spent");
+        [a, b].forEach(budgets => budgets.close());
+    });
+
+    it("should count what a dead instance has taken as spent", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>() };
+        const dead = createInstance("dead", store, fleet);
+        const progress = new Progress(5_000);
+        await dead.reserve("p", 300, 100, progress);
+        fleet.instances.delete("dead");
+        const next = createInstance("next", store, fleet);
+        await next.reserve("p", 300, 100, progress);
+        await expect(next.reserve("p", 300, 100, progress)).toBeRejectedWith("spent");
+        [dead, next].forEach(budgets => budgets.close());
+    });
+
+    it("should not spend twice what it returned with a lost reply", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>() };
+        const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+        const progress = new Progress(5_000);
+        (await a.reserve("p", 200, 100, progress)).settle(0);
+        store.fault = "loseReply";
+        store.faultsLeft = 2;
+        await a.returnFor("p", progress);
+        const granted = await Promise.allSettled([1, 2, 3].map(() => b.reserve("p", 200, 100, progress)));
+        expect(granted.filter(({ status }) => status === "fulfilled").length).toEqual(2);
+        [a, b].forEach(budgets => budgets.close());
+    });
+
+    it("should never grant more than the budget, whatever instances do and replies get lost", async () => {
+        const step = fc.record({
+            instance: fc.integer({ min: 0, max: 2 }),
+            action: fc.constantFrom("turn", "settle", "crash", "return"),
+            spent: fc.integer({ min: 0, max: 100 }),
+            lost: fc.boolean(),
+        });
+        await fc.assert(
+            fc.asyncProperty(fc.array(step, { minLength: 5, maxLength: 40 }), async steps => {
+                const store = new FakeStore();
+                const fleet = { instances: new Map<string, Budgets>() };
+                const names = ["a0", "b0", "c0"];
+                const all = names.map(name => createInstance(name, store, fleet));
+                const open: { settle(spent: number): void; instance: number; }[] = [];
+                let handedOut = 0;
+                for (const { instance, action, spent, lost } of steps) {
+                    store.fault = lost ? "loseReply" : "none";
+                    store.faultsLeft = 1;
+                    const progress = new Progress(1_000);
+                    if (action === "turn") {
+                        await all[instance]!.reserve("p", 500, 100, progress).then(
+                            turn => open.push({ ...turn, instance }),
+                            () => undefined,
+                        );
+                    }
+                    else if (action === "settle" && open.length > 0) {
+                        open.shift()!.settle(spent);
+                        handedOut += spent;
+                    }
+                    else if (action === "crash") {
+                        fleet.instances.delete(names[instance]!);
+                        names[instance] += "x";
+                        all[instance] = createInstance(names[instance]!, store, fleet);
+                        const lostTurns = open.filter(turn => turn.instance === instance);
+                        handedOut += lostTurns.length * 100;
+                        lostTurns.forEach(turn => open.splice(open.indexOf(turn), 1));
+                    }
+                    else {
+                        await all[instance]!.returnFor("p", progress).catch(() => false);
+                    }
+                    progress.dispose();
+                    expect(handedOut + open.length * 100).toSatisfy(tokens => tokens <= 500);
+                }
+                all.forEach(budgets => budgets.close());
+            }),
+            { numRuns: 60, seed: 2026 },
+        );
+    });
+});
--- /dev/null
+++ b/tests/gateway/decisions.test.ts
@@ -0,0 +1,157 @@
+import { LineLogger, silentLogger } from "@marigolddrift/common";
+import type { WriteFunction } from "@marigolddrift/common";
+import { chooseTarget, judgeReply, RouteTable, Upstreams } from "@marigolddrift/gateway";
+import type { ReplyHead, Route, UpstreamEntry } from "@marigolddrift/gateway";
+import { PrefixView } from "@marigolddrift/policy";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+import { withClock } from "../clock.js";
+
+const route = (name: string, host: string, prefix: string): Route => ({
+    name,
+    host,
+    prefix,
+    streams: false,
+    idempotent: true,
+    targets: [{ service: "s", weight: 1 }],
+    timeoutMs: 1_000,
+    targetMs: 100,
+    priority: 0,
+    maxUpstreams: 1,
+    keepTurnsMs: 0,
+});
+const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 };
+
+describe("route table", () => {
+    const routes = [
+        route("root", "a.example", "/"),
+        route("deep", "a.example", "/x/y/"),
+        route("b", "b.example", "/x/"),
+    ];
+    const table = new RouteTable({ version: 1, services: [], limits, routes });
+
+    it("should choose the longest prefix of the host's routes", () => {
+        const find = (host: string, path: string): string | undefined => table.match(host, path)?.name;
+        expect(find("a.example", "/x/y/z")).toEqual("deep");
+        expect(find("A.example:80", "/x/y?from=/x/y/")).toEqual("root");
+        expect(find("b.example", "/x/")).toEqual("b");
+        expect(find("b.example", "/x")).toEqual(undefined);
+        expect(find("c.example", "/x/")).toEqual(undefined);
+    });
+
+    it("should split calls by weight", () => {
+        const split = { ...route("r", "h", "/"), targets: [{ service: "s", weight: 9 }, { service: "t", weight: 1 }] };
+        expect([0, 0.89, 0.91, 0.999].map(random => chooseTarget(split, random))).toEqual(["s", "s", "t", "t"]);
+    });
+});
+
+describe("replies", () => {
+    const reply = (changes: Partial<ReplyHead>): ReplyHead => ({
+        status: 200,
+        callId: "c1",
+        signed: true,
+        notRun: false,
+        promisesNotRun: false,
+        headers: [],
+        ...changes,
+    });
+
+    it("should be passed on only if they are the call's own", () => {
+        expect(judgeReply(reply({}), "c1")).toEqual("answer");
+        expect(judgeReply(reply({ status: 500, signed: false, callId: undefined }), "c1")).toEqual("answer");
+        expect(judgeReply(reply({ callId: "c0" }), "c1")).toEqual("unusable");
+        expect(judgeReply(reply({ callId: "c0", notRun: true }), "c1")).toEqual("unusable");
+        expect(judgeReply(reply({ signed: false }), "c1")).toEqual("unusable");
+        expect(judgeReply(reply({ callId: undefined }), "c1")).toEqual("unusable");
+    });
+
+    it("should mean that the call did not run only if the upstream says so", () => {
+        expect(judgeReply(reply({ status: 503, notRun: true, promisesNotRun: true, callId: undefined }), "c1")).toEqual(
+            "notRun",
+        );
+        expect(judgeReply(reply({ status: 503, promisesNotRun: true }), "c1")).toEqual("unusable");
+    });
+});
+
+describe("upstreams", () => {
+    const entry = (id: string, changes: Partial<UpstreamEntry> = {}): UpstreamEntry => ({
+        id,
+        startedAt: 1,
+        service: "s",
+        address: "127.0.0.1:1",
+        zone: "z",
+        slots: 4,
+        draining: false,
+        ...changes,
+    });
+    const create = (): Upstreams => new Upstreams(() => {}, () => undefined, () => 2, silentLogger);
+
+    it("should leave out what drains at once, and what is gone", () => {
+        const upstreams = create();
+        upstreams.onSnapshot([entry("a"), entry("b"), entry("c")], false);
+        upstreams.onEntry(entry("a", { draining: true }));
+        upstreams.onGone("b", false);
+        expect(upstreams.usable("s").map(upstream => upstream.entry.id)).toEqual(["c"]);
+    });
+
+    it("should give entries that lapsed while the store was away time to come back", () =>
+        withClock(async clock => {
+            const upstreams = create();
+            upstreams.onSnapshot([entry("a"), entry("b")], false);
+            upstreams.onSnapshot([entry("a")], true);
+            upstreams.onGone("a", true);
+            await clock.tickAsync(1_500);
+            expect(upstreams.usable("s").length).toEqual(2);
+            upstreams.onEntry(entry("a"));
+            await clock.tickAsync(1_000);
+            expect(upstreams.usable("s").map(upstream => upstream.entry.id)).toEqual(["a"]);
+        }));
+
+    it("should take a process that started again under its id for another one", () => {
+        const upstreams = create();
+        upstreams.onEntry(entry("a"));
+        const before = upstreams.get("a");
+        upstreams.onEntry(entry("a", { startedAt: 2 }));
+        expect(upstreams.get("a") === before).toEqual(false);
+    });
+});
+
+describe("prefixes", () => {
+    it("should count the leading parts that a worker has read", () => {
+        const view = new PrefixView();
+        const parts = [{ id: "shared", tokens: 512 }, { id: "mine", tokens: 100 }, { id: "new", tokens: 50 }];
+        view.onRead("w", parts.slice(0, 2));
+        expect(view.cachedTokens("w", parts)).toEqual(612);
+        expect(view.cachedTokens("w", parts.slice(1))).toEqual(100);
+        expect(view.cachedTokens("v", parts)).toEqual(0);
+    });
+});
+
+describe("line logger", () => {
+    it("should drop whole lines when the reader is slow, say how many, and never wait", async () => {
+        const written: string[] = [];
+        let release: (() => void) | undefined;
+        const slow: WriteFunction = (bytes, done) => {
+            release = () => {
+                written.push(bytes.toString());
+                done(undefined, bytes.length);
+            };
+        };
+        const log = new LineLogger({ instance: "i" }, slow);
+        log.info("first");
+        await new Promise(resolve => setImmediate(resolve));
+        for (let line = 0; line < 20_000; line++) {
+            log.info("flood", { line, text: "x".repeat(60) });
+        }
+        expect(log.dropped > 1_000).toEqual(true);
+        for (let round = 0; round < 5; round++) {
+            const releaseOne = release;
+            release = undefined;
+            releaseOne?.();
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        const lines = written.join("").trim().split("\n").map(line => JSON.parse(line) as Record<string, unknown>);
+        expect(lines.find(line => line["event"] === "log lines dropped")?.["lines"]).toEqual(log.dropped);
+    });
+});
--- /dev/null
+++ b/tests/gateway/state.test.ts
@@ -0,0 +1,138 @@
+import { Progress, silentLogger } from "@marigolddrift/common";
+import { Follower, GroupWriter, RelayStore, StoreArchive, TurnStore } from "@marigolddrift/gateway";
+import { HistoryGoneError, StoreError } from "@marigolddrift/store";
+import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+import { FakeStore } from "../fakeStore.js";
+import { until } from "../platform/deployment.js";
+
+const write = async (store: FakeStore, key: string, value: string): Promise<void> => {
+    await store.txn([], [{ key, value: Buffer.from(value) }]);
+};
+
+describe("follower", () => {
+    it("should see all values, then changes and removals in order", async () => {
+        const store = new FakeStore();
+        await write(store, "x/1", "one");
+        const seen: string[] = [];
+        const follower = createFollower(store, seen);
+        await until(() => seen.length === 1);
+        await write(store, "x/2", "two");
+        await write(store, "y/1", "other");
+        await store.txn([], [], undefined, ["x/1"]);
+        await until(() => seen.length === 3);
+        expect(seen).toEqual(["all x/1", "put x/2", "removed x/1"]);
+        follower.stop();
+    });
+
+    it("should start again from a snapshot when the history is gone", async () => {
+        const store = new ForgetfulStore();
+        const seen: string[] = [];
+        const follower = createFollower(store, seen);
+        await until(() => seen.length === 1);
+        store.isGone = true;
+        await write(store, "x/1", "one");
+        await until(() => seen.length === 2);
+        expect(seen).toEqual(["all ", "all x/1"]);
+        follower.stop();
+    });
+
+    it("should tell once that the store is lost, and once that it is back", async () => {
+        const store = new FakeStore();
+        const seen: string[] = [];
+        const follower = createFollower(store, seen);
+        await until(() => seen.length === 1);
+        store.fault = "down";
+        await write(store, "x/1", "one").catch(() => undefined);
+        await until(() => seen.length === 2);
+        await new Promise(resolve => setTimeout(resolve, 400));
+        store.fault = "none";
+        await until(() => seen.includes("regained"));
+        expect(seen.filter(text => text === "lost").length).toEqual(1);
+        follower.stop();
+    });
+});
+
+class ForgetfulStore extends FakeStore {
+    isGone = false;
+
+    override async changes(...args: Parameters<FakeStore["changes"]>): ReturnType<FakeStore["changes"]> {
+        const batch = await super.changes(...args);
+        if (this.isGone) {
+            this.isGone = false;
+            throw new HistoryGoneError(args[1]);
+        }
+        return batch;
+    }
+}
+
+const createFollower = (store: FakeStore, seen: string[]): Follower => {
+    const follower = new Follower(store, "x/", {
+        onSnapshot: (values: readonly StoredValue[]) => seen.push(`all ${values.map(({ key }) => key).join()}`),
+        onChanges: (changes: readonly StoreChange[]) =>
+            changes.forEach(change =>
+                seen.push(change.kind === "put" ? `put ${change.stored.key}` : `removed ${change.key}`)
+            ),
+        onLost: () => seen.push("lost"),
+        onRegained: () => seen.push("regained"),
+    }, silentLogger);
+    follower.start();
+    return follower;
+};
+
+describe("relay", () => {
+    const answering = { ask: async () => ({ key: "k", value: Buffer.from("via peer"), revision: 1 }) } as never;
+    const get = async (direct: Pick<VersionedStore, "get">): Promise<string | undefined> => {
+        const relay = new RelayStore(direct as VersionedStore, () => answering, silentLogger);
+        return (await relay.get("k", new Progress(2_000)))?.value.toString();
+    };
+
+    it("should ask a peer when the direct call fails", async () => {
+        expect(await get({ get: () => Promise.reject(new StoreError("no", "turned away")) })).toEqual("via peer");
+    });
+
+    it("should ask a peer when the direct call stays silent", async () => {
+        expect(await get({ get: () => new Promise(() => {}) })).toEqual("via peer");
+    });
+
+    it("should not ask a peer for what the store itself answered", async () => {
+        expect(await get({ get: async () => undefined })).toEqual(undefined);
+    });
+});
+
+describe("turns", () => {
+    const turn = (id: string, ancestors: string[]) => ({
+        id,
+        ancestors,
+        input: Buffer.from(`${id} in `),
+        output: Buffer.from(`${id} out\n`),
+    });
+    const createTurns = (store: FakeStore): TurnStore =>
+        new TurnStore(new StoreArchive(store, new GroupWriter(store, 0, silentLogger), silentLogger), silentLogger);
+
+    it("should give an instance that starts empty the whole conversation", async () => {
+        const store = new FakeStore();
+        const progress = new Progress(3_000);
+        const writing = createTurns(store);
+        await writing.save(turn("t1", []), 60_000, progress);
+        await writing.save(turn("t2", ["t1"]), 60_000, progress);
+        const { turns, history } = await createTurns(store).conversation("t2", progress);
+        expect([turns, history.toString()]).toEqual([["t1", "t2"], "t1 in t1 out\nt2 in t2 out\n"]);
+    });
+
+    it("should try again while the store is away, and say that it does not know when time runs out", async () => {
+        const store = new FakeStore();
+        await createTurns(store).save(turn("t1", []), 60_000, new Progress(1_000));
+        store.fault = "down";
+        store.faultsLeft = 3;
+        expect((await createTurns(store).conversation("t1", new Progress(3_000))).turns).toEqual(["t1"]);
+        store.faultsLeft = Infinity;
+        await expect(createTurns(store).conversation("t1", new Progress(1_500))).toBeRejectedWith("did not say");
+    });
+
+    it("should be certain that a turn does not exist only by the store's word", async () => {
+        await expect(createTurns(new FakeStore()).conversation("t9", new Progress(1_000))).toBeRejectedWith("No turn");
+    });
+});
--- a/tools/imports.js
+++ b/tools/imports.js
@@ -12,7 +12,7 @@
     "packages/workload/src": ["common"],
     "packages/cli/src": ["common", "store", "workload"],
     "packages/daemon/src": ["common", "policy", "dispatch", "ledger", "store"],
-    "platform/src": ["common", "gateway", "store"],
+    "platform/src": ["common", "gateway", "standins", "store"],
     "spec": ["common", "ledger"],
     "bench": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload"],
     "tests": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload", "cli", "gateway", "platform"],
