--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -54,6 +54,18 @@
         [dead, next].forEach(budgets => budgets.close());
     });
 
+    it("should use what a write has taken that nobody waited for any more", async () => {
+        const store = new FakeStore();
+        const budgets = createInstance("a", store, { instances: new Map() });
+        store.fault = "loseReply";
+        await expect(budgets.reserve("p", 200, 100, new Progress(5_000))).toBeRejectedWith("The store is away");
+        store.fault = "none";
+        await budgets.reserve("p", 200, 100, new Progress(5_000));
+        await budgets.reserve("p", 200, 100, new Progress(5_000));
+        await expect(budgets.reserve("p", 200, 100, new Progress(5_000))).toBeRejectedWith("spent");
+        budgets.close();
+    });
+
     it("should not spend twice what it returned with a lost reply", async () => {
         const store = new FakeStore();
         const fleet = { instances: new Map<string, Budgets>() };
