--- a/packages/gateway/src/budgets/budgetRecord.ts
+++ b/packages/gateway/src/budgets/budgetRecord.ts
@@ -23,9 +23,20 @@
 export const freeTokens = (record: BudgetRecord): number =>
     record.total - Object.values(record.taken).reduce((sum, tokens) => sum + tokens, 0);
 
-/** Turns for which tokens are taken at a time: each write costs a call, and a crash strands what was taken. */
+/** Share of what is free that an instance takes at least. */
+const portionShare = 0.5;
+
+/** Turns for which it takes tokens at least. */
 const turnsAtOnce = 2;
 
-/** Tokens to take for a turn, or 0 if the budget does not hold it. */
-export const portionToTake = (free: number, needed: number): number =>
-    free < needed ? 0 : Math.min(free, turnsAtOnce * needed);
+/**
+ * Tokens to take so that a turn can reserve `needed`, or 0 if the budget does not hold them. For many short turns of one
+ * program behind one instance: each write costs a call, and a crash strands what was taken and not used.
+ */
+export const portionToTake = (free: number, needed: number, available: number): number => {
+    if (free + available < needed) {
+        return 0;
+    }
+    const wanted = Math.max(Math.ceil(free * portionShare), turnsAtOnce * needed - available);
+    return Math.min(free, wanted);
+};
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -110,7 +110,7 @@
     private async refill(account: BudgetAccount, needed: number, progress: Progress): Promise<void> {
         let hasAsked = false;
         while (account.available < needed) {
-            const portion = portionToTake(freeTokens(account.record), needed - account.available);
+            const portion = portionToTake(freeTokens(account.record), needed, account.available);
             if (portion > 0) {
                 await this.change(account, portion, progress);
                 continue;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -6,6 +6,7 @@
 import type { PlacedCall } from "../placement.js";
 import { describeCall } from "../placement.js";
 import type { CallProtocol } from "../protocol.js";
+import { createTurn } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
 import { attemptCall } from "../upstreams/attempt.js";
 import type { AttemptEnd } from "../upstreams/attempt.js";
@@ -126,12 +127,7 @@
             return;
         }
         const startedAt = performance.now();
-        const turn = {
-            id: ctx.id,
-            ancestors: conversation?.turns ?? [],
-            input: ctx.body,
-            output: answer.events.output(),
-        };
+        const turn = createTurn(ctx.id, conversation?.last, ctx.body, answer.events.output());
         await this.parts.turns.save(turn, route.keepTurnsMs, ctx.progress);
         ctx.trace.savedMs = Math.round(performance.now() - startedAt);
     }
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -18,8 +18,8 @@
 
 /** The conversation that a turn continues. */
 export interface Conversation {
-    /** Ids of its turns, oldest first. */
-    readonly turns: readonly string[];
+    /** Its last turn. */
+    readonly last: TurnRecord;
     /** Inputs and outputs of its turns in order. */
     readonly history: Buffer;
 }
@@ -49,21 +49,21 @@
         if (turn === undefined) {
             throw new ProblemError("unknown_turn", "notRun", "No turn with this id is kept.");
         }
-        const before = await Promise.all(turn.ancestors.map(id => this.load(id, progress)));
-        const missing = turn.ancestors.find((_, index) => before[index] === undefined);
-        if (missing !== undefined) {
-            this.log.warn("conversation has a gap", { turn: last, missing });
-            throw new ProblemError("unknown_turn", "notRun", "A turn of the conversation is no longer kept.");
+        const tails = [turn.tail];
+        for (let base = turn.base; base !== undefined;) {
+            const before: TurnRecord | undefined = await this.load(base, progress);
+            if (before === undefined) {
+                this.log.warn("conversation has a gap", { turn: last, missing: base });
+                throw new ProblemError("unknown_turn", "notRun", "A turn of the conversation is no longer kept.");
+            }
+            tails.unshift(before.tail);
+            base = before.base;
         }
         if (!isCached) {
             const ms = Math.round(performance.now() - startedAt);
-            this.log.info("conversation loaded", { turn: last, turns: before.length + 1, ms });
+            this.log.info("conversation loaded", { turn: last, records: tails.length, ms });
         }
-        const all = [...before as TurnRecord[], turn];
-        return {
-            turns: all.map(({ id }) => id),
-            history: Buffer.concat(all.flatMap(({ input, output }) => [input, output])),
-        };
+        return { last: turn, history: tails.length === 1 ? turn.tail : Buffer.concat(tails) };
     }
 
     private async load(id: string, progress: Progress): Promise<TurnRecord | undefined> {
--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -41,6 +41,16 @@
         [a, b].forEach(budgets => budgets.close());
     });
 
+    it("should write a record only a few times for a program of many short turns", async () => {
+        const store = new FakeStore();
+        const budgets = createInstance("a", store, { instances: new Map() });
+        for (let turn = 0; turn < 20; turn++) {
+            (await budgets.reserve("p", 2_304, 290, new Progress(5_000))).settle(73);
+        }
+        expect(store.writes).toSatisfy(writes => writes <= 3);
+        budgets.close();
+    });
+
     it("should count what a dead instance has taken as spent", async () => {
         const store = new FakeStore();
         const fleet = { instances: new Map<string, Budgets>() };
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -1,5 +1,6 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { Follower, GroupWriter, RelayStore, StoreArchive, TurnStore } from "@marigolddrift/gateway";
+import { createTurn, Follower, GroupWriter, RelayStore, StoreArchive, TurnStore } from "@marigolddrift/gateway";
+import type { TurnRecord } from "@marigolddrift/gateway";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 import { expect } from "earl";
@@ -103,12 +104,8 @@
 });
 
 describe("turns", () => {
-    const turn = (id: string, ancestors: string[]) => ({
-        id,
-        ancestors,
-        input: Buffer.from(`${id} in `),
-        output: Buffer.from(`${id} out\n`),
-    });
+    const turn = (id: string, previous?: TurnRecord, bytes = 0): TurnRecord =>
+        createTurn(id, previous, Buffer.from(`${id} in ${"x".repeat(bytes)}`), Buffer.from(`${id} out\n`));
     const createTurns = (store: FakeStore): TurnStore =>
         new TurnStore(new StoreArchive(store, new GroupWriter(store, 0, silentLogger), silentLogger), silentLogger);
 
@@ -116,18 +113,34 @@
         const store = new FakeStore();
         const progress = new Progress(3_000);
         const writing = createTurns(store);
-        await writing.save(turn("t1", []), 60_000, progress);
-        await writing.save(turn("t2", ["t1"]), 60_000, progress);
-        const { turns, history } = await createTurns(store).conversation("t2", progress);
-        expect([turns, history.toString()]).toEqual([["t1", "t2"], "t1 in t1 out\nt2 in t2 out\n"]);
+        const first = turn("t1");
+        await writing.save(first, 60_000, progress);
+        await writing.save(turn("t2", first), 60_000, progress);
+        const { history } = await createTurns(store).conversation("t2", progress);
+        expect(history.toString()).toEqual("t1 in t1 out\nt2 in t2 out\n");
+        expect(store.reads).toEqual(1);
+    });
+
+    it("should not write a long conversation again with each turn", async () => {
+        const store = new FakeStore();
+        const progress = new Progress(3_000);
+        const writing = createTurns(store);
+        let last: TurnRecord | undefined;
+        for (const id of ["t1", "t2", "t3", "t4"]) {
+            last = turn(id, last, 20_000);
+            await writing.save(last, 60_000, progress);
+        }
+        expect([last!.base, last!.tail.length < 45_000]).toEqual(["t2", true]);
+        const { history } = await createTurns(store).conversation("t4", progress);
+        expect(history.toString().match(/t\d in/g)).toEqual(["t1 in", "t2 in", "t3 in", "t4 in"]);
     });
 
     it("should try again while the store is away, and say that it does not know when time runs out", async () => {
         const store = new FakeStore();
-        await createTurns(store).save(turn("t1", []), 60_000, new Progress(1_000));
+        await createTurns(store).save(turn("t1"), 60_000, new Progress(1_000));
         store.fault = "down";
         store.faultsLeft = 3;
-        expect((await createTurns(store).conversation("t1", new Progress(3_000))).turns).toEqual(["t1"]);
+        expect((await createTurns(store).conversation("t1", new Progress(3_000))).last.id).toEqual("t1");
         store.faultsLeft = Infinity;
         await expect(createTurns(store).conversation("t1", new Progress(1_500))).toBeRejectedWith("did not say");
     });
