--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,6 +10,7 @@
 import type { BundleOptions } from "./bundleCommands.js";
 import { runLoad } from "./loadCommand.js";
 import { print } from "./output.js";
+import { traceRequest } from "./traceCommand.js";
 
 const exitCodes = { ok: 0, failed: 1, usage: 2, conflict: 3 } as const;
 const privateFileMode = 0o600;
@@ -132,6 +133,16 @@
         run(options, () => adminOf(options).view(`explain?program=${encodeURIComponent(program)}`))
     );
 
+cli.command("trace <request>", "Show what log files say of a request, its program and what its instance believed")
+    .option("--log <files>", "Log files, separated by commas")
+    .action((request: string, options: CommonOptions & { log?: string; }) =>
+        run(options, () => {
+            if (options.log === undefined) {
+                throw new UsageError("--log is needed.");
+            }
+            return traceRequest(options.log.split(","), request);
+        })
+    );
 cli.command("drain [upstream]", "Drain an instance, or let an upstream get no new work")
     .option("--undo", "Let the upstream get work again")
     .action((upstream: string | undefined, options: CommonOptions & { undo?: boolean; }) =>
