--- a/packages/gateway/src/budgets/budgetRecord.ts
+++ b/packages/gateway/src/budgets/budgetRecord.ts
@@ -23,20 +23,23 @@
 export const freeTokens = (record: BudgetRecord): number =>
     record.total - Object.values(record.taken).reduce((sum, tokens) => sum + tokens, 0);
 
-/** Share of what is free that an instance takes at least. */
-const portionShare = 0.5;
+/** Turns up to which a free budget counts as small: it is not shared out, since parts would hold no turn. */
+const smallTurns = 3;
 
-/** Turns for which it takes tokens at least. */
-const turnsAtOnce = 2;
+/** Share of a larger free budget that an instance takes; turns of one program come in through several instances. */
+const portionShare = 0.25;
 
 /**
- * Tokens to take so that a turn can reserve `needed`, or 0 if the budget does not hold them. For many short turns of one
- * program behind one instance: each write costs a call, and a crash strands what was taken and not used.
+ * Tokens to take so that a turn can reserve `needed`, or 0 if the budget does not hold them. For programs of many short
+ * turns behind several instances that may all crash at once: each write costs a call, and a crash strands what was taken
+ * and not used.
  */
 export const portionToTake = (free: number, needed: number, available: number): number => {
     if (free + available < needed) {
         return 0;
     }
-    const wanted = Math.max(Math.ceil(free * portionShare), turnsAtOnce * needed - available);
-    return Math.min(free, wanted);
+    const wanted = free <= smallTurns * needed ?
+        2 * needed :
+        Math.max(needed, Math.min(smallTurns * needed, Math.ceil(free * portionShare)));
+    return Math.min(free, wanted - available);
 };
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -20,6 +20,8 @@
 /** Between an instance and the number of its account in the names of holders. */
 const holderSeparator = "#";
 
+const instanceOf = (holder: string): string => holder.split(holderSeparator)[0]!;
+
 /** Tokens that a turn may generate. */
 export interface Reservation {
     /** Ends the reservation with the tokens that were handed to the caller. */
@@ -37,7 +39,7 @@
         private readonly instance: string,
         private readonly writer: GroupWriter,
         private readonly store: Pick<VersionedStore, "get" | "txn">,
-        private readonly peers: Pick<Peers, "get">,
+        private readonly peers: Pick<Peers, "get" | "refresh">,
         private readonly log: Logger,
     ) {
         this.timer = setInterval(() => this.forgetOld(), forgetMs / 4);
@@ -129,10 +131,13 @@
     /** Asks the instances that have taken tokens to return what they do not use; false if none of them did. */
     private async askOthers(account: BudgetAccount, progress: Progress): Promise<boolean> {
         const { program } = account;
+        if (account.otherHolders.some(holder => this.peers.get(instanceOf(holder)) === undefined)) {
+            await this.peers.refresh();
+        }
         const answers = await Promise.all(account.otherHolders.map(async holder => {
             const asked = progress.child(askTimeoutMs);
             try {
-                const peer = this.peers.get(holder.split(holderSeparator)[0]!);
+                const peer = this.peers.get(instanceOf(holder));
                 return await peer?.ask({ kind: "returnBudget", program }, asked) ?? false;
             }
             catch (err) {
