--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -1,9 +1,10 @@
 /** Token budgets of programs: an instance spends only from portions that the store's record grants it. */
 import { asError, ProblemError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import type { VersionedStore } from "@marigolddrift/store";
+import type { StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import type { Peers } from "../peers/peers.js";
+import { notDurable } from "../state/groupWriter.js";
 import type { GroupWriter } from "../state/groupWriter.js";
 import { BudgetAccount } from "./budgetAccount.js";
 import { freeTokens, packBudget, portionToTake } from "./budgetRecord.js";
@@ -123,11 +124,22 @@
                 throw new ProblemError("budget_exhausted", "notRun", "The program's token budget is spent.");
             }
             hasAsked = true;
-            account.acceptStored(await progress.race(this.store.get(budgetKey(account.program), progress)));
+            account.acceptStored(await this.readRecord(account.program, progress));
         }
         account.reserve(needed);
     }
 
+    private async readRecord(program: string, progress: Progress): Promise<StoredValue | undefined> {
+        try {
+            return await progress.race(this.store.get(budgetKey(program), progress));
+        }
+        catch (err) {
+            progress.check();
+            this.log.info("budget not readable", { program, error: asError(err).message });
+            throw notDurable();
+        }
+    }
+
     /** Asks the instances that have taken tokens to return what they do not use; false if none of them did. */
     private async askOthers(account: BudgetAccount, progress: Progress): Promise<boolean> {
         const { program } = account;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -133,7 +133,7 @@
         this.turns = new TurnStore(this.archive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
-        this.dispatcher = new Dispatcher(pool, policy, log, this.dispatchMetrics());
+        this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
         this.configFollower = this.follow(layout.configKey, {
             onSnapshot: values => values.forEach(stored => this.onConfig(stored)),
@@ -297,16 +297,12 @@
         return entry;
     }
 
-    private dispatchMetrics() {
-        return { count: () => {}, timing: () => {}, gauge: () => {}, close: () => {} };
-    }
-
     private addGauges(): void {
-        this.metrics.gauge("calls_active", "Calls whose answers have not ended", () => this.entry.active);
-        this.metrics.gauge("calls_waiting", "Calls that wait for an upstream", () => this.dispatcher.waitingCalls);
-        this.metrics.gauge("upstreams", "Known upstreams", () => this.upstreams.size);
-        this.metrics.gauge("config_version", "Version in force", () => this.table?.config.version ?? 0);
-        this.metrics.gauge(
+        this.metrics.addGauge("calls_active", "Calls whose answers have not ended", () => this.entry.active);
+        this.metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => this.dispatcher.waitingCalls);
+        this.metrics.addGauge("upstreams", "Known upstreams", () => this.upstreams.size);
+        this.metrics.addGauge("config_version", "Version in force", () => this.table?.config.version ?? 0);
+        this.metrics.addGauge(
             "store_age_milliseconds",
             "Age of the view of the upstreams",
             () => this.upstreamFollower.ageMs,
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,11 +1,12 @@
 /** Counters and latency histograms, served as text. */
+import type { Metrics } from "@marigolddrift/common";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** Upper bounds of the latency histogram's buckets, in milliseconds. */
 const latencyBucketsMs = [5, 10, 20, 50, 100, 200, 500, 1_000, 2_000, 5_000];
 
-/** Metrics of one instance. */
-export class GatewayMetrics {
+/** Metrics of one instance; counts and durations of other parts come in by their name. */
+export class GatewayMetrics implements Metrics {
     private readonly registry = new Registry();
     private readonly calls = new Counter({
         name: "marigolddrift_calls_total",
@@ -21,13 +22,51 @@
         registers: [this.registry],
     });
 
+    private readonly events = new Counter({
+        name: "marigolddrift_events_total",
+        help: "Counted events by name",
+        labelNames: ["name"],
+        registers: [this.registry],
+    });
+    private readonly durations = new Histogram({
+        name: "marigolddrift_duration_milliseconds",
+        help: "Durations by name, such as the wait for an upstream",
+        labelNames: ["name"],
+        buckets: latencyBucketsMs,
+        registers: [this.registry],
+    });
+
+    private readonly values = new Gauge({
+        name: "marigolddrift_value",
+        help: "Present values by name",
+        labelNames: ["name"],
+        registers: [this.registry],
+    });
+
+    count(name: string, by = 1): void {
+        this.events.inc({ name }, by);
+    }
+
+    timing(name: string, ms: number): void {
+        this.durations.observe({ name }, ms);
+    }
+
     onCall(route: string, outcome: string, ms: number): void {
         this.calls.inc({ route, outcome });
         this.latency.observe({ route }, ms);
     }
 
+    /** Sets a gauge. */
+    gauge(name: string, value: number): void {
+        this.values.set({ name }, value);
+    }
+
+    close(): void {
+        this.registry.clear();
+    }
+
     /** Adds a gauge that is read whenever the metrics are. */
-    gauge(name: string, help: string, read: () => number): void {
+    addGauge(name: string, help: string, read: () => number): void {
         new Gauge({
             name: `marigolddrift_${name}`,
             help,
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -67,11 +67,28 @@
     private onConnection(socket: WebSocket): void {
         socket.on("error", err => this.log.info("peer connection failed", { error: err.message }));
         socket.on("message", (data: Buffer) => {
-            const frame = this.packr.unpack(data) as QuestionFrame;
+            const frame = this.readFrame(data);
+            if (frame === undefined) {
+                socket.terminate();
+                return;
+            }
             void this.respond(frame).then(answer => socket.send(this.packr.pack(answer)));
         });
     }
 
+    private readFrame(data: Buffer): QuestionFrame | undefined {
+        try {
+            const frame = this.packr.unpack(data) as Partial<QuestionFrame>;
+            const isWhole = typeof frame.id === "number" && typeof frame.leftMs === "number" &&
+                typeof frame.question === "object";
+            return isWhole ? frame as QuestionFrame : undefined;
+        }
+        catch (err) {
+            this.log.warn("peer frame refused", { error: asError(err).message });
+            return undefined;
+        }
+    }
+
     private async respond({ id, leftMs, question }: QuestionFrame): Promise<AnswerFrame> {
         const progress = new Progress(leftMs);
         try {
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { StoredValue, VersionedStore } from "@marigolddrift/store";
 import { randomBytes } from "node:crypto";
+import { z } from "zod";
 
 import { PeerClient } from "./peerClient.js";
 import type { PeerAddress } from "./peerMessages.js";
@@ -19,6 +20,23 @@
 
 const callTimeoutMs = 1_000;
 
+const addressSchema = z.object({
+    instance: z.string(),
+    host: z.string(),
+    port: z.number(),
+    zone: z.string(),
+    region: z.string(),
+});
+
+const parseAddress = (value: Buffer): PeerAddress | undefined => {
+    try {
+        return addressSchema.parse(JSON.parse(value.toString()));
+    }
+    catch {
+        return undefined; // The caller logs it.
+    }
+};
+
 /** Registers this instance and keeps connections to the others. */
 export class Peers {
     private readonly clients = new Map<string, PeerClient>();
@@ -107,9 +125,12 @@
     private onMembers(values: readonly StoredValue[]): void {
         const own = this.self().instance;
         for (const { key, value } of values) {
-            const address = JSON.parse(value.toString()) as PeerAddress;
+            const address = parseAddress(value);
             const known = this.clients.get(key);
-            if (address.instance !== own && known?.address.instance !== address.instance) {
+            if (address === undefined) {
+                this.log.warn("peer entry ignored", { key, reason: "it is not an address" });
+            }
+            else if (address.instance !== own && known?.address.instance !== address.instance) {
                 known?.close();
                 this.clients.set(key, new PeerClient(address, () => this.sharedKey));
                 this.log.info("peer found", { peer: address.instance, zone: address.zone });
--- a/packages/gateway/src/state/groupWriter.ts
+++ b/packages/gateway/src/state/groupWriter.ts
@@ -235,7 +235,7 @@
 };
 
 /** The error of a call that needs a durable record while the store is away. */
-const notDurable = (): ProblemError =>
+export const notDurable = (): ProblemError =>
     new ProblemError("not_durable", "notRun", "The store is away, and the call needs a durable record first.", {
         retryAfterSeconds: awayRetryAfterSeconds,
     });
--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -52,6 +52,21 @@
         budgets.close();
     });
 
+    it("should say that a turn has not run when the store does not say what others hold", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>() };
+        const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+        (await a.reserve("q", 200, 100, new Progress(5_000))).settle(0);
+        const returning = a.returnFor.bind(a);
+        a.returnFor = async (program, progress) => {
+            const returned = await returning(program, progress);
+            store.fault = "down";
+            return returned;
+        };
+        await expect(b.reserve("q", 200, 150, new Progress(5_000))).toBeRejectedWith("The store is away");
+        [a, b].forEach(budgets => budgets.close());
+    });
+
     it("should leave a program enough when all instances that serve it crash at once", async () => {
         const store = new FakeStore();
         const fleet = { instances: new Map<string, Budgets>() };
