--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -21,6 +21,7 @@
 /** Time after a failure in which peers are asked at once, beside the direct call, in milliseconds. */
 const doubtMs = 2_000;
 
+type DirectCall<T> = (own: Progress) => Promise<T>;
 type AskPeer = (peer: PeerClient, progress: Progress) => Promise<unknown>;
 
 /**
@@ -37,17 +38,17 @@
     ) {}
 
     get(key: string, progress: Progress): Promise<StoredValue | undefined> {
-        return this.call(() => this.direct.get(key, progress), ask({ kind: "get", key }), hedgeMs, progress);
+        return this.call(own => this.direct.get(key, own), ask({ kind: "get", key }), hedgeMs, progress);
     }
 
     range(prefix: string, progress: Progress, options: RangeOptions = {}): Promise<Snapshot> {
         const question = { kind: "range" as const, prefix, mayBeStale: options.mayBeStale ?? false };
-        return this.call(() => this.direct.range(prefix, progress, options), ask(question), hedgeMs, progress);
+        return this.call(own => this.direct.range(prefix, own, options), ask(question), hedgeMs, progress);
     }
 
     changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
         const question = { kind: "changes" as const, prefix, revision, waitMs };
-        const direct = (): Promise<ChangeBatch> => this.direct.changes(prefix, revision, waitMs, progress);
+        const direct = (own: Progress): Promise<ChangeBatch> => this.direct.changes(prefix, revision, waitMs, own);
         return this.call(direct, ask(question), waitMs + hedgeMs, progress);
     }
 
@@ -58,7 +59,7 @@
         removals: readonly string[] = [],
     ): Promise<TxnResult> {
         const question = { kind: "txn" as const, compares, puts, removals };
-        const direct = (): Promise<TxnResult> => this.direct.txn(compares, puts, progress, removals);
+        const direct = (own: Progress): Promise<TxnResult> => this.direct.txn(compares, puts, own, removals);
         return this.call(direct, ask(question), hedgeMs, progress);
     }
 
@@ -66,31 +67,34 @@
         return performance.now() - this.failedAt < doubtMs;
     }
 
-    private call<T>(direct: () => Promise<T>, viaPeer: AskPeer, silenceMs: number, progress: Progress): Promise<T> {
+    private call<T>(direct: DirectCall<T>, viaPeer: AskPeer, silenceMs: number, progress: Progress): Promise<T> {
         return new Promise<T>((resolve, reject) => {
+            // Ends the other way when one has answered: a call left alone on a silent connection would hold it for ever.
+            const own = progress.child(progress.leftMs);
             let open = 1;
             let asked = false;
+            const finish = (settle: () => void): void => {
+                clearTimeout(timer);
+                settle();
+                own.abort(new Error("the call was answered another way"));
+            };
             const onError = (err: unknown): void => {
                 open -= 1;
                 if (isFinal(err) || open === 0) {
-                    clearTimeout(timer);
-                    reject(err);
+                    finish(() => reject(err));
                 }
             };
             const askPeer = (): void => {
                 const peer = asked ? undefined : this.pick();
-                if (peer !== undefined && !progress.signal.aborted) {
+                if (peer !== undefined && !own.signal.aborted) {
                     asked = true;
                     open += 1;
-                    viaPeer(peer, progress).then(value => resolve(value as T), onError);
+                    viaPeer(peer, own).then(value => finish(() => resolve(value as T)), onError);
                 }
             };
             const timer = setTimeout(askPeer, this.isDoubtful ? 0 : silenceMs);
-            direct().then(value => {
-                clearTimeout(timer);
-                resolve(value);
-            }, (err: unknown) => {
-                if (!isFinal(err)) {
+            own.race(direct(own)).then(value => finish(() => resolve(value)), (err: unknown) => {
+                if (!isFinal(err) && !own.signal.aborted) {
                     this.onDirectFailure(err);
                     askPeer();
                 }
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -100,6 +100,15 @@
         expect(await get({ get: () => new Promise(() => {}) })).toEqual("via peer");
     });
 
+    it("should end the direct call once a peer has answered, so that no silent connection is held", async () => {
+        let ended = false;
+        const silent = (_: string, own: Progress): Promise<undefined> => {
+            own.signal.addEventListener("abort", () => ended = true);
+            return new Promise(() => {});
+        };
+        expect([await get({ get: silent }), ended]).toEqual(["via peer", true]);
+    });
+
     it("should not ask a peer for what the store itself answered", async () => {
         expect(await get({ get: async () => undefined })).toEqual(undefined);
     });
