--- /dev/null
+++ b/tests/platform/adapter.test.ts
@@ -0,0 +1,151 @@
+import { Progress, silentLogger } from "@marigolddrift/common";
+import {
+    callHeaders,
+    parseSettings,
+    PlatformStandin,
+    PlatformStore,
+    Retirement,
+    storeLayout,
+} from "@marigolddrift/platform";
+import { HistoryGoneError, StoreError, StoreRefusalError } from "@marigolddrift/store";
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+
+import { config, until } from "./deployment.js";
+
+const settings = `
+node = "front-north-a-1"
+ip = "10.1.0.38"
+zone = "north-a"
+region = "north"
+innerPorts = [7380,7395]
+somethingNew = true
+[zones]
+north-a = "north"
+[listen]
+front = "10.1.0.38:8149"
+ready = "10.1.0.38:8141"
+[tolerate]
+machines = 1
+[bounds]
+graceS = 8
+[platform]
+address = "10.200.1.7:8142"
+`;
+
+describe("settings of the platform", () => {
+    it("should be read, and new fields left out", () => {
+        const cfg = parseSettings(settings);
+        expect(cfg.listen.front).toEqual({ host: "10.1.0.38", port: 8149 });
+        expect([cfg.innerPorts[0], cfg.bounds.graceS, cfg.dataDir]).toEqual([7380, 8, undefined]);
+    });
+
+    it("should be refused with the name of the field that does not fit", () => {
+        expect(() => parseSettings(settings.replace("10.1.0.38:8149", "nowhere"))).toThrow("front");
+    });
+});
+
+describe("entries of the platform's store", () => {
+    const bytes = (value: unknown): Buffer => Buffer.from(JSON.stringify(value));
+
+    it("should decode routes by what the fields hold", () => {
+        const decoded = storeLayout.decodeConfig(bytes(config(7)))!;
+        const [chat, look, order] = decoded.routes;
+        expect([chat!.streams, chat!.idempotent, chat!.keepTurnsMs]).toEqual([true, false, 60_000]);
+        expect([look!.streams, look!.idempotent, look!.maxUpstreams]).toEqual([false, true, 2]);
+        expect([order!.idempotent, order!.keepTurnsMs]).toEqual([false, 0]);
+        expect(decoded.services[0]!.engine?.tokensPerEvent).toEqual(10);
+    });
+
+    it("should take a stream for idempotent only if it may be resumed", () => {
+        const [route] = config(7).routes;
+        const resumable = { ...config(7), routes: [{ ...route, resumable: true }] };
+        expect(storeLayout.decodeConfig(bytes(resumable))!.routes[0]!.idempotent).toEqual(true);
+    });
+
+    it("should leave out what names no upstream, and what is no configuration", () => {
+        const entry = { service: "s", address: "10.0.0.1:80", zone: "z", slots: 4, state: "ready" };
+        const decode = (value: Buffer) => storeLayout.decodeUpstream("servers/i-1", value);
+        expect(decode(bytes(entry))?.id).toEqual("i-1");
+        expect(decode(bytes({ ...entry, state: "dreaming" }))).toEqual(undefined);
+        expect(decode(bytes({ ...entry, address: 7 }))).toEqual(undefined);
+        expect(decode(bytes({ ...entry, slots: "4" }))).toEqual(undefined);
+        expect(decode(Buffer.from([0xff, 0x00]))).toEqual(undefined);
+        expect(storeLayout.decodeConfig(bytes({ version: 8 }))).toEqual(undefined);
+    });
+});
+
+describe("headers of the platform", () => {
+    it("should not pass on what concerns one connection, by its list too", () => {
+        const raw = ["Connection", "keep-alive, X-Hop", "X-Hop", "1", "X-End", "2", "Expect-Instance", "forged"];
+        const headers = callHeaders.forward(raw, { upstream: "i-1", leftMs: 900, enginePriority: undefined });
+        expect(headers).toEqual(["X-End", "2", "Deadline-Ms", "900", "Expect-Instance", "i-1"]);
+    });
+
+    it("should decode a turn", () => {
+        const head = callHeaders.readCall({
+            "request-id": "r1",
+            "token-usage": "1460,80",
+            "prompt-prefix": "5c1e:800,91bd:410",
+            "program-id": "p1",
+            "session-id": "l1",
+            "finish-ms": "5200",
+            "token-budget": "2304",
+            "previous-turn": "t0",
+        });
+        expect(head.prompt!).toHaveSubset({ promptTokens: 1_460, maxOutputTokens: 80 });
+        expect(head.prompt!.parts.map(part => part.tokens)).toEqual([800, 410]);
+        expect(head.program).toEqual({
+            id: "p1",
+            line: "l1",
+            finishInMs: 5_200,
+            tokenBudget: 2_304,
+            continuesTurn: "t0",
+        });
+    });
+
+    it("should take a call for not run only by the worker's word", () => {
+        const read = (status: number, headers: string[]) => callHeaders.readReply(status, headers);
+        expect(read(503, ["Not-Executed", "1"])).toHaveSubset({ notRun: true, promisesNotRun: true });
+        expect(read(421, [])).toHaveSubset({ notRun: true });
+        expect(read(503, [])).toHaveSubset({ notRun: false, promisesNotRun: true });
+    });
+});
+
+describe("client of the platform's store", () => {
+    const standin = new PlatformStandin();
+    const progress = () => new Progress(2_000);
+    before(() => standin.start());
+    after(() => standin.close());
+
+    it("should say what became of each call", async () => {
+        const store = new PlatformStore(standin.address);
+        const value = Buffer.from("v");
+        const first = await store.txn([{ key: "a", revision: 0 }], [{ key: "a", value }], progress());
+        expect(first.succeeded).toEqual(true);
+        const second = await store.txn([{ key: "a", revision: 0 }], [{ key: "a", value }], progress());
+        expect([second.succeeded, second.current![0]!.revision]).toEqual([false, first.revision]);
+        expect(await store.get("nothing", progress())).toEqual(undefined);
+        standin.oldest = standin.state.revision;
+        await expect(store.changes("", 0, 10, progress())).toBeRejectedWith(HistoryGoneError);
+        standin.fault = "busy";
+        await expect(store.get("a", progress())).toBeRejectedWith(StoreRefusalError);
+        standin.fault = "down";
+        await expect(store.get("a", progress())).toBeRejectedWith(StoreError);
+        standin.fault = "none";
+        await store.close();
+    });
+
+    it("should report a store machine as empty when it was asked to be", async () => {
+        const store = new PlatformStore(standin.address);
+        const retirement = new Retirement("store-1", store, async () => {}, silentLogger);
+        retirement.start();
+        standin.put("op/retire/store-12", { durationS: 5 });
+        standin.put("op/retire/store-1", { durationS: 5 });
+        await until(() => standin.state.get("status/retire/store-1") !== undefined);
+        expect(standin.state.get("status/retire/store-1")!.value.toString()).toEqual("{\"state\":\"complete\"}");
+        expect(standin.state.get("status/retire/store-12")).toEqual(undefined);
+        retirement.stop();
+        await store.close();
+    });
+});
