--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,5 +1,12 @@
-// Bundles the program for the platform into one file, which starts faster and takes less memory than many modules.
+// Bundles the program for the platform into one file, which starts faster and takes less memory than many modules. It is
+// made from the sources, so that nothing is written beside target/.
 import { build } from "esbuild";
+import { readdirSync } from "node:fs";
+import { resolve } from "node:path";
+
+const alias = Object.fromEntries(
+    readdirSync("packages").map(name => [`@marigolddrift/${name}`, resolve("packages", name, "src/index.ts")]),
+);
 
 await build({
     entryPoints: ["platform/src/main.ts"],
@@ -9,4 +16,6 @@
     target: "node20",
     format: "cjs",
     minifySyntax: true,
+    alias,
+    tsconfig: "tsconfig.base.json",
 });
