--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -1,5 +1,5 @@
 /** Kept connections to one upstream, and the calls on them. */
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
 
 /** Time to set up a connection, in milliseconds. */
@@ -33,15 +33,39 @@
     abort(reason: Error): void;
 }
 
+/** Why the socket that is being handled right now ends, while its listeners run. */
+interface SocketEnd {
+    kind: "open" | "closed" | "reset";
+}
+
+/**
+ * Opens connections whose ends are known before the HTTP client sees them: it takes whatever has arrived of a reply that
+ * is to end with its connection for the whole reply, also after a reset or in the middle of a chunk.
+ */
+const watchEnds = (end: SocketEnd): buildConnector.connector => {
+    const connect = buildConnector({ timeout: connectTimeoutMs });
+    const mark = (kind: SocketEnd["kind"]): void => {
+        end.kind = kind;
+        queueMicrotask(() => end.kind = "open");
+    };
+    return (options, callback) =>
+        connect(options, (...args) => {
+            args[1]?.on("end", () => mark("closed"));
+            args[1]?.on("error", () => mark("reset"));
+            callback(...args);
+        });
+};
+
 /** A pool of connections that carry one call at a time each. */
 export class UpstreamConnections {
     private readonly pool: Pool;
+    private readonly socketEnd: SocketEnd = { kind: "open" };
 
     constructor(readonly address: string, connections: number) {
         this.pool = new Pool(`http://${address}`, {
             connections,
             pipelining: 1,
-            connect: { timeout: connectTimeoutMs },
+            connect: watchEnds(this.socketEnd),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: idleMs,
@@ -50,7 +74,7 @@
     }
 
     send(call: OutgoingCall, listener: ReplyListener): RunningCall {
-        const handler = new ReplyHandler(listener);
+        const handler = new ReplyHandler(listener, this.socketEnd);
         this.pool.dispatch({
             method: call.method,
             path: call.path,
@@ -74,13 +98,29 @@
     }
 }
 
+/** How a reply shows where it ends. */
+type Framing = "length" | "chunks" | "connection";
+
+const framingOf = (rawHeaders: readonly string[]): Framing => {
+    const names = rawHeaders.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase());
+    if (names.includes("transfer-encoding")) {
+        return "chunks";
+    }
+    return names.includes("content-length") ? "length" : "connection";
+};
+
+/** Chunks show their end themselves; without them and a length, only an orderly close is the end. */
+const isCutOff = (framing: Framing, end: SocketEnd["kind"]): boolean =>
+    end !== "open" && (framing === "chunks" || (framing === "connection" && end === "reset"));
+
 /** Turns the client's callbacks into those of a {@link ReplyListener}, each end at most once. */
 class ReplyHandler implements HttpDispatcher.DispatchHandler, RunningCall {
     private controller: HttpDispatcher.DispatchController | undefined;
     private abortReason: Error | undefined;
     private ended = false;
+    private framing: Framing = "connection";
 
-    constructor(private readonly listener: ReplyListener) {}
+    constructor(private readonly listener: ReplyListener, private readonly socketEnd: Readonly<SocketEnd>) {}
 
     abort(reason: Error): void {
         this.abortReason ??= reason;
@@ -104,6 +144,7 @@
         }
         const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
         const headers = raw.map(value => typeof value === "string" ? value : value.toString("latin1"));
+        this.framing = framingOf(headers);
         if (!this.listener.onHead(status, headers)) {
             this.abort(new Error("the reply was refused"));
         }
@@ -116,6 +157,10 @@
     }
 
     onResponseEnd(): void {
+        if (isCutOff(this.framing, this.socketEnd.kind)) {
+            this.end(() => this.listener.onError(new Error("the connection ended in the middle of the reply"), true));
+            return;
+        }
         this.end(() => this.listener.onEnd());
     }
 
