End no process by a rejection that nobody waited for, and follow the store with fewer questions

A question for changes returned with each of the 42 entries that come at a start, at 67 fronts each; it now leaves 150 ms between answers, and waits as long as the settings' bounds allow a silent connection to go unnoticed.

--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -66,6 +66,8 @@
 
     /** Waits for a promise, but no longer than this progress allows. */
     async race<T>(promise: Promise<T>): Promise<T> {
+        // If the work has ended already, nobody waits for the promise any more: its own failure must not end the process.
+        promise.catch(() => {});
         this.check();
         let onAbort: (() => void) | undefined;
         const aborted = new Promise<never>((_, reject) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -77,6 +77,8 @@
     readonly store: VersionedStore;
     readonly layout: StoreLayout;
     readonly protocol: CallProtocol;
+    /** Longest time for which a silent connection to the store may go unnoticed, in milliseconds. */
+    readonly storeSilenceMs: number;
     /** Time between the stop signal and the end, in milliseconds. */
     readonly graceMs: number;
     readonly random?: () => number;
@@ -239,11 +241,17 @@
             onChanges(changes: readonly StoreChange[]): void;
         },
     ): Follower {
-        return new Follower(this.store, prefix, {
-            ...events,
-            onLost: () => this.storeAwayUntil = Infinity,
-            onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
-        }, this.log);
+        return new Follower(
+            this.store,
+            prefix,
+            {
+                ...events,
+                onLost: () => this.storeAwayUntil = Infinity,
+                onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
+            },
+            this.options.storeSilenceMs,
+            this.log,
+        );
     }
 
     private get storeWasAway(): boolean {
--- a/packages/gateway/src/state/follower.ts
+++ b/packages/gateway/src/state/follower.ts
@@ -4,12 +4,15 @@
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
-/** Time that one question for changes waits at the store, in milliseconds; bounds how long a silent link goes unseen. */
-const waitMs = 4_000;
-
 /** Time that the store may take beyond the wait, in milliseconds. */
 const slackMs = 1_000;
 
+/** Pause after changes, in milliseconds: those that come together, as at a start of the whole fleet, share an answer. */
+const gatherMs = 150;
+
+/** Shortest time for which a question for changes waits, in milliseconds. */
+const minWaitMs = 1_000;
+
 /** Pause after a failed call, in milliseconds. */
 const retryMs = 150;
 
@@ -34,9 +37,16 @@
         private readonly store: VersionedStore,
         private readonly prefix: string,
         private readonly events: FollowerEvents,
+        /** Longest time for which a silent connection may go unnoticed, in milliseconds. */
+        private readonly silenceMs: number,
         private readonly log: Logger,
     ) {}
 
+    /** Time for which one question for changes waits at the store, in milliseconds. */
+    private get waitMs(): number {
+        return Math.max(minWaitMs, this.silenceMs - slackMs);
+    }
+
     /** Age of the view, in milliseconds. */
     get ageMs(): number {
         return performance.now() - this.lastContactAt;
@@ -62,7 +72,7 @@
     }
 
     private async step(): Promise<void> {
-        const progress = new Progress(waitMs + slackMs, this.stopped.signal);
+        const progress = new Progress(this.waitMs + slackMs, this.stopped.signal);
         try {
             if (this.revision === undefined) {
                 const snapshot = await progress.race(this.store.range(this.prefix, progress));
@@ -72,12 +82,13 @@
                 return;
             }
             // A store that may be back answers at once, so that its return is known.
-            const wait = this.isLost ? 0 : waitMs;
+            const wait = this.isLost ? 0 : this.waitMs;
             const batch = await progress.race(this.store.changes(this.prefix, this.revision, wait, progress));
             this.onContact();
             this.revision = Math.max(this.revision, batch.revision);
             if (batch.changes.length > 0) {
                 this.events.onChanges(batch.changes);
+                await progress.sleep(gatherMs);
             }
         }
         finally {
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -40,6 +40,21 @@
         follower.stop();
     });
 
+    it("should read changes that come in quick succession with few calls, as when a whole fleet starts", async () => {
+        const store = new FakeStore();
+        const seen: string[] = [];
+        const follower = createFollower(store, seen);
+        await until(() => seen.length === 1);
+        const before = store.reads;
+        for (let index = 0; index < 40; index++) {
+            await write(store, `x/${index}`, "here");
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        await until(() => seen.length === 41);
+        expect(store.reads - before).toSatisfy(calls => calls <= 8);
+        follower.stop();
+    });
+
     it("should tell once that the store is lost, and once that it is back", async () => {
         const store = new FakeStore();
         const seen: string[] = [];
@@ -72,15 +87,21 @@
 }
 
 const createFollower = (store: FakeStore, seen: string[]): Follower => {
-    const follower = new Follower(store, "x/", {
-        onSnapshot: (values: readonly StoredValue[]) => seen.push(`all ${values.map(({ key }) => key).join()}`),
-        onChanges: (changes: readonly StoreChange[]) =>
-            changes.forEach(change =>
-                seen.push(change.kind === "put" ? `put ${change.stored.key}` : `removed ${change.key}`)
-            ),
-        onLost: () => seen.push("lost"),
-        onRegained: () => seen.push("regained"),
-    }, silentLogger);
+    const follower = new Follower(
+        store,
+        "x/",
+        {
+            onSnapshot: (values: readonly StoredValue[]) => seen.push(`all ${values.map(({ key }) => key).join()}`),
+            onChanges: (changes: readonly StoreChange[]) =>
+                changes.forEach(change =>
+                    seen.push(change.kind === "put" ? `put ${change.stored.key}` : `removed ${change.key}`)
+                ),
+            onLost: () => seen.push("lost"),
+            onRegained: () => seen.push("regained"),
+        },
+        5_000,
+        silentLogger,
+    );
     follower.start();
     return follower;
 };
--- /dev/null
+++ b/tests/limits/progress.test.ts
@@ -0,0 +1,26 @@
+import { Progress } from "@marigolddrift/common";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+const turnOfTheLoop = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 0));
+
+describe("progress", () => {
+    it("should leave no rejection unhandled when the work has ended before the wait began", async () => {
+        const unhandled: unknown[] = [];
+        const note = (reason: unknown): void => {
+            unhandled.push(reason);
+        };
+        process.on("unhandledRejection", note);
+        try {
+            const progress = new Progress(1_000);
+            progress.abort(new Error("the deadline passed"));
+            const late = Promise.reject(new Error("the store did not answer"));
+            await expect(progress.race(late)).toBeRejectedWith("the deadline passed");
+            await turnOfTheLoop();
+        }
+        finally {
+            process.off("unhandledRejection", note);
+        }
+        expect(unhandled).toEqual([]);
+    });
+});
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -29,6 +29,9 @@
 machines = 1
 [bounds]
 graceS = 8
+contactMs = 4000
+drainMs = 2500
+configApplyMs = 2500
 [platform]
 address = "10.200.1.7:8142"
 `;
@@ -138,7 +141,7 @@
 
     it("should report a store machine as empty when it was asked to be", async () => {
         const store = new PlatformStore(standin.address);
-        const retirement = new Retirement("store-1", store, async () => {}, silentLogger);
+        const retirement = new Retirement("store-1", store, async () => {}, 5_000, silentLogger);
         retirement.start();
         standin.put("op/retire/store-12", { durationS: 5 });
         standin.put("op/retire/store-1", { durationS: 5 });
