Let one instance of a zone keep a program's budget

Cause: the turns of a program come in through several instances, each of which took a portion from the store's record, so that a program cost about three conditional writes, and a mass kill stranded a portion of each. Others now reserve through the instance that rendezvous hashing names, and go on with portions of their own if it does not answer.

--- a/packages/gateway/src/budgets/budgetRecord.ts
+++ b/packages/gateway/src/budgets/budgetRecord.ts
@@ -26,8 +26,11 @@
 /** Turns up to which a free budget counts as small: it is not shared out, since parts would hold no turn. */
 const smallTurns = 3;
 
-/** Share of a larger free budget that an instance takes; turns of one program come in through several instances. */
-const portionShare = 0.25;
+/** Share of a larger free budget that an instance takes: what it holds is lost to the program if it crashes. */
+const portionShare = 0.4;
+
+/** Turns for which one portion is enough at most. */
+const portionTurns = 4;
 
 /**
  * Tokens to take so that a turn can reserve `needed`, or 0 if the budget does not hold them. For programs of many short
@@ -40,6 +43,6 @@
     }
     const wanted = free <= smallTurns * needed ?
         2 * needed :
-        Math.max(needed, Math.min(smallTurns * needed, Math.ceil(free * portionShare)));
+        Math.max(needed, Math.min(portionTurns * needed, Math.ceil(free * portionShare)));
     return Math.min(free, wanted - available);
 };
--- a/packages/gateway/src/filters/budgetFilter.ts
+++ b/packages/gateway/src/filters/budgetFilter.ts
@@ -1,12 +1,12 @@
 /** Reserves a turn's tokens from its program's budget before the turn is sent. */
 import type { Filter } from "@marigolddrift/common";
 
-import type { Budgets } from "../budgets/budgets.js";
+import type { TokenReserver } from "../budgets/zoneBudgets.js";
 import type { CallContext } from "./callContext.js";
 
 /** Lets a turn pass only with tokens reserved, and settles what it used. */
 export class BudgetFilter implements Filter<CallContext> {
-    constructor(private readonly budgets: Budgets) {}
+    constructor(private readonly budgets: TokenReserver) {}
 
     async handle(ctx: CallContext, next: () => Promise<void>): Promise<void> {
         const { program, prompt } = ctx.head;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,12 +6,14 @@
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
+import { ZoneBudgets } from "./budgets/zoneBudgets.js";
 import { EntryServer } from "./entry/entryServer.js";
 import { BodyFilter } from "./filters/bodyFilter.js";
 import { BudgetFilter } from "./filters/budgetFilter.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import { peerName } from "./peers/peerMessages.js";
 import type { PeerQuestion } from "./peers/peerMessages.js";
 import { Peers } from "./peers/peers.js";
 import { PeerServer } from "./peers/peerServer.js";
@@ -99,6 +101,7 @@
     private hasUpstreams = false;
     private stopping = false;
     private storeAwayUntil = -Infinity;
+    private readonly zoneBudgets: ZoneBudgets;
     private readonly writer: GroupWriter;
     private readonly archive: StoreArchive;
     private readonly configFollower: Follower;
@@ -134,6 +137,9 @@
         this.archive = new StoreArchive(store, this.writer, log);
         this.turns = new TurnStore(this.archive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
+        const address = (): string => peerName({ host: options.host, port: this.peerPort });
+        const keeper = { instance: options.instance, zone: options.zone, address };
+        this.zoneBudgets = new ZoneBudgets(keeper, this.budgets, this.peers, log);
         const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
@@ -166,6 +172,7 @@
     async drain(): Promise<void> {
         const startedAt = performance.now();
         this.stopping = true;
+        this.zoneBudgets.stop();
         this.log.info("stopping", { active: this.entry.active, connections: this.entry.connections });
         const elapsed = (): number => performance.now() - startedAt;
         const endsAt = this.options.graceMs - drainReserveMs;
@@ -206,9 +213,19 @@
     }
 
     private async answer(question: PeerQuestion, progress: Progress): Promise<unknown> {
-        return question.kind === "returnBudget" ?
-            await this.budgets.returnFor(question.program, progress) :
-            await answerStoreQuestion(this.options.store, question, progress);
+        switch (question.kind) {
+            case "returnBudget":
+                return await this.budgets.returnFor(question.program, progress);
+            case "reserveTokens":
+                return await this.zoneBudgets.lend(question, progress);
+            case "settleTokens":
+                return await this.zoneBudgets.settleLent(question);
+            case "get":
+            case "range":
+            case "changes":
+            case "txn":
+                return await answerStoreQuestion(this.options.store, question, progress);
+        }
     }
 
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
@@ -224,7 +241,7 @@
         });
         const maxBytes = (): number => this.table?.config.limits.maxBodyBytes ?? initialBodyBytes;
         return new EntryServer({
-            filters: [new BodyFilter(maxBytes), new HistoryFilter(turns), new BudgetFilter(this.budgets), forward],
+            filters: [new BodyFilter(maxBytes), new HistoryFilter(turns), new BudgetFilter(this.zoneBudgets), forward],
             protocol,
             routes: () => this.table,
             isStopping: () => this.stopping,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 /** Serves plain HTTP calls of agent programs. */
 export * from "./budgets/budgetRecord.js";
 export * from "./budgets/budgets.js";
+export * from "./budgets/zoneBudgets.js";
 export * from "./call.js";
 export * from "./entry/statusServer.js";
 export * from "./gateway.js";
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -1,16 +1,20 @@
 /** Questions to one peer over a WebSocket connection, which is opened when it is first needed. */
-import type { Progress } from "@marigolddrift/common";
+import { Progress } from "@marigolddrift/common";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
 
+import { peerName } from "./peerMessages.js";
 import type { AnswerFrame, PeerAddress, PeerAnswers, PeerQuestion } from "./peerMessages.js";
 
 const handshakeTimeoutMs = 400;
 
-/** Time after a failure in which the peer is not tried again, in milliseconds. */
+/** Time after a first failure in which the peer is not tried again, in milliseconds; it doubles with each further one. */
 const pauseMs = 1_000;
 
+/** Longest such time, in milliseconds. */
+const maxPauseMs = 16_000;
+
 interface Pending {
     resolve(value: unknown): void;
     reject(err: Error): void;
@@ -23,13 +27,30 @@
     private socket: WebSocket | undefined;
     private opening: Promise<WebSocket> | undefined;
     private nextId = 1;
-    private failedAt = -Infinity;
+    private failures = 0;
+    private usableFrom = -Infinity;
 
     constructor(readonly address: PeerAddress, private readonly key: () => string | undefined) {}
 
     /** Whether the peer may be asked now. */
     get isUsable(): boolean {
-        return performance.now() - this.failedAt > pauseMs;
+        return performance.now() >= this.usableFrom;
+    }
+
+    /** Host and port, which stay the same when the peer restarts. */
+    get name(): string {
+        return peerName(this.address);
+    }
+
+    /** Tells the peer something that the teller does not wait for. */
+    async tell(question: PeerQuestion, timeoutMs: number): Promise<void> {
+        const progress = new Progress(timeoutMs);
+        try {
+            await this.ask(question, progress);
+        }
+        finally {
+            progress.dispose();
+        }
     }
 
     /** Asks the peer. @throws StoreError if it does not answer. */
@@ -42,7 +63,9 @@
             const socket = await progress.race(this.connect());
             const answer = new Promise<unknown>((resolve, reject) => this.pending.set(id, { resolve, reject }));
             socket.send(this.packr.pack({ id, leftMs: progress.leftMs, question }));
-            return await progress.race(answer) as PeerAnswers[K];
+            const value = await progress.race(answer) as PeerAnswers[K];
+            this.failures = 0;
+            return value;
         }
         catch (err) {
             if (progress.signal.aborted) {
@@ -61,10 +84,15 @@
 
     /** A connection that gave no answer may be dead without a reset; the next question opens a new one. */
     private onSilent(): void {
-        this.failedAt = performance.now();
+        this.onFailure();
         this.socket?.terminate();
     }
 
+    private onFailure(): void {
+        this.usableFrom = performance.now() + Math.min(maxPauseMs, pauseMs * 2 ** this.failures);
+        this.failures += 1;
+    }
+
     private connect(): Promise<WebSocket> {
         if (this.socket?.readyState === WebSocket.OPEN) {
             return Promise.resolve(this.socket);
@@ -87,7 +115,7 @@
             });
             socket.on("message", (data: Buffer) => this.onAnswer(this.packr.unpack(data) as AnswerFrame));
             socket.on("error", err => {
-                this.failedAt = performance.now();
+                this.onFailure();
                 reject(new StoreError("no", `peer ${this.address.instance} is not reachable`, err));
             });
             socket.on("close", () => this.onClosed(socket));
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -13,7 +13,17 @@
         readonly removals: readonly string[];
     }
     /** Return what is not in use of a program's budget. */
-    | { readonly kind: "returnBudget"; readonly program: string; };
+    | { readonly kind: "returnBudget"; readonly program: string; }
+    /** Reserve tokens of a program's budget for a turn of the asking instance. */
+    | {
+        readonly kind: "reserveTokens";
+        readonly reservation: string;
+        readonly program: string;
+        readonly total: number;
+        readonly needed: number;
+    }
+    /** The turn of a reservation has ended. */
+    | { readonly kind: "settleTokens"; readonly reservation: string; readonly spent: number; };
 
 /** Answers to {@link PeerQuestion}, by kind. */
 export interface PeerAnswers {
@@ -22,6 +32,9 @@
     changes: { readonly changes: readonly StoreChange[]; readonly revision: number; };
     txn: { readonly succeeded: boolean; readonly revision: number; readonly current?: readonly StoredValue[]; };
     returnBudget: boolean;
+    /** `elsewhere` if the asked instance does not keep budgets for others now. */
+    reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
+    settleTokens: boolean;
 }
 
 /** A question on the wire. */
@@ -47,3 +60,6 @@
     readonly zone: string;
     readonly region: string;
 }
+
+/** Host and port of a peer, which stay the same when it restarts. */
+export const peerName = ({ host, port }: Pick<PeerAddress, "host" | "port">): string => `${host}:${port}`;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -72,6 +72,11 @@
         return [...this.clients.values()].find(client => client.address.instance === instance);
     }
 
+    /** Peers of a zone that may be asked. */
+    usableIn(zone: string): PeerClient[] {
+        return [...this.clients.values()].filter(client => client.address.zone === zone && client.isUsable);
+    }
+
     /** A peer that may be asked, of the own region if there is one. */
     pick(random: () => number): PeerClient | undefined {
         const usable = [...this.clients.values()].filter(client => client.isUsable);
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -122,7 +122,7 @@
 /** Makes a peer's call to the store; never relayed further. */
 export const answerStoreQuestion = async (
     store: VersionedStore,
-    question: Exclude<PeerQuestion, { kind: "returnBudget"; }>,
+    question: Extract<PeerQuestion, { kind: "get" | "range" | "changes" | "txn"; }>,
     progress: Progress,
 ): Promise<unknown> => {
     switch (question.kind) {
