Keep turns on the disks of the store machines, and bring them to the platform's store in groups

Cause: each kept turn cost a call to the platform's store, and no turn could end while the store was away. A turn now ends once one more machine than may be lost has it on its disk, or the store has it; the first holder writes groups of up to 32 turns to the store within a second, the others only if they do not hear of it.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -123,12 +123,13 @@
     /** The answer's end tells the caller that the turn can be continued, so the turn is made durable before. */
     private async keepTurn(ctx: CallContext, answer: StreamedAnswer): Promise<void> {
         const { route, conversation } = ctx;
-        if (route.keepTurnsMs === 0 || ctx.head.program === undefined) {
+        const { program } = ctx.head;
+        if (route.keepTurnsMs === 0 || program === undefined) {
             return;
         }
         const startedAt = performance.now();
         const turn = createTurn(ctx.id, conversation?.last, ctx.body, answer.events.output());
-        await this.parts.turns.save(turn, route.keepTurnsMs, ctx.progress);
+        await this.parts.turns.save({ turn, program: program.id, keepMs: route.keepTurnsMs }, ctx.progress);
         ctx.trace.savedMs = Math.round(performance.now() - startedAt);
     }
 
--- a/packages/gateway/src/filters/historyFilter.ts
+++ b/packages/gateway/src/filters/historyFilter.ts
@@ -9,10 +9,13 @@
     constructor(private readonly turns: TurnStore) {}
 
     async handle(ctx: CallContext, next: () => Promise<void>): Promise<void> {
-        const last = ctx.head.program?.continuesTurn;
-        if (ctx.route.keepTurnsMs > 0 && last !== undefined) {
+        const { program } = ctx.head;
+        if (ctx.route.keepTurnsMs > 0 && program?.continuesTurn !== undefined) {
             const startedAt = performance.now();
-            ctx.conversation = await this.turns.conversation(last, ctx.progress);
+            ctx.conversation = await this.turns.conversation(
+                { id: program.continuesTurn, program: program.id },
+                ctx.progress,
+            );
             ctx.trace.historyMs = Math.round(performance.now() - startedAt);
         }
         await next();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,8 +13,9 @@
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import { JournalArchive } from "./journal/journalArchive.js";
 import { peerName } from "./peers/peerMessages.js";
-import type { PeerQuestion } from "./peers/peerMessages.js";
+import type { JournalQuestion, PeerQuestion } from "./peers/peerMessages.js";
 import { Peers } from "./peers/peers.js";
 import { PeerServer } from "./peers/peerServer.js";
 import { answerStoreQuestion, RelayStore } from "./peers/relayStore.js";
@@ -79,6 +80,8 @@
     readonly store: VersionedStore;
     readonly layout: StoreLayout;
     readonly protocol: CallProtocol;
+    /** Losses of machines with disks that must not lose a turn. */
+    readonly toleratedLosses: number;
     /** Longest time for which a silent connection to the store may go unnoticed, in milliseconds. */
     readonly storeSilenceMs: number;
     /** Time between the stop signal and the end, in milliseconds. */
@@ -135,7 +138,8 @@
         const pool = new UpstreamPool(self, this.upstreams);
         this.writer = new GroupWriter(store, gatherMs, log);
         this.archive = new StoreArchive(store, this.writer, log);
-        this.turns = new TurnStore(this.archive, log);
+        const journals = new JournalArchive(this.peers, this.archive, options, log);
+        this.turns = new TurnStore(journals, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
         const keeper = { instance: options.instance, zone: options.zone, address };
@@ -208,11 +212,12 @@
 
     private createPeers(): Peers {
         const { instance, zone, regionOf, host, machine } = this.options;
-        const self = () => ({ instance, host, zone, region: regionOf(zone), port: this.peerPort });
+        const region = regionOf(zone);
+        const self = () => ({ instance, host, zone, region, port: this.peerPort, keepsTurns: false });
         return new Peers(machine, self, this.store, this.log);
     }
 
-    private async answer(question: PeerQuestion, progress: Progress): Promise<unknown> {
+    private async answer(question: PeerQuestion | JournalQuestion, progress: Progress): Promise<unknown> {
         switch (question.kind) {
             case "returnBudget":
                 return await this.budgets.returnFor(question.program, progress);
@@ -225,6 +230,10 @@
             case "changes":
             case "txn":
                 return await answerStoreQuestion(this.options.store, question, progress);
+            case "keepTurn":
+            case "findTurn":
+            case "turnsFlushed":
+                throw new Error("this instance keeps no turns");
         }
     }
 
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -5,7 +5,7 @@
 import { WebSocket } from "ws";
 
 import { peerName } from "./peerMessages.js";
-import type { AnswerFrame, PeerAddress, PeerAnswers, PeerQuestion } from "./peerMessages.js";
+import type { AnswerFrame, JournalQuestion, PeerAddress, PeerAnswers, PeerQuestion } from "./peerMessages.js";
 
 const handshakeTimeoutMs = 400;
 
@@ -15,6 +15,8 @@
 /** Longest such time, in milliseconds. */
 const maxPauseMs = 16_000;
 
+type Question = PeerQuestion | JournalQuestion;
+
 interface Pending {
     resolve(value: unknown): void;
     reject(err: Error): void;
@@ -43,7 +45,7 @@
     }
 
     /** Tells the peer something that the teller does not wait for. */
-    async tell(question: PeerQuestion, timeoutMs: number): Promise<void> {
+    async tell(question: Question, timeoutMs: number): Promise<void> {
         const progress = new Progress(timeoutMs);
         try {
             await this.ask(question, progress);
@@ -54,8 +56,8 @@
     }
 
     /** Asks the peer. @throws StoreError if it does not answer. */
-    async ask<K extends PeerQuestion["kind"]>(
-        question: Extract<PeerQuestion, { kind: K; }>,
+    async ask<K extends Question["kind"]>(
+        question: Extract<Question, { kind: K; }>,
         progress: Progress,
     ): Promise<PeerAnswers[K]> {
         const id = this.nextId++;
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,6 +1,26 @@
 /** What instances ask each other. */
 import type { Compare, Put, StoreChange, StoredValue } from "@marigolddrift/store";
 
+/** A turn as it is handed to a machine that keeps it on its disk. */
+export interface JournalTurn {
+    readonly id: string;
+    /** The packed record. */
+    readonly record: Buffer;
+    /** Time for which the turn can be continued, in milliseconds. */
+    readonly keepMs: number;
+    /** Place of this copy among the copies; the first one goes to the store. */
+    readonly copy: number;
+    /** Names of the peers that got the copies. */
+    readonly holders: readonly string[];
+}
+
+/** What a journal says of a turn. */
+export interface JournalAnswer {
+    readonly record: Buffer | undefined;
+    /** Whether the journal has seen all that it acknowledged in the time for which turns are kept. */
+    readonly complete: boolean;
+}
+
 /** A question to a peer: calls to the store that it makes for an instance that cannot reach it, and budgets. */
 export type PeerQuestion =
     | { readonly kind: "get"; readonly key: string; }
@@ -25,7 +45,14 @@
     /** The turn of a reservation has ended. */
     | { readonly kind: "settleTokens"; readonly reservation: string; readonly spent: number; };
 
-/** Answers to {@link PeerQuestion}, by kind. */
+/** What instances ask machines that keep turns on their disks. */
+export type JournalQuestion =
+    | { readonly kind: "keepTurn"; readonly turn: JournalTurn; }
+    | { readonly kind: "findTurn"; readonly id: string; }
+    /** Another holder has brought these turns into the store. */
+    | { readonly kind: "turnsFlushed"; readonly ids: readonly string[]; };
+
+/** Answers to {@link PeerQuestion} and {@link JournalQuestion}, by kind. */
 export interface PeerAnswers {
     get: StoredValue | undefined;
     range: { readonly values: readonly StoredValue[]; readonly revision: number; };
@@ -35,13 +62,17 @@
     /** `elsewhere` if the asked instance does not keep budgets for others now. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
     settleTokens: boolean;
+    /** False if the machine takes no turns now. */
+    keepTurn: boolean;
+    findTurn: JournalAnswer;
+    turnsFlushed: boolean;
 }
 
 /** A question on the wire. */
 export interface QuestionFrame {
     readonly id: number;
     readonly leftMs: number;
-    readonly question: PeerQuestion;
+    readonly question: PeerQuestion | JournalQuestion;
 }
 
 /** An answer on the wire. */
@@ -59,6 +90,8 @@
     readonly port: number;
     readonly zone: string;
     readonly region: string;
+    /** Whether the machine keeps turns on its disk; others serve callers. */
+    readonly keepsTurns: boolean;
 }
 
 /** Host and port of a peer, which stay the same when it restarts. */
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -10,12 +10,12 @@
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 
-import type { AnswerFrame, PeerQuestion, QuestionFrame } from "./peerMessages.js";
+import type { AnswerFrame, JournalQuestion, PeerQuestion, QuestionFrame } from "./peerMessages.js";
 
 const maxFrameBytes = 4 * 1024 * 1024;
 
 /** Answers a question; what it throws becomes a failed answer. */
-export type AnswerFunction = (question: PeerQuestion, progress: Progress) => Promise<unknown>;
+export type AnswerFunction = (question: PeerQuestion | JournalQuestion, progress: Progress) => Promise<unknown>;
 
 /** The port for peers. */
 export class PeerServer {
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -26,6 +26,7 @@
     port: z.number(),
     zone: z.string(),
     region: z.string(),
+    keepsTurns: z.boolean().default(false),
 });
 
 const parseAddress = (value: Buffer): PeerAddress | undefined => {
@@ -52,6 +53,11 @@
         private readonly log: Logger,
     ) {}
 
+    /** Whether the list names this instance. */
+    get isRegistered(): boolean {
+        return this.registered;
+    }
+
     /** Key that proves that a peer can read the same store. */
     get key(): string | undefined {
         return this.sharedKey;
@@ -72,9 +78,31 @@
         return [...this.clients.values()].find(client => client.address.instance === instance);
     }
 
-    /** Peers of a zone that may be asked. */
+    /** Peers of a zone that serve callers and may be asked. */
     usableIn(zone: string): PeerClient[] {
-        return [...this.clients.values()].filter(client => client.address.zone === zone && client.isUsable);
+        return [...this.clients.values()].filter(({ address, isUsable }) =>
+            !address.keepsTurns && address.zone === zone && isUsable
+        );
+    }
+
+    /** All machines that keep turns. */
+    get journals(): PeerClient[] {
+        return [...this.clients.values()].filter(({ address }) => address.keepsTurns);
+    }
+
+    /** A peer by its host and port. */
+    named(name: string): PeerClient | undefined {
+        return [...this.clients.values()].find(client => client.name === name);
+    }
+
+    /** Resolves once the list is known to hold all machines that are registered now. */
+    async reload(progress: Progress): Promise<void> {
+        this.onMembers((await progress.race(this.store.range(membersPrefix, progress))).values);
+    }
+
+    /** Removes this instance from the list, so that nobody looks for it. */
+    async unregister(progress: Progress): Promise<void> {
+        await progress.race(this.store.txn([], [], progress, [`${membersPrefix}${this.machine}`]));
     }
 
     /** A peer that may be asked, of the own region if there is one. */
--- a/packages/gateway/src/turns/storeArchive.ts
+++ b/packages/gateway/src/turns/storeArchive.ts
@@ -1,12 +1,13 @@
 /** Keeps turns in the platform's store. */
-import { asError, ProblemError, Progress } from "@marigolddrift/common";
-import type { Logger } from "@marigolddrift/common";
+import { asError, ProblemError } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
 import type { GroupWriter } from "../state/groupWriter.js";
+import { RecordRemover } from "./recordRemover.js";
 import { packTurn, unpackTurn } from "./turnRecord.js";
 import type { TurnRecord } from "./turnRecord.js";
-import type { TurnArchive } from "./turnStore.js";
+import type { TurnArchive, TurnName, TurnToKeep } from "./turnStore.js";
 
 /** Time that one read may take, in milliseconds. */
 const readTimeoutMs = 600;
@@ -14,41 +15,31 @@
 /** Pause before a read is tried again, in milliseconds. */
 const retryMs = 50;
 
-/** Time beyond the promised one for which records stay, in milliseconds. */
-const keepSlackMs = 30_000;
-
-/** Period of the removal of old records, in milliseconds. */
-const removalMs = 10_000;
-
-/** Records that one call removes. */
-const removedAtOnce = 32;
-
 /** When a caller may ask again for a turn that could not be read, in seconds. */
 const retryAfterSeconds = 0.5;
 
-const turnKey = (id: string): string => `marigolddrift/turns/${encodeURIComponent(id)}`;
+/** Key of a turn in the store. */
+export const turnKey = (id: string): string => `marigolddrift/turns/${encodeURIComponent(id)}`;
 
-/** Writes each turn once; an instance removes what it has written when the time for it is over. */
+/** Writes each turn once. */
 export class StoreArchive implements TurnArchive {
-    private readonly written: { readonly key: string; readonly removeAt: number; }[] = [];
-    private readonly timer: NodeJS.Timeout;
+    private readonly remover: RecordRemover;
 
     constructor(
         private readonly store: VersionedStore,
         private readonly writer: GroupWriter,
         private readonly log: Logger,
     ) {
-        this.timer = setInterval(() => void this.removeOld(), removalMs);
-        this.timer.unref();
+        this.remover = new RecordRemover(store, log);
     }
 
-    async save(turn: TurnRecord, keepMs: number, progress: Progress): Promise<void> {
+    async save({ turn, keepMs }: TurnToKeep, progress: Progress): Promise<void> {
         const key = turnKey(turn.id);
         await this.writer.put({ key, expected: 0, value: packTurn(turn) }, progress);
-        this.written.push({ key, removeAt: performance.now() + keepMs + keepSlackMs });
+        this.remover.add(key, keepMs);
     }
 
-    async load(id: string, progress: Progress): Promise<TurnRecord | undefined> {
+    async load({ id }: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
         for (;;) {
             const attempt = progress.child(readTimeoutMs);
             try {
@@ -65,7 +56,7 @@
     }
 
     close(): void {
-        clearInterval(this.timer);
+        this.remover.close();
     }
 
     /** Reads are tried again for as long as the caller has time for an answer afterwards. */
@@ -79,25 +70,4 @@
         }
         await progress.sleep(retryMs);
     }
-
-    private async removeOld(): Promise<void> {
-        const now = performance.now();
-        while (this.written.length > 0 && this.written[0]!.removeAt < now) {
-            const keys = this.written.slice(0, removedAtOnce).filter(({ removeAt }) => removeAt < now).map(({ key }) =>
-                key
-            );
-            const progress = new Progress(readTimeoutMs);
-            try {
-                await progress.race(this.store.txn([], [], progress, keys));
-                this.written.splice(0, keys.length);
-            }
-            catch (err) {
-                this.log.warn("old turns not removed", { turns: keys.length, error: asError(err).message });
-                return;
-            }
-            finally {
-                progress.dispose();
-            }
-        }
-    }
 }
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -8,12 +8,26 @@
 /** Bytes of records that stay in memory. */
 const cacheBytes = 24 * 1024 * 1024;
 
+/** A turn, and the program whose turns are kept together. */
+export interface TurnName {
+    readonly id: string;
+    readonly program: string;
+}
+
+/** A turn that is to be kept. */
+export interface TurnToKeep {
+    readonly turn: TurnRecord;
+    readonly program: string;
+    /** Time for which it can be continued, in milliseconds. */
+    readonly keepMs: number;
+}
+
 /** Where turns are kept durably. */
 export interface TurnArchive {
     /** Resolves once the record survives all losses that the settings tolerate. */
-    save(turn: TurnRecord, keepMs: number, progress: Progress): Promise<void>;
+    save(kept: TurnToKeep, progress: Progress): Promise<void>;
     /** Resolves to undefined only if it is certain that there is no such turn. */
-    load(id: string, progress: Progress): Promise<TurnRecord | undefined>;
+    load(name: TurnName, progress: Progress): Promise<TurnRecord | undefined>;
 }
 
 /** The conversation that a turn continues. */
@@ -32,9 +46,9 @@
     constructor(private readonly archive: TurnArchive, private readonly log: Logger) {}
 
     /** Makes a turn durable. */
-    async save(turn: TurnRecord, keepMs: number, progress: Progress): Promise<void> {
-        await this.archive.save(turn, keepMs, progress);
-        this.remember(turn);
+    async save(kept: TurnToKeep, progress: Progress): Promise<void> {
+        await this.archive.save(kept, progress);
+        this.remember(kept.turn);
     }
 
     /**
@@ -42,16 +56,16 @@
      *
      * @throws ProblemError `unknown_turn` if it is certain that there is no such turn.
      */
-    async conversation(last: string, progress: Progress): Promise<Conversation> {
+    async conversation({ id: last, program }: TurnName, progress: Progress): Promise<Conversation> {
         const isCached = this.cache.has(last);
         const startedAt = performance.now();
-        const turn = await this.load(last, progress);
+        const turn = await this.load({ id: last, program }, progress);
         if (turn === undefined) {
             throw new ProblemError("unknown_turn", "notRun", "No turn with this id is kept.");
         }
         const tails = [turn.tail];
         for (let base = turn.base; base !== undefined;) {
-            const before: TurnRecord | undefined = await this.load(base, progress);
+            const before: TurnRecord | undefined = await this.load({ id: base, program }, progress);
             if (before === undefined) {
                 this.log.warn("conversation has a gap", { turn: last, missing: base });
                 throw new ProblemError("unknown_turn", "notRun", "A turn of the conversation is no longer kept.");
@@ -66,14 +80,15 @@
         return { last: turn, history: tails.length === 1 ? turn.tail : Buffer.concat(tails) };
     }
 
-    private async load(id: string, progress: Progress): Promise<TurnRecord | undefined> {
+    private async load(name: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
+        const { id } = name;
         const cached = this.cache.get(id);
         if (cached !== undefined) {
             this.cache.delete(id);
             this.cache.set(id, cached);
             return cached;
         }
-        const turn = await this.archive.load(id, progress);
+        const turn = await this.archive.load(name, progress);
         if (turn !== undefined) {
             this.remember(turn);
         }
--- /dev/null
+++ b/tests/gateway/journal.test.ts
@@ -0,0 +1,259 @@
+import { ProblemError, Progress, silentLogger } from "@marigolddrift/common";
+import { createTurn, DiskLog, JournalArchive, packTurn, RecordRemover, TurnJournal } from "@marigolddrift/gateway";
+import type { JournalQuestion, TurnArchive, TurnRecord, TurnToKeep } from "@marigolddrift/gateway";
+import { expect } from "earl";
+import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+
+import { FakeStore } from "../fakeStore.js";
+import { until } from "../platform/deployment.js";
+
+const withDir = async (test: (dir: string) => Promise<void>): Promise<void> => {
+    const dir = await mkdtemp(join(tmpdir(), "journal-"));
+    try {
+        await test(dir);
+    }
+    finally {
+        await rm(dir, { recursive: true });
+    }
+};
+
+const text = (payloads: readonly { payload: Buffer; }[]): string[] => payloads.map(({ payload }) => payload.toString());
+
+describe("disk log", () => {
+    it("should read back what was appended, over several processes", () =>
+        withDir(async dir => {
+            const first = new DiskLog(dir, silentLogger);
+            expect((await first.open()).isNew).toEqual(true);
+            await Promise.all(["a", "b"].map(payload => first.append(Buffer.from(payload))));
+            await first.close();
+            const second = new DiskLog(dir, silentLogger);
+            expect((await second.open()).isNew).toEqual(false);
+            await second.append(Buffer.from("c"));
+            await second.close();
+            expect(text((await new DiskLog(dir, silentLogger).open()).payloads)).toEqual(["a", "b", "c"]);
+        }));
+
+    it("should leave out a torn end, and whatever of it has other bytes", () =>
+        withDir(async dir => {
+            const log = new DiskLog(dir, silentLogger);
+            await log.open();
+            await log.append(Buffer.from("whole"));
+            await log.append(Buffer.from("torn later"));
+            await log.close();
+            const path = join(dir, (await readdir(dir)).find(name => name.endsWith(".log"))!);
+            const bytes = await readFile(path);
+            for (const torn of [bytes.subarray(0, -3), Buffer.concat([bytes.subarray(0, -3), Buffer.alloc(3)])]) {
+                await writeFile(path, torn);
+                expect(text((await new DiskLog(dir, silentLogger).open()).payloads)).toEqual(["whole"]);
+            }
+        }));
+});
+
+const turnOf = (id: string): TurnRecord => createTurn(id, undefined, Buffer.from(`${id} in `), Buffer.from("out\n"));
+const kept = (id: string): TurnToKeep => ({ turn: turnOf(id), program: "p", keepMs: 60_000 });
+
+class Machine {
+    readonly told: string[][] = [];
+    private readonly remover: RecordRemover;
+    readonly journal: TurnJournal;
+
+    constructor(dir: string, store: FakeStore) {
+        this.remover = new RecordRemover(store, silentLogger);
+        const tell = (_: string, ids: readonly string[]) => this.told.push([...ids]);
+        this.journal = new TurnJournal(new DiskLog(dir, silentLogger), store, this.remover, tell, silentLogger);
+    }
+
+    keep(id: string, copy: number): Promise<boolean> {
+        const record = packTurn(turnOf(id));
+        return this.journal.keep({ id, record, keepMs: 60_000, copy, holders: ["other:1"] });
+    }
+
+    async close(): Promise<void> {
+        this.remover.close();
+        await this.journal.close();
+    }
+}
+
+const withMachine = (test: (machine: Machine, store: FakeStore, dir: string) => Promise<void>): Promise<void> =>
+    withDir(async dir => {
+        const store = new FakeStore();
+        const machine = new Machine(dir, store);
+        await machine.journal.start(() => 0);
+        try {
+            await test(machine, store, dir);
+        }
+        finally {
+            await machine.close();
+        }
+    });
+
+describe("turn journal", () => {
+    it("should bring a burst of turns into the store with few calls, and tell the other holders", () =>
+        withMachine(async (machine, store) => {
+            await Promise.all(Array.from({ length: 100 }, (_, index) => machine.keep(`t${index}`, 0)));
+            expect(store.writes).toEqual(0);
+            await until(() => machine.journal.waiting === 0);
+            expect(store.writes).toSatisfy(calls => calls <= 5);
+            expect(machine.told.flat().length).toEqual(100);
+            expect(store.state.get("marigolddrift/turns/t99")?.value).toEqual(packTurn(turnOf("t99")));
+        }));
+
+    it("should write a later copy only if it hears nothing of the first", () =>
+        withMachine(async (machine, store) => {
+            await machine.keep("told", 1);
+            await machine.keep("untold", 1);
+            machine.journal.onPeerFlushed(["told"]);
+            await until(() => machine.journal.waiting === 0);
+            expect([store.state.get("marigolddrift/turns/told"), store.writes]).toEqual([undefined, 1]);
+            expect(machine.journal.find("told").record).not.toEqual(undefined);
+        }));
+
+    it("should keep turns while the store is away, also over a crash, and write them when it is back", () =>
+        withMachine(async (machine, store, dir) => {
+            store.fault = "down";
+            await machine.keep("t1", 0);
+            await machine.journal.close();
+            const restarted = new Machine(dir, store);
+            await restarted.journal.start(() => 0);
+            expect(restarted.journal.find("t1").record).toEqual(packTurn(turnOf("t1")));
+            store.fault = "none";
+            await until(() => restarted.journal.waiting === 0);
+            expect(store.state.get("marigolddrift/turns/t1")).not.toEqual(undefined);
+            await restarted.close();
+        }));
+
+    it("should take no turns once it is being emptied, and hold nothing that the store does not have", () =>
+        withMachine(async (machine, store) => {
+            await machine.keep("t1", 1);
+            const empty = machine.journal.empty();
+            expect(await machine.keep("t2", 0)).toEqual(false);
+            await empty;
+            expect([machine.journal.waiting, store.state.get("marigolddrift/turns/t1") !== undefined]).toEqual([
+                0,
+                true,
+            ]);
+        }));
+
+    it("should say that it may lack turns when its disk was empty after a start", () =>
+        withDir(async dir => {
+            const machine = new Machine(dir, new FakeStore());
+            await machine.journal.start(isNewDisk => isNewDisk ? 60_000 : 0);
+            expect(machine.journal.find("t1")).toEqual({ record: undefined, complete: false });
+            await machine.close();
+        }));
+});
+
+/** Machines that keep turns, without disks. */
+class Fleet {
+    readonly journals = ["a:1", "b:1", "c:1"].map(name => this.machine(name));
+    readonly records = new Map<string, Map<string, Buffer>>();
+    readonly silent = new Set<string>();
+    readonly incomplete = new Set<string>();
+    readonly stored = new Map<string, TurnRecord>();
+    storeIsAway = false;
+
+    readonly store: TurnArchive = {
+        save: async ({ turn }, progress) => {
+            if (this.storeIsAway) {
+                await progress.sleep(60_000);
+            }
+            this.stored.set(turn.id, turn);
+        },
+        load: async ({ id }) => {
+            if (this.storeIsAway) {
+                throw new ProblemError("not_durable", "notRun", "The store is away.");
+            }
+            return this.stored.get(id);
+        },
+    };
+
+    archive(): JournalArchive {
+        const peers = { journals: this.journals, reload: async () => {} } as never;
+        const placement = { zone: "z", regionOf: () => "r", toleratedLosses: 1 };
+        return new JournalArchive(peers, this.store, placement, silentLogger);
+    }
+
+    /** Machines that hold a turn. */
+    holders(id: string): string[] {
+        return [...this.records].filter(([, records]) => records.has(id)).map(([name]) => name);
+    }
+
+    private machine(name: string) {
+        return {
+            name,
+            isUsable: true,
+            address: { zone: "z" },
+            ask: (question: JournalQuestion, progress: Progress) => this.answer(name, question, progress),
+        };
+    }
+
+    private async answer(name: string, question: JournalQuestion, progress: Progress): Promise<unknown> {
+        if (this.silent.has(name)) {
+            await progress.sleep(60_000);
+        }
+        const records = this.records.get(name) ?? new Map<string, Buffer>();
+        this.records.set(name, records);
+        if (question.kind === "keepTurn") {
+            records.set(question.turn.id, question.turn.record);
+            return true;
+        }
+        return question.kind === "findTurn" ?
+            { record: records.get(question.id), complete: !this.incomplete.has(name) } :
+            true;
+    }
+}
+
+describe("journal archive", () => {
+    const load = (fleet: Fleet, id: string) => fleet.archive().load({ id, program: "p" }, new Progress(2_000));
+
+    it("should end turns and continue them while the store is away", async () => {
+        const fleet = new Fleet();
+        fleet.storeIsAway = true;
+        await fleet.archive().save(kept("t1"), new Progress(300));
+        expect(fleet.holders("t1").length).toEqual(2);
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+    });
+
+    it("should send a copy to another machine when one is silent", async () => {
+        const fleet = new Fleet();
+        fleet.storeIsAway = true;
+        await fleet.archive().save(kept("t0"), new Progress(300));
+        fleet.silent.add(fleet.holders("t0")[0]!);
+        await fleet.archive().save(kept("t1"), new Progress(300));
+        expect(fleet.holders("t1").length).toEqual(2);
+    });
+
+    it("should use the store when too few machines answer, and find the turn there", async () => {
+        const fleet = new Fleet();
+        fleet.silent.add("a:1").add("b:1");
+        await fleet.archive().save(kept("t1"), new Progress(1_000));
+        expect(fleet.stored.has("t1")).toEqual(true);
+        fleet.records.clear();
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+    });
+
+    it("should find a turn of which one copy is left", async () => {
+        const fleet = new Fleet();
+        await fleet.archive().save(kept("t1"), new Progress(300));
+        fleet.records.delete(fleet.holders("t1")[0]!);
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+    });
+
+    it("should rule a turn out only if all but the tolerated machines have answered for their whole time", async () => {
+        const fleet = new Fleet();
+        expect(await load(fleet, "t9")).toEqual(undefined);
+        fleet.incomplete.add("a:1");
+        expect(await load(fleet, "t9")).toEqual(undefined);
+        fleet.silent.add("b:1");
+        await expect(load(fleet, "t9")).toBeRejectedWith("Too few machines");
+    });
+
+    it("should not rule a turn out while the store is away", async () => {
+        const fleet = new Fleet();
+        fleet.storeIsAway = true;
+        await expect(load(fleet, "t9")).toBeRejectedWith("The store is away");
+    });
+});
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -138,6 +138,7 @@
 describe("turns", () => {
     const turn = (id: string, previous?: TurnRecord, bytes = 0): TurnRecord =>
         createTurn(id, previous, Buffer.from(`${id} in ${"x".repeat(bytes)}`), Buffer.from(`${id} out\n`));
+    const kept = (record: TurnRecord) => ({ turn: record, program: "p", keepMs: 60_000 });
     const createTurns = (store: FakeStore): TurnStore =>
         new TurnStore(new StoreArchive(store, new GroupWriter(store, 0, silentLogger), silentLogger), silentLogger);
 
@@ -146,9 +147,9 @@
         const progress = new Progress(3_000);
         const writing = createTurns(store);
         const first = turn("t1");
-        await writing.save(first, 60_000, progress);
-        await writing.save(turn("t2", first), 60_000, progress);
-        const { history } = await createTurns(store).conversation("t2", progress);
+        await writing.save(kept(first), progress);
+        await writing.save(kept(turn("t2", first)), progress);
+        const { history } = await createTurns(store).conversation({ id: "t2", program: "p" }, progress);
         expect(history.toString()).toEqual("t1 in t1 out\nt2 in t2 out\n");
         expect(store.reads).toEqual(1);
     });
@@ -160,24 +161,28 @@
         let last: TurnRecord | undefined;
         for (const id of ["t1", "t2", "t3", "t4"]) {
             last = turn(id, last, 20_000);
-            await writing.save(last, 60_000, progress);
+            await writing.save(kept(last), progress);
         }
         expect([last!.base, last!.tail.length < 45_000]).toEqual(["t2", true]);
-        const { history } = await createTurns(store).conversation("t4", progress);
+        const { history } = await createTurns(store).conversation({ id: "t4", program: "p" }, progress);
         expect(history.toString().match(/t\d in/g)).toEqual(["t1 in", "t2 in", "t3 in", "t4 in"]);
     });
 
     it("should try again while the store is away, and say that it does not know when time runs out", async () => {
         const store = new FakeStore();
-        await createTurns(store).save(turn("t1"), 60_000, new Progress(1_000));
+        await createTurns(store).save(kept(turn("t1")), new Progress(1_000));
         store.fault = "down";
         store.faultsLeft = 3;
-        expect((await createTurns(store).conversation("t1", new Progress(3_000))).last.id).toEqual("t1");
+        expect((await createTurns(store).conversation({ id: "t1", program: "p" }, new Progress(3_000))).last.id)
+            .toEqual("t1");
         store.faultsLeft = Infinity;
-        await expect(createTurns(store).conversation("t1", new Progress(1_500))).toBeRejectedWith("did not say");
+        await expect(createTurns(store).conversation({ id: "t1", program: "p" }, new Progress(1_500))).toBeRejectedWith(
+            "did not say",
+        );
     });
 
     it("should be certain that a turn does not exist only by the store's word", async () => {
-        await expect(createTurns(new FakeStore()).conversation("t9", new Progress(1_000))).toBeRejectedWith("No turn");
+        await expect(createTurns(new FakeStore()).conversation({ id: "t9", program: "p" }, new Progress(1_000)))
+            .toBeRejectedWith("No turn");
     });
 });
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -79,6 +79,7 @@
             store: new PlatformStore(door.address),
             layout: storeLayout,
             protocol: callHeaders,
+            toleratedLosses: 1,
             storeSilenceMs: 5_000,
             graceMs: 4_000,
             log: silentLogger,
