Find a peer that reaches the store while many are turned away, and do not take a slow way for a dead peer

Up to three peers are asked now, those without an answer are left out for 2 s, and while the store turns an instance away it asks peers first. A question that was answered another way ended the connection of the slower peer; only a silence of 150 ms up to the deadline does so now. A list of machines that could not be read was told as an internal error; it is 503 now.

--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -1,4 +1,6 @@
 /** The deadline and abort signal that every wait of a request receives. */
+import { setMaxListeners } from "node:events";
+
 import { ProblemError } from "./verdict.js";
 
 const maxTimerMs = 2_147_483_647;
@@ -26,6 +28,8 @@
     constructor(timeoutMs: number, parent?: AbortSignal) {
         this.endsAt = performance.now() + timeoutMs;
         this.signal = this.controller.signal;
+        // One request may wait for many answers at once, as when all machines are asked for a turn.
+        setMaxListeners(0, this.signal);
         this.parent = parent;
         this.timer = setTimeout(() => this.abort(deadlineError()), Math.min(this.leftMs, maxTimerMs));
         this.timer.unref();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -120,7 +120,7 @@
         const { log, layout } = options;
         const random = options.random ?? Math.random;
         this.log = log;
-        this.store = new RelayStore(options.store, () => this.peers.pick(random), log);
+        this.store = new RelayStore(options.store, except => this.peers.pick(random, except), log);
         const store = this.store;
         this.peers = this.createPeers();
         this.peerServer = new PeerServer(
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -85,7 +85,7 @@
         answers: ReadonlyMap<PeerClient, JournalAnswer>,
         progress: Progress,
     ): Promise<void> {
-        await this.peers.reload(progress);
+        await this.reload(id, progress);
         const unsure = this.peers.journals.filter(machine => answers.get(machine)?.complete !== true);
         if (unsure.length > this.placement.toleratedLosses) {
             this.log.info("turn not ruled out", { turn: id, unsure: unsure.map(({ name }) => name) });
@@ -93,6 +93,18 @@
         }
     }
 
+    /** Without the present list of machines nothing can be ruled out. */
+    private async reload(id: string, progress: Progress): Promise<void> {
+        try {
+            await this.peers.reload(progress);
+        }
+        catch (err) {
+            progress.check();
+            this.log.info("machines not listed", { turn: id, error: asError(err).message });
+            throw unsureError();
+        }
+    }
+
     private async ask(machine: PeerClient, { id }: TurnName, progress: Progress): Promise<JournalAnswer | undefined> {
         const asked = progress.child(askTimeoutMs);
         try {
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -46,7 +46,7 @@
 
     constructor(private readonly options: JournalServerOptions) {
         const { log, self } = options;
-        const store = new RelayStore(options.store, () => this.peers.pick(Math.random), log);
+        const store = new RelayStore(options.store, except => this.peers.pick(Math.random, except), log);
         const address = (): PeerAddress => ({ ...self, port: this.peerPort, keepsTurns: true });
         this.peers = new Peers(options.machine, address, store, log);
         this.server = new PeerServer(
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -1,5 +1,5 @@
 /** Questions to one peer over a WebSocket connection, which is opened when it is first needed. */
-import { Progress } from "@marigolddrift/common";
+import { ProblemError, Progress } from "@marigolddrift/common";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
@@ -15,6 +15,12 @@
 /** Longest such time, in milliseconds. */
 const maxPauseMs = 16_000;
 
+/** Time for which a peer that had no answer from the store is not asked for one again, in milliseconds. */
+const relayPauseMs = 2_000;
+
+/** Shortest unanswered wait that counts as a sign that the peer is gone, in milliseconds. */
+const silenceMs = 150;
+
 type Question = PeerQuestion | JournalQuestion;
 
 interface Pending {
@@ -22,6 +28,9 @@
     reject(err: Error): void;
 }
 
+/** Whether a wait ended by its deadline, and not because another way had answered. */
+const isDeadline = (reason: unknown): boolean => reason instanceof ProblemError && reason.code === "deadline_exceeded";
+
 /** A connection to one peer. */
 export class PeerClient {
     private readonly packr = new Packr({ useRecords: false });
@@ -31,6 +40,7 @@
     private nextId = 1;
     private failures = 0;
     private usableFrom = -Infinity;
+    private relaysFrom = -Infinity;
 
     constructor(readonly address: PeerAddress, private readonly key: () => string | undefined) {}
 
@@ -39,6 +49,16 @@
         return performance.now() >= this.usableFrom;
     }
 
+    /** Whether the peer may be asked to call the store: the store may turn it away as well. */
+    get mayRelay(): boolean {
+        return this.isUsable && performance.now() >= this.relaysFrom;
+    }
+
+    /** Notes that the peer had no answer from the store. */
+    onRelayFailed(): void {
+        this.relaysFrom = performance.now() + relayPauseMs;
+    }
+
     /** Host and port, which stay the same when the peer restarts. */
     get name(): string {
         return peerName(this.address);
@@ -61,6 +81,7 @@
         progress: Progress,
     ): Promise<PeerAnswers[K]> {
         const id = this.nextId++;
+        const startedAt = performance.now();
         try {
             const socket = await progress.race(this.connect());
             const answer = new Promise<unknown>((resolve, reject) => this.pending.set(id, { resolve, reject }));
@@ -70,7 +91,7 @@
             return value;
         }
         catch (err) {
-            if (progress.signal.aborted) {
+            if (isDeadline(progress.signal.reason) && performance.now() - startedAt >= silenceMs) {
                 this.onSilent();
             }
             throw err;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -106,8 +106,8 @@
     }
 
     /** A peer that may be asked, of the own region if there is one. */
-    pick(random: () => number): PeerClient | undefined {
-        const usable = [...this.clients.values()].filter(client => client.isUsable);
+    pick(random: () => number, except: ReadonlySet<PeerClient> = new Set()): PeerClient | undefined {
+        const usable = [...this.clients.values()].filter(client => client.mayRelay && !except.has(client));
         const near = usable.filter(client => client.address.region === this.self().region);
         const candidates = near.length > 0 ? near : usable;
         return candidates[Math.floor(random() * candidates.length)];
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -15,25 +15,28 @@
 import type { PeerClient } from "./peerClient.js";
 import type { PeerQuestion } from "./peerMessages.js";
 
-/** Time without an answer after which a peer is asked as well, in milliseconds. */
+/** Time without an answer after which another way is tried as well, in milliseconds. */
 const hedgeMs = 180;
 
-/** Time after a failure in which peers are asked at once, beside the direct call, in milliseconds. */
-const doubtMs = 2_000;
+/** Time after a failure in which calls go to peers first, in milliseconds; then one finds out whether the store answers. */
+const doubtMs = 1_000;
+
+/** Peers that are asked for one call at most: many of them may be turned away, too. */
+const maxPeers = 3;
 
 type DirectCall<T> = (own: Progress) => Promise<T>;
 type AskPeer = (peer: PeerClient, progress: Progress) => Promise<unknown>;
 
 /**
- * Makes each call directly; on an error, a long silence, or at once after a recent failure, a peer makes it as well. The
- * first answer counts. Writes may so be made twice, which their conditions and unique values allow.
+ * Makes each call directly, or through a peer while the store turns this instance away; another way is tried on an error and
+ * after a silence. The first answer counts. Writes may so be made twice, which their conditions and unique values allow.
  */
 export class RelayStore implements VersionedStore {
     private failedAt = -Infinity;
 
     constructor(
         private readonly direct: VersionedStore,
-        private readonly pick: () => PeerClient | undefined,
+        private readonly pick: (except: ReadonlySet<PeerClient>) => PeerClient | undefined,
         private readonly log: Logger,
     ) {}
 
@@ -68,39 +71,37 @@
     }
 
     private call<T>(direct: DirectCall<T>, viaPeer: AskPeer, silenceMs: number, progress: Progress): Promise<T> {
-        return new Promise<T>((resolve, reject) => {
-            // Ends the other way when one has answered: a call left alone on a silent connection would hold it for ever.
-            const own = progress.child(progress.leftMs);
-            let open = 1;
-            let asked = false;
-            const finish = (settle: () => void): void => {
-                clearTimeout(timer);
-                settle();
-                own.abort(new Error("the call was answered another way"));
-            };
-            const onError = (err: unknown): void => {
-                open -= 1;
-                if (isFinal(err) || open === 0) {
-                    finish(() => reject(err));
-                }
-            };
-            const askPeer = (): void => {
-                const peer = asked ? undefined : this.pick();
-                if (peer !== undefined && !own.signal.aborted) {
-                    asked = true;
-                    open += 1;
-                    viaPeer(peer, own).then(value => finish(() => resolve(value as T)), onError);
+        const asked = new Set<PeerClient>();
+        const askPeer = (own: Progress): Promise<T> | undefined => {
+            const peer = asked.size < maxPeers ? this.pick(asked) : undefined;
+            if (peer === undefined) {
+                return undefined;
+            }
+            asked.add(peer);
+            return viaPeer(peer, own).then(value => value as T, (err: unknown) => {
+                if (!own.signal.aborted) {
+                    peer.onRelayFailed();
                 }
-            };
-            const timer = setTimeout(askPeer, this.isDoubtful ? 0 : silenceMs);
-            own.race(direct(own)).then(value => finish(() => resolve(value)), (err: unknown) => {
+                throw err;
+            });
+        };
+        let isDirectOpen = true;
+        const askStore = (own: Progress): Promise<T> | undefined => {
+            if (!isDirectOpen) {
+                return undefined;
+            }
+            isDirectOpen = false;
+            return direct(own).catch((err: unknown) => {
                 if (!isFinal(err) && !own.signal.aborted) {
                     this.onDirectFailure(err);
-                    askPeer();
                 }
-                onError(err);
+                throw err;
             });
-        });
+        };
+        const next = this.isDoubtful ?
+            (own: Progress) => askPeer(own) ?? askStore(own) :
+            (own: Progress) => askStore(own) ?? askPeer(own);
+        return firstAnswer(next, silenceMs, progress);
     }
 
     private onDirectFailure(err: unknown): void {
@@ -111,6 +112,44 @@
     }
 }
 
+/** Tries one way after the other until one answers. */
+const firstAnswer = <T>(
+    next: (own: Progress) => Promise<T> | undefined,
+    silenceMs: number,
+    progress: Progress,
+): Promise<T> =>
+    new Promise<T>((resolve, reject) => {
+        // Ends the other ways when one has answered: a call left alone on a silent connection would hold it for ever.
+        const own = progress.child(progress.leftMs);
+        let open = 0;
+        let timer: NodeJS.Timeout | undefined;
+        const finish = (settle: () => void): void => {
+            clearTimeout(timer);
+            settle();
+            own.abort(new Error("the call was answered another way"));
+        };
+        const start = (): boolean => {
+            const way = own.signal.aborted ? undefined : next(own);
+            if (way === undefined) {
+                return false;
+            }
+            open += 1;
+            clearTimeout(timer);
+            timer = setTimeout(start, silenceMs);
+            own.race(way).then(value => finish(() => resolve(value)), onError);
+            return true;
+        };
+        const onError = (err: unknown): void => {
+            open -= 1;
+            if (isFinal(err) || (!start() && open === 0)) {
+                finish(() => reject(err));
+            }
+        };
+        if (!start()) {
+            finish(() => reject(progress.signal.reason));
+        }
+    });
+
 /** Answers that another way to the store would not change. */
 const isFinal = (err: unknown): boolean =>
     err instanceof HistoryGoneError || (err instanceof StoreRefusalError && !err.isBusy);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -107,7 +107,10 @@
 };
 
 describe("relay", () => {
-    const answering = { ask: async () => ({ key: "k", value: Buffer.from("via peer"), revision: 1 }) } as never;
+    const answering = {
+        ask: async () => ({ key: "k", value: Buffer.from("via peer"), revision: 1 }),
+        onRelayFailed: () => {},
+    } as never;
     const get = async (direct: Pick<VersionedStore, "get">): Promise<string | undefined> => {
         const relay = new RelayStore(direct as VersionedStore, () => answering, silentLogger);
         return (await relay.get("k", new Progress(2_000)))?.value.toString();
@@ -117,6 +120,31 @@
         expect(await get({ get: () => Promise.reject(new StoreError("no", "turned away")) })).toEqual("via peer");
     });
 
+    it("should find a peer that reaches the store while many are turned away", async () => {
+        let refused = 0;
+        const turnedAway = () => ({
+            ask: async () => {
+                refused += 1;
+                throw new StoreError("unknown", "turned away, too");
+            },
+            onRelayFailed: () => {},
+        });
+        const peers = [turnedAway(), turnedAway(), answering] as never[];
+        let calls = 0;
+        const direct = {
+            get: async () => {
+                calls += 1;
+                throw new StoreError("no", "turned away");
+            },
+        } as never;
+        const pick = (except: ReadonlySet<unknown>) => peers.find(peer => !except.has(peer));
+        const relay = new RelayStore(direct, pick, silentLogger);
+        const read = async () => (await relay.get("k", new Progress(500)))?.value.toString();
+        expect([await read(), refused, calls]).toEqual(["via peer", 2, 1]);
+        peers.splice(0, 2);
+        expect([await read(), calls]).toEqual(["via peer", 1]);
+    });
+
     it("should ask a peer when the direct call stays silent", async () => {
         expect(await get({ get: () => new Promise(() => {}) })).toEqual("via peer");
     });
