--- a/packages/gateway/src/budgets/zoneBudgets.ts
+++ b/packages/gateway/src/budgets/zoneBudgets.ts
@@ -17,6 +17,14 @@
 /** Time that the keeper may take to learn how a reservation ended, in milliseconds. */
 const settleTimeoutMs = 500;
 
+/** Time after which a reservation that nobody has settled is forgotten, and so stays spent, in milliseconds. */
+const forgetMs = 600_000;
+
+interface Lent {
+    readonly since: number;
+    readonly pending: Promise<Reservation>;
+}
+
 /** Who this instance is to its peers. */
 export interface KeeperSelf {
     readonly instance: string;
@@ -38,7 +46,7 @@
 export class ZoneBudgets implements TokenReserver {
     private nextReservation = 0;
     /** Reservations of other instances, by their names. */
-    private readonly lent = new Map<string, Promise<Reservation>>();
+    private readonly lent = new Map<string, Lent>();
     private stopping = false;
 
     constructor(
@@ -70,7 +78,8 @@
             return "elsewhere";
         }
         const pending = this.own.reserve(program, total, needed, progress);
-        this.lent.set(reservation, pending);
+        this.forgetOld();
+        this.lent.set(reservation, { since: performance.now(), pending });
         try {
             await pending;
             return "reserved";
@@ -83,13 +92,24 @@
 
     /** Ends a reservation of another instance. */
     async settleLent({ reservation, spent }: Extract<PeerQuestion, { kind: "settleTokens"; }>): Promise<boolean> {
-        const pending = this.lent.get(reservation);
+        const lent = this.lent.get(reservation);
         this.lent.delete(reservation);
-        const settled = await pending?.catch(() => undefined); // A reservation that failed holds nothing.
+        const settled = await lent?.pending.catch(() => undefined); // A reservation that failed holds nothing.
         settled?.settle(spent);
         return settled !== undefined;
     }
 
+    /** Instances that crash settle nothing. */
+    private forgetOld(): void {
+        const before = performance.now() - forgetMs;
+        for (const [reservation, { since }] of this.lent) {
+            if (since >= before) {
+                return;
+            }
+            this.lent.delete(reservation);
+        }
+    }
+
     private keeperOf(program: string): PeerClient | undefined {
         const own = this.self.address();
         const peers = new Map(this.peers.usableIn(this.self.zone).map(peer => [peer.name, peer]));
--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -29,6 +29,7 @@
 /** What a log holds when it is opened. */
 export interface LogContent {
     readonly payloads: readonly LoggedPayload[];
+    readonly segments: readonly Segment[];
     /** Whether the disk was empty. */
     readonly isNew: boolean;
 }
@@ -67,7 +68,7 @@
         if (isNew) {
             await this.markUsed();
         }
-        return { payloads: found, isNew };
+        return { payloads: found, segments, isNew };
     }
 
     /** Resolves with the segment once the payload is on the disk. */
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -54,6 +54,8 @@
     private readonly readable = new Map<string, Buffer>();
     private readableBytes = 0;
     private readonly bySegment = new Map<Segment, number>();
+    /** Turns that are being written, whose segment is not known yet. */
+    private appending = 0;
     private accepting = false;
     private completeFrom = Infinity;
     private flushing = false;
@@ -80,7 +82,8 @@
      * @param incompleteMs Time for which the journal may lack turns that an earlier disk of the machine had acknowledged.
      */
     async start(incompleteMs: (isNewDisk: boolean) => number): Promise<void> {
-        const { payloads, isNew } = await this.disk.open();
+        const { payloads, segments, isNew } = await this.disk.open();
+        segments.forEach(segment => this.bySegment.set(segment, 0));
         for (const { segment, payload } of payloads) {
             const entry = packr.unpack(payload) as LogEntry;
             if ("turn" in entry) {
@@ -90,6 +93,7 @@
                 entry.flushed.forEach(id => this.onFlushed(id));
             }
         }
+        this.dropUnneeded();
         this.completeFrom = performance.now() + incompleteMs(isNew);
         this.accepting = true;
         this.timer = setInterval(() => void this.flushDue(), tickMs);
@@ -103,7 +107,13 @@
             return false;
         }
         const entry: LogEntry = { turn };
-        this.remember(turn, await this.disk.append(packr.pack(entry)));
+        this.appending += 1;
+        try {
+            this.remember(turn, await this.disk.append(packr.pack(entry)));
+        }
+        finally {
+            this.appending -= 1;
+        }
         return true;
     }
 
@@ -127,6 +137,7 @@
     }
 
     async close(): Promise<void> {
+        this.accepting = false;
         clearInterval(this.timer);
         await this.disk.close();
     }
@@ -205,6 +216,7 @@
             return;
         }
         ids.forEach(id => this.onFlushed(id));
+        this.dropUnneeded();
         const entry: LogEntry = { flushed: ids };
         // Lost with the process, this note only means that the turns are written to the store once more.
         this.disk.append(packr.pack(entry)).catch((err: unknown) =>
@@ -220,17 +232,27 @@
         this.unflushed.delete(id);
         this.unflushedBytes -= turn.record.length;
         this.keepReadable(turn);
-        const left = this.bySegment.get(turn.segment)! - 1;
-        this.bySegment.set(turn.segment, left);
-        if (left === 0) {
-            void this.dropSegment(turn.segment);
+        this.bySegment.set(turn.segment, this.bySegment.get(turn.segment)! - 1);
+    }
+
+    /** Segments hold nothing of use once their turns are in the store; notes about others may be lost. */
+    private dropUnneeded(): void {
+        if (this.appending > 0) {
+            return;
+        }
+        for (const [segment, left] of this.bySegment) {
+            if (left === 0) {
+                void this.dropSegment(segment);
+            }
         }
     }
 
     private async dropSegment(segment: Segment): Promise<void> {
+        this.bySegment.delete(segment);
         try {
-            if (await this.disk.drop(segment)) {
-                this.bySegment.delete(segment);
+            if (!await this.disk.drop(segment)) {
+                // It is still being written.
+                this.bySegment.set(segment, this.bySegment.get(segment) ?? 0);
             }
         }
         catch (err) {
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -125,6 +125,22 @@
             await restarted.close();
         }));
 
+    it("should leave no segments on the disk that hold nothing of use", () =>
+        withMachine(async (machine, store, dir) => {
+            await machine.keep("t1", 0);
+            await until(() => machine.journal.waiting === 0);
+            await machine.journal.close();
+            const logs = async () => (await readdir(dir)).filter(name => name.endsWith(".log")).length;
+            for (let restart = 0; restart < 3; restart++) {
+                const restarted = new Machine(dir, store);
+                await restarted.journal.start(() => 0);
+                await restarted.keep(`r${restart}`, 0);
+                await until(() => restarted.journal.waiting === 0);
+                await restarted.close();
+            }
+            expect(await logs()).toEqual(1);
+        }));
+
     it("should take no turns once it is being emptied, and hold nothing that the store does not have", () =>
         withMachine(async (machine, store) => {
             await machine.keep("t1", 1);
