--- a/packages/gateway/src/state/follower.ts
+++ b/packages/gateway/src/state/follower.ts
@@ -7,6 +7,9 @@
 /** Time that the store may take beyond the wait, in milliseconds. */
 const slackMs = 1_000;
 
+/** Time that a snapshot may take, in milliseconds: a few pages of a slow store. */
+const snapshotMs = 1_500;
+
 /** Pause after changes, in milliseconds: those that come together, as at a start of the whole fleet, share an answer. */
 const gatherMs = 150;
 
@@ -72,7 +75,10 @@
     }
 
     private async step(): Promise<void> {
-        const progress = new Progress(this.waitMs + slackMs, this.stopped.signal);
+        // A store that may be back answers at once, so that its return is known.
+        const wait = this.isLost ? 0 : this.waitMs;
+        const timeoutMs = this.revision === undefined ? snapshotMs : wait + slackMs;
+        const progress = new Progress(timeoutMs, this.stopped.signal);
         try {
             if (this.revision === undefined) {
                 const snapshot = await progress.race(this.store.range(this.prefix, progress));
@@ -81,8 +87,6 @@
                 this.events.onSnapshot(snapshot.values);
                 return;
             }
-            // A store that may be back answers at once, so that its return is known.
-            const wait = this.isLost ? 0 : this.waitMs;
             const batch = await progress.race(this.store.changes(this.prefix, this.revision, wait, progress));
             this.onContact();
             this.revision = Math.max(this.revision, batch.revision);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -55,6 +55,33 @@
         follower.stop();
     });
 
+    it("should read the first snapshot soon although the first call stays silent, as after a power loss", async () => {
+        const store = new SilentStore();
+        store.silentCalls = 1;
+        const seen: string[] = [];
+        const startedAt = performance.now();
+        const follower = createFollower(store, seen);
+        await until(() => seen.includes("all "));
+        expect(performance.now() - startedAt < 2_000).toEqual(true);
+        follower.stop();
+    });
+
+    it("should see soon that a store is back which left a call silent meanwhile", async () => {
+        const store = new SilentStore();
+        const seen: string[] = [];
+        const follower = createFollower(store, seen);
+        await until(() => seen.length === 1);
+        store.fault = "down";
+        await write(store, "x/1", "one").catch(() => undefined);
+        await until(() => seen.includes("lost"));
+        store.silentCalls = 1;
+        const silentAt = performance.now();
+        store.fault = "none";
+        await until(() => seen.includes("regained"));
+        expect(performance.now() - silentAt < 2_000).toEqual(true);
+        follower.stop();
+    });
+
     it("should tell once that the store is lost, and once that it is back", async () => {
         const store = new FakeStore();
         const seen: string[] = [];
@@ -73,6 +100,28 @@
     });
 });
 
+/** Leaves some calls without an answer, as a store does that is cut off or comes back. */
+class SilentStore extends FakeStore {
+    silentCalls = 0;
+
+    override async range(prefix: string): ReturnType<FakeStore["range"]> {
+        await this.beSilent();
+        return await super.range(prefix);
+    }
+
+    override async changes(...args: Parameters<FakeStore["changes"]>): ReturnType<FakeStore["changes"]> {
+        await this.beSilent();
+        return await super.changes(...args);
+    }
+
+    private async beSilent(): Promise<void> {
+        if (this.silentCalls > 0) {
+            this.silentCalls -= 1;
+            await new Promise(() => {});
+        }
+    }
+}
+
 class ForgetfulStore extends FakeStore {
     isGone = false;
 
