--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -151,4 +151,23 @@
         retirement.stop();
         await store.close();
     });
+
+    it("should report no machine any more once it has stopped, although the store never took the report", async () => {
+        const store = new PlatformStore(standin.address);
+        let emptied = 0;
+        const empty = async (): Promise<void> => {
+            emptied += 1;
+            standin.fault = "down";
+        };
+        const retirement = new Retirement("store-2", store, empty, 5_000, silentLogger);
+        retirement.start();
+        standin.put("op/retire/store-2", { durationS: 5 });
+        await until(() => (store.calls["/api/kv-txn"] ?? 0) >= 2);
+        retirement.stop();
+        const calls = store.calls["/api/kv-txn"]!;
+        await new Promise(resolve => setTimeout(resolve, 800));
+        expect([store.calls["/api/kv-txn"], emptied]).toEqual([calls, 1]);
+        standin.fault = "none";
+        await store.close();
+    });
 });
--- a/tests/run.mjs
+++ b/tests/run.mjs
@@ -12,9 +12,10 @@
         line.slice(6).trim()
     ) :
     [];
-const run = args =>
-    spawnSync(process.execPath, ["--test", "--test-concurrency=4", ...args, ...files], { stdio: "inherit" }).status ??
-        1;
+/** Time for a test, and for a file of tests to end after them, in milliseconds: a hung one fails by its name. */
+const testTimeoutMs = 180_000;
+const options = ["--test", "--test-concurrency=4", `--test-timeout=${testTimeoutMs}`];
+const run = args => spawnSync(process.execPath, [...options, ...args, ...files], { stdio: "inherit" }).status ?? 1;
 const escape = text => text.replace(/[.*+?^${}()|[\]\\/]/g, "\\$&");
 
 if (red.length === 0) {
