Open connections to peers before calls need them, and take no stall of the own process for a silent peer

One silent machine made a turn ask nine others at once. Change: connections to the journals of the region and the fronts of the zone are opened one each 150 ms beforehand; a deadline is looked at after pending input; a peer that sends something is not silent, and a connection may take 2 s to open; a turn is looked for in stages (first holder, other holders, other machines, then the store, which also closes the gap of a turn that moves to the store between two answers).

--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -18,6 +18,7 @@
     /** Time of the monotonic clock, so that steps of the time of day move no deadline. */
     private readonly endsAt: number;
     private readonly timer: NodeJS.Timeout;
+    private lastLook: NodeJS.Immediate | undefined;
     private readonly parent: AbortSignal | undefined;
     private readonly onParentAbort = (): void => this.abort(this.parent?.reason);
 
@@ -31,7 +32,7 @@
         // One request may wait for many answers at once, as when all machines are asked for a turn.
         setMaxListeners(0, this.signal);
         this.parent = parent;
-        this.timer = setTimeout(() => this.abort(deadlineError()), Math.min(this.leftMs, maxTimerMs));
+        this.timer = setTimeout(() => this.onDeadline(), Math.min(this.leftMs, maxTimerMs));
         this.timer.unref();
         if (parent?.aborted) {
             this.abort(parent.reason);
@@ -52,9 +53,15 @@
         this.dispose();
     }
 
+    /** Timers run before input after a stall of the process: what has arrived in the meantime is read first. */
+    private onDeadline(): void {
+        this.lastLook = setImmediate(() => this.abort(deadlineError()));
+    }
+
     /** Releases the timer; call it once the work has ended. */
     dispose(): void {
         clearTimeout(this.timer);
+        clearImmediate(this.lastLook);
         this.parent?.removeEventListener("abort", this.onParentAbort);
     }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./journal/turnJournal.js";
 export * from "./peers/peerClient.js";
 export * from "./peers/peerMessages.js";
+export * from "./peers/peers.js";
 export * from "./peers/peerServer.js";
 export * from "./peers/relayStore.js";
 export * from "./protocol.js";
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -2,7 +2,7 @@
  * Keeps turns on the disks of more machines than may be lost at once, and in the platform's store when too few of them
  * answer. Load pattern: turns that end while the store is away, or at a rate at which a call for each would cost too much.
  */
-import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, delay, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 
 import type { PeerClient } from "../peers/peerClient.js";
@@ -18,6 +18,9 @@
 /** Time after which the turn goes to the store as well, in milliseconds. */
 const storeAfterMs = 250;
 
+/** Time after which the next machines are asked for a turn as well, in milliseconds: above a way within the region. */
+const stageMs = 60;
+
 /** Time that one machine may take, in milliseconds. */
 const askTimeoutMs = 400;
 
@@ -52,26 +55,22 @@
 
     async load(name: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
         const machines = this.ranked(name.program);
-        const first = machines.find(({ isUsable }) => isUsable);
+        const usable = machines.filter(({ isUsable }) => isUsable);
         const answers = new Map<PeerClient, JournalAnswer>();
-        const ask = async (machine: PeerClient): Promise<Buffer | undefined> => {
+        const lookup = (machine: PeerClient) => async (): Promise<TurnRecord | undefined> => {
             const answer = await this.ask(machine, name, progress);
             if (answer !== undefined) {
                 answers.set(machine, answer);
             }
-            return answer?.record;
+            return answer?.record && unpackTurn(answer.record);
         };
-        const record = first && await ask(first);
-        if (record !== undefined) {
-            return unpackTurn(record);
-        }
-        const others = machines.filter(machine => machine !== first && machine.isUsable).map(ask);
-        const found = await firstFound([
-            ...others.map(async other => {
-                const bytes = await other;
-                return bytes && unpackTurn(bytes);
-            }),
-            this.store.load(name, progress),
+        const copies = this.placement.toleratedLosses + 1;
+        const found = await findInStages([
+            usable.slice(0, 1).map(lookup),
+            usable.slice(1, copies).map(lookup),
+            usable.slice(copies).map(lookup),
+            // Turns move from the disks to the store, so that the store is asked after them.
+            [() => this.store.load(name, progress)],
         ]);
         if (found === undefined) {
             await this.checkCertain(name, answers, progress);
@@ -216,8 +215,31 @@
     }
 }
 
-/** The first value that is found; undefined if none of them is, and an error if one failed and none was found. */
-const firstFound = async <T>(lookups: readonly Promise<T | undefined>[]): Promise<T | undefined> => {
+type Lookup = () => Promise<TurnRecord | undefined>;
+
+/**
+ * The first record that is found; undefined if there is none, and an error if a lookup failed and no other found it. A stage
+ * begins when all lookups before it have ended without a record, or take long: asking all machines at once for each
+ * turn of a busy fleet would keep them from answering at all.
+ */
+const findInStages = async (stages: readonly (readonly Lookup[])[]): Promise<TurnRecord | undefined> => {
+    const begun: Promise<TurnRecord | undefined>[] = [];
+    for (const stage of stages) {
+        begun.push(...stage.map(lookup => lookup()));
+        const all = firstFound(begun);
+        const found = await (stage === stages.at(-1) ? all : Promise.race([
+            all.catch(() => undefined),
+            delay(stageMs),
+        ]));
+        if (found !== undefined) {
+            return found;
+        }
+    }
+    return undefined;
+};
+
+/** The first record that is found; undefined if none of them is, and an error if one failed and none was found. */
+const firstFound = async (lookups: readonly Promise<TurnRecord | undefined>[]): Promise<TurnRecord | undefined> => {
     const found = await Promise.any(lookups.map(async lookup => {
         const value = await lookup;
         if (value === undefined) {
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -7,7 +7,8 @@
 import { peerName } from "./peerMessages.js";
 import type { AnswerFrame, JournalQuestion, PeerAddress, PeerAnswers, PeerQuestion } from "./peerMessages.js";
 
-const handshakeTimeoutMs = 400;
+/** Time to open a connection, in milliseconds: a busy process is slow with it, and questions do not wait for all of it. */
+const handshakeTimeoutMs = 2_000;
 
 /** Time after a first failure in which the peer is not tried again, in milliseconds; it doubles with each further one. */
 const pauseMs = 1_000;
@@ -41,6 +42,8 @@
     private failures = 0;
     private usableFrom = -Infinity;
     private relaysFrom = -Infinity;
+    /** Time of the monotonic clock at which the peer last sent anything, in milliseconds. */
+    private lastFrameAt = -Infinity;
 
     constructor(readonly address: PeerAddress, private readonly key: () => string | undefined) {}
 
@@ -64,6 +67,22 @@
         return peerName(this.address);
     }
 
+    /** Opens the connection before a question needs it; a failure only keeps questions from the peer for a while. */
+    async prepare(): Promise<void> {
+        await this.connect().catch(() => {
+            // `onFailure` has noted it, and the next question that needs the peer says so in the log.
+        });
+    }
+
+    /** Whether a question would not have to open a connection. */
+    get isConnected(): boolean {
+        return this.socket?.readyState === WebSocket.OPEN;
+    }
+
+    get isOpening(): boolean {
+        return this.opening !== undefined;
+    }
+
     /** Tells the peer something that the teller does not wait for. */
     async tell(question: Question, timeoutMs: number): Promise<void> {
         const progress = new Progress(timeoutMs);
@@ -82,17 +101,19 @@
     ): Promise<PeerAnswers[K]> {
         const id = this.nextId++;
         const startedAt = performance.now();
+        let sentAt: number | undefined;
         try {
             const socket = await progress.race(this.connect());
             const answer = new Promise<unknown>((resolve, reject) => this.pending.set(id, { resolve, reject }));
             socket.send(this.packr.pack({ id, leftMs: progress.leftMs, question }));
+            sentAt = performance.now();
             const value = await progress.race(answer) as PeerAnswers[K];
             this.failures = 0;
             return value;
         }
         catch (err) {
-            if (isDeadline(progress.signal.reason) && performance.now() - startedAt >= silenceMs) {
-                this.onSilent();
+            if (isDeadline(progress.signal.reason) && performance.now() - (sentAt ?? startedAt) >= silenceMs) {
+                this.onSilent(sentAt);
             }
             throw err;
         }
@@ -105,10 +126,20 @@
         this.socket?.terminate();
     }
 
-    /** A connection that gave no answer may be dead without a reset; the next question opens a new one. */
-    private onSilent(): void {
-        this.onFailure();
-        this.socket?.terminate();
+    /**
+     * A connection that gave no answer may be dead without a reset; the next question opens a new one. A peer that has sent
+     * something else since the question is only slow, and a connection that is being opened may still become one.
+     *
+     * @param sentAt Time at which the question was sent; undefined if there was no connection yet.
+     */
+    private onSilent(sentAt: number | undefined): void {
+        if (sentAt === undefined) {
+            this.usableFrom = performance.now() + pauseMs;
+        }
+        else if (this.lastFrameAt < sentAt) {
+            this.onFailure();
+            this.socket?.terminate();
+        }
     }
 
     private onFailure(): void {
@@ -117,7 +148,7 @@
     }
 
     private connect(): Promise<WebSocket> {
-        if (this.socket?.readyState === WebSocket.OPEN) {
+        if (this.socket !== undefined && this.isConnected) {
             return Promise.resolve(this.socket);
         }
         this.opening ??= this.open().finally(() => this.opening = undefined);
@@ -134,6 +165,7 @@
         return new Promise((resolve, reject) => {
             socket.on("open", () => {
                 this.socket = socket;
+                this.usableFrom = -Infinity;
                 resolve(socket);
             });
             socket.on("message", (data: Buffer) => this.onAnswer(this.packr.unpack(data) as AnswerFrame));
@@ -146,6 +178,7 @@
     }
 
     private onAnswer(frame: AnswerFrame): void {
+        this.lastFrameAt = performance.now();
         const pending = this.pending.get(frame.id);
         if (frame.error === undefined) {
             pending?.resolve(frame.value);
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -20,6 +20,9 @@
 
 const callTimeoutMs = 1_000;
 
+/** Period at which one missing connection to a near peer is opened, in milliseconds: opening many at once stalls a small machine. */
+const prepareMs = 150;
+
 const addressSchema = z.object({
     instance: z.string(),
     host: z.string(),
@@ -45,6 +48,7 @@
     private registered = false;
     private stopped = false;
     private timer: NodeJS.Timeout | undefined;
+    private prepareTimer: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly machine: string,
@@ -65,11 +69,13 @@
 
     start(): void {
         void this.refresh();
+        this.prepareTimer = setInterval(() => this.prepareNext(), prepareMs);
     }
 
     stop(): void {
         this.stopped = true;
         clearTimeout(this.timer);
+        clearInterval(this.prepareTimer);
         this.clients.forEach(client => client.close());
     }
 
@@ -134,6 +140,20 @@
         }
     }
 
+    /** Opens the next missing connection that a call would otherwise wait for. */
+    private prepareNext(): void {
+        const next = [...this.clients.values()].find(client =>
+            this.isNear(client.address) && client.isUsable && !client.isConnected && !client.isOpening
+        );
+        void next?.prepare();
+    }
+
+    /** Peers that most calls need: the journals of the region, and those that may keep budgets in the zone. */
+    private isNear({ keepsTurns, zone, region }: PeerAddress): boolean {
+        const self = this.self();
+        return keepsTurns ? region === self.region : !self.keepsTurns && zone === self.zone;
+    }
+
     /** Reads the shared key, or writes a new one; of several writers one wins. */
     private async loadKey(progress: Progress): Promise<string | undefined> {
         const stored = await this.store.get(keyName, progress);
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -170,6 +170,9 @@
     readonly incomplete = new Set<string>();
     readonly stored = new Map<string, TurnRecord>();
     storeIsAway = false;
+    asked = 0;
+    onAsked: () => void = () => {};
+    onStoreAsked: () => void = () => {};
 
     readonly store: TurnArchive = {
         save: async ({ turn }, progress) => {
@@ -179,6 +182,7 @@
             this.stored.set(turn.id, turn);
         },
         load: async ({ id }) => {
+            this.onStoreAsked();
             if (this.storeIsAway) {
                 throw new ProblemError("not_durable", "notRun", "The store is away.");
             }
@@ -207,6 +211,8 @@
     }
 
     private async answer(name: string, question: JournalQuestion, progress: Progress): Promise<unknown> {
+        this.asked += 1;
+        this.onAsked();
         if (this.silent.has(name)) {
             await progress.sleep(60_000);
         }
@@ -258,6 +264,26 @@
         expect((await load(fleet, "t1"))?.id).toEqual("t1");
     });
 
+    it("should find a turn soon although the first machine is silent, and ask no more machines than needed", async () => {
+        const fleet = new Fleet();
+        await fleet.archive().save(kept("t1"), new Progress(300));
+        fleet.silent.add(fleet.holders("t1")[0]!);
+        fleet.asked = 0;
+        const startedAt = performance.now();
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+        expect(performance.now() - startedAt).toSatisfy(ms => ms < 200);
+        expect(fleet.asked).toEqual(2);
+    });
+
+    it("should ask the store after the machines, since turns move from the disks to it", async () => {
+        const fleet = new Fleet();
+        const order: string[] = [];
+        fleet.onAsked = () => order.push("machine");
+        fleet.onStoreAsked = () => order.push("store");
+        expect(await load(fleet, "t9")).toEqual(undefined);
+        expect(order).toEqual(["machine", "machine", "machine", "store"]);
+    });
+
     it("should rule a turn out only if all but the tolerated machines have answered for their whole time", async () => {
         const fleet = new Fleet();
         expect(await load(fleet, "t9")).toEqual(undefined);
--- /dev/null
+++ b/tests/gateway/peers.test.ts
@@ -0,0 +1,56 @@
+import { silentLogger } from "@marigolddrift/common";
+import { Peers, PeerServer } from "@marigolddrift/gateway";
+import type { PeerAddress } from "@marigolddrift/gateway";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+import { FakeStore } from "../fakeStore.js";
+import { until } from "../platform/deployment.js";
+
+const address = (instance: string, zone: string, keepsTurns: boolean): PeerAddress => ({
+    instance,
+    host: "127.0.0.1",
+    port: 1,
+    zone,
+    region: zone.split("-")[0]!,
+    keepsTurns,
+});
+
+describe("peers", () => {
+    it("should open the connections that calls will need before a call needs them, one after the other", async () => {
+        const store = new FakeStore();
+        const others = [
+            address("journal-near", "north-b", true),
+            address("journal-far", "south-a", true),
+            address("front-near", "north-a", false),
+            address("front-far", "north-b", false),
+        ];
+        const key = { value: "" };
+        const servers = await Promise.all(others.map(async other => {
+            const server = new PeerServer(() => key.value, async () => true, silentLogger);
+            const port = await server.listen("127.0.0.1", 0);
+            store.state.beginRevision();
+            store.state.put(
+                `marigolddrift/members/${other.instance}`,
+                Buffer.from(JSON.stringify({ ...other, port })),
+                "0",
+            );
+            return server;
+        }));
+        const peers = new Peers("front", () => address("front", "north-a", false), store, silentLogger);
+        peers.start();
+        try {
+            await until(() => peers.key !== undefined);
+            key.value = peers.key!;
+            const connected = (): string[] =>
+                others.map(({ instance }) => instance).filter(instance => peers.get(instance)?.isConnected === true);
+            await until(() => connected().length === 2);
+            await new Promise(resolve => setTimeout(resolve, 500));
+            expect(connected()).toEqual(["journal-near", "front-near"]);
+        }
+        finally {
+            peers.stop();
+            servers.forEach(server => server.close());
+        }
+    });
+});
--- a/tests/limits/progress.test.ts
+++ b/tests/limits/progress.test.ts
@@ -1,5 +1,8 @@
 import { Progress } from "@marigolddrift/common";
 import { expect } from "earl";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
 import { describe, it } from "node:test";
 
 const turnOfTheLoop = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 0));
@@ -36,4 +39,22 @@
         }
         expect(unhandled).toEqual([]);
     });
+
+    it("should read what has arrived during a stall of the process before it gives up", async () => {
+        const server = createServer(socket => socket.end("in time"));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        // Neither must keep a failed test's process alive.
+        server.unref();
+        socket.unref();
+        const progress = new Progress(50);
+        const answer = new Promise<string>(resolve => socket.on("data", data => resolve(data.toString())));
+        await once(server, "connection");
+        const stalledUntil = performance.now() + 150;
+        while (performance.now() < stalledUntil) {
+            // The process is busy; the answer waits in its socket.
+        }
+        expect(await progress.race(answer)).toEqual("in time");
+        server.close();
+    });
 });
