Keep turns in the store at once, and find them through another front, when the machines with disks are out of reach

Each turn waited 90 to 400 ms for machines that could not answer, and a turn that was not in the store yet got 503 (390 of 585 such answers). Change: turns go only to machines whose connection is open (all fronts open theirs beforehand), otherwise to the store; a turn that is not found is also asked for through another front of the region. Machines that left the list are forgotten. One instance of each region, not of each zone, keeps a program's budget: 822 of 2588 programs came in through several zones, and 6400 of 14,700 calls to the store were for budgets. gatewayOptions.ts holds what gateway.ts declared for its callers.

--- a/packages/gateway/src/budgets/zoneBudgets.ts
+++ b/packages/gateway/src/budgets/regionBudgets.ts
@@ -1,6 +1,6 @@
 /**
- * Lets one instance of each availability zone keep a program's budget. Load pattern: the turns of one program come in through
- * several instances, each of which would take a portion of its own from the store's record.
+ * Lets one instance of each region keep a program's budget. Load pattern: the turns of one program come in through
+ * several instances and availability zones of a region, each of which would take a portion of its own from the store's record.
  */
 import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
@@ -28,7 +28,7 @@
 /** Who this instance is to its peers. */
 export interface KeeperSelf {
     readonly instance: string;
-    readonly zone: string;
+    readonly region: string;
     /** Host and port for peers, the same after a restart. */
     address(): string;
 }
@@ -43,7 +43,7 @@
  * Asks the keeper of a program for its tokens. Nothing depends on all instances naming the same keeper: each keeper spends
  * only what the store's record grants it.
  */
-export class ZoneBudgets implements TokenReserver {
+export class RegionBudgets implements TokenReserver {
     private nextReservation = 0;
     /** Reservations of other instances, by their names. */
     private readonly lent = new Map<string, Lent>();
@@ -52,7 +52,7 @@
     constructor(
         private readonly self: KeeperSelf,
         private readonly own: Budgets,
-        private readonly peers: Pick<Peers, "usableIn">,
+        private readonly peers: Pick<Peers, "usableInRegion">,
         private readonly log: Logger,
     ) {}
 
@@ -112,7 +112,7 @@
 
     private keeperOf(program: string): PeerClient | undefined {
         const own = this.self.address();
-        const peers = new Map(this.peers.usableIn(this.self.zone).map(peer => [peer.name, peer]));
+        const peers = new Map(this.peers.usableInRegion(this.self.region).map(peer => [peer.name, peer]));
         const [first] = rendezvous(program, [own, ...peers.keys()]);
         return peers.get(first!);
     }
--- a/packages/gateway/src/filters/budgetFilter.ts
+++ b/packages/gateway/src/filters/budgetFilter.ts
@@ -1,7 +1,7 @@
 /** Reserves a turn's tokens from its program's budget before the turn is sent. */
 import type { Filter } from "@marigolddrift/common";
 
-import type { TokenReserver } from "../budgets/zoneBudgets.js";
+import type { TokenReserver } from "../budgets/regionBudgets.js";
 import type { CallContext } from "./callContext.js";
 
 /** Lets a turn pass only with tokens reserved, and settles what it used. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,13 +6,14 @@
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
-import { ZoneBudgets } from "./budgets/zoneBudgets.js";
+import { RegionBudgets } from "./budgets/regionBudgets.js";
 import { EntryServer } from "./entry/entryServer.js";
 import { BodyFilter } from "./filters/bodyFilter.js";
 import { BudgetFilter } from "./filters/budgetFilter.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
+import type { GatewayOptions } from "./gatewayOptions.js";
 import { JournalArchive } from "./journal/journalArchive.js";
 import { peerName } from "./peers/peerMessages.js";
 import type { JournalQuestion, PeerQuestion } from "./peers/peerMessages.js";
@@ -21,12 +22,11 @@
 import { answerStoreQuestion, RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { PlacedCall } from "./placement.js";
-import type { CallProtocol } from "./protocol.js";
 import { RouteTable } from "./routes.js";
-import type { RoutingConfig } from "./routes.js";
 import { Follower } from "./state/follower.js";
 import { GroupWriter } from "./state/groupWriter.js";
 import { StoreArchive } from "./turns/storeArchive.js";
+import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
 import { Upstreams } from "./upstreams/upstreams.js";
@@ -55,41 +55,6 @@
 /** Time after an outage of the store for which removed entries may have lapsed only because of it, in milliseconds. */
 const lapseWindowMs = 5_000;
 
-/** Where the configuration and the upstreams stand in the store, and how they are written there. */
-export interface StoreLayout {
-    readonly configKey: string;
-    readonly upstreamsPrefix: string;
-    /** Returns undefined for what is not a valid configuration. */
-    decodeConfig(value: Buffer): RoutingConfig | undefined;
-    /** Returns undefined for what names no upstream to use. */
-    decodeUpstream(key: string, value: Buffer): UpstreamEntry | undefined;
-    upstreamId(key: string): string;
-}
-
-/** Settings of a gateway. */
-export interface GatewayOptions {
-    /** Unique to this process. */
-    readonly instance: string;
-    readonly zone: string;
-    readonly regionOf: (zone: string) => string;
-    readonly host: string;
-    readonly port: number;
-    /** Name of the machine, the same after a restart. */
-    readonly machine: string;
-    readonly peerPort: number;
-    readonly store: VersionedStore;
-    readonly layout: StoreLayout;
-    readonly protocol: CallProtocol;
-    /** Losses of machines with disks that must not lose a turn. */
-    readonly toleratedLosses: number;
-    /** Longest time for which a silent connection to the store may go unnoticed, in milliseconds. */
-    readonly storeSilenceMs: number;
-    /** Time between the stop signal and the end, in milliseconds. */
-    readonly graceMs: number;
-    readonly random?: () => number;
-    readonly log: Logger;
-}
-
 /** One serving instance. */
 export class Gateway {
     readonly metrics = new GatewayMetrics();
@@ -104,9 +69,10 @@
     private hasUpstreams = false;
     private stopping = false;
     private storeAwayUntil = -Infinity;
-    private readonly zoneBudgets: ZoneBudgets;
+    private readonly regionBudgets: RegionBudgets;
     private readonly writer: GroupWriter;
     private readonly archive: StoreArchive;
+    private readonly journals: JournalArchive;
     private readonly configFollower: Follower;
     private readonly upstreamFollower: Follower;
     private readonly dispatcher: Dispatcher<PlacedCall>;
@@ -120,7 +86,7 @@
         const { log, layout } = options;
         const random = options.random ?? Math.random;
         this.log = log;
-        this.store = new RelayStore(options.store, except => this.peers.pick(random, except), log);
+        this.store = new RelayStore(options.store, except => this.peers.pick(except), log);
         const store = this.store;
         this.peers = this.createPeers();
         this.peerServer = new PeerServer(
@@ -138,12 +104,12 @@
         const pool = new UpstreamPool(self, this.upstreams);
         this.writer = new GroupWriter(store, gatherMs, log);
         this.archive = new StoreArchive(store, this.writer, log);
-        const journals = new JournalArchive(this.peers, this.archive, options, log);
-        this.turns = new TurnStore(journals, log);
+        this.journals = new JournalArchive(this.peers, this.archive, options, log);
+        this.turns = new TurnStore(this.journals, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
-        const keeper = { instance: options.instance, zone: options.zone, address };
-        this.zoneBudgets = new ZoneBudgets(keeper, this.budgets, this.peers, log);
+        const keeper = { instance: options.instance, region: options.regionOf(options.zone), address };
+        this.regionBudgets = new RegionBudgets(keeper, this.budgets, this.peers, log);
         const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
@@ -176,7 +142,7 @@
     async drain(): Promise<void> {
         const startedAt = performance.now();
         this.stopping = true;
-        this.zoneBudgets.stop();
+        this.regionBudgets.stop();
         this.log.info("stopping", { active: this.entry.active, connections: this.entry.connections });
         const elapsed = (): number => performance.now() - startedAt;
         const endsAt = this.options.graceMs - drainReserveMs;
@@ -221,10 +187,14 @@
         switch (question.kind) {
             case "returnBudget":
                 return await this.budgets.returnFor(question.program, progress);
+            case "loadTurn": {
+                const turn = await this.journals.loadForPeer(question, progress);
+                return turn && packTurn(turn);
+            }
             case "reserveTokens":
-                return await this.zoneBudgets.lend(question, progress);
+                return await this.regionBudgets.lend(question, progress);
             case "settleTokens":
-                return await this.zoneBudgets.settleLent(question);
+                return await this.regionBudgets.settleLent(question);
             case "get":
             case "range":
             case "changes":
@@ -250,7 +220,12 @@
         });
         const maxBytes = (): number => this.table?.config.limits.maxBodyBytes ?? initialBodyBytes;
         return new EntryServer({
-            filters: [new BodyFilter(maxBytes), new HistoryFilter(turns), new BudgetFilter(this.zoneBudgets), forward],
+            filters: [
+                new BodyFilter(maxBytes),
+                new HistoryFilter(turns),
+                new BudgetFilter(this.regionBudgets),
+                forward,
+            ],
             protocol,
             routes: () => this.table,
             isStopping: () => this.stopping,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,10 +1,11 @@
 /** Serves plain HTTP calls of agent programs. */
 export * from "./budgets/budgetRecord.js";
 export * from "./budgets/budgets.js";
-export * from "./budgets/zoneBudgets.js";
+export * from "./budgets/regionBudgets.js";
 export * from "./call.js";
 export * from "./entry/statusServer.js";
 export * from "./gateway.js";
+export * from "./gatewayOptions.js";
 export * from "./journal/diskLog.js";
 export * from "./journal/journalArchive.js";
 export * from "./journal/journalServer.js";
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -37,14 +37,14 @@
 /** Copies on disks first, the store as the other way. */
 export class JournalArchive implements TurnArchive {
     constructor(
-        private readonly peers: Pick<Peers, "journals" | "reload">,
+        private readonly peers: Pick<Peers, "journals" | "reload" | "pickFront">,
         private readonly store: TurnArchive,
         private readonly placement: JournalPlacement,
         private readonly log: Logger,
     ) {}
 
     async save(kept: TurnToKeep, progress: Progress): Promise<void> {
-        const machines = this.ranked(kept.program).filter(({ isUsable }) => isUsable);
+        const machines = this.ranked(kept.program).filter(inReach);
         const copies = this.placement.toleratedLosses + 1;
         if (machines.length < copies) {
             await this.store.save(kept, progress);
@@ -54,9 +54,28 @@
     }
 
     async load(name: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
-        const machines = this.ranked(name.program);
-        const usable = machines.filter(({ isUsable }) => isUsable);
         const answers = new Map<PeerClient, JournalAnswer>();
+        const found = await this.find(name, answers, progress, () => this.askFront(name, progress));
+        if (found === undefined) {
+            await this.checkCertain(name, answers, progress);
+        }
+        return found;
+    }
+
+    /** Looks for a turn for an instance that does not reach the machines itself; undefined says nothing. */
+    async loadForPeer(name: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
+        return await this.find(name, new Map(), progress, async () => undefined);
+    }
+
+    private async find(
+        name: TurnName,
+        answers: Map<PeerClient, JournalAnswer>,
+        progress: Progress,
+        askFront: Lookup,
+    ): Promise<TurnRecord | undefined> {
+        const machines = this.ranked(name.program);
+        const reached = machines.filter(inReach);
+        const others = machines.filter(machine => !reached.includes(machine) && machine.isUsable);
         const lookup = (machine: PeerClient) => async (): Promise<TurnRecord | undefined> => {
             const answer = await this.ask(machine, name, progress);
             if (answer !== undefined) {
@@ -64,18 +83,38 @@
             }
             return answer?.record && unpackTurn(answer.record);
         };
+        const loadStored = (): Promise<TurnRecord | undefined> => this.store.load(name, progress);
         const copies = this.placement.toleratedLosses + 1;
-        const found = await findInStages([
-            usable.slice(0, 1).map(lookup),
-            usable.slice(1, copies).map(lookup),
-            usable.slice(copies).map(lookup),
-            // Turns move from the disks to the store, so that the store is asked after them.
-            [() => this.store.load(name, progress)],
+        return await findInStages([
+            reached.slice(0, 1).map(lookup),
+            reached.slice(1, copies).map(lookup),
+            [
+                ...reached.slice(copies).map(lookup),
+                ...others.map(lookup),
+                loadStored,
+                ...(reached.length < copies ? [askFront] : []),
+            ],
+            // Turns move from the disks to the store: what was not found is looked for there once more.
+            [loadStored],
         ]);
-        if (found === undefined) {
-            await this.checkCertain(name, answers, progress);
+    }
+
+    /** A front that is cut off from the machines with disks asks one that may reach them. */
+    private async askFront({ id, program }: TurnName, progress: Progress): Promise<TurnRecord | undefined> {
+        const front = this.peers.pickFront();
+        const asked = progress.child(askTimeoutMs);
+        try {
+            const record = await front?.ask({ kind: "loadTurn", id, program }, asked);
+            return record && unpackTurn(record);
+        }
+        catch (err) {
+            progress.check();
+            this.log.info("front did not find the turn", { turn: id, peer: front?.name, error: asError(err).message });
+            return undefined;
+        }
+        finally {
+            asked.dispose();
         }
-        return found;
     }
 
     /** Each turn was on more disks than may be lost, so that all but those must have answered that they do not have it. */
@@ -129,6 +168,9 @@
     }
 }
 
+/** Machines whose connection is open; the others are connected to in the background, which no turn waits for. */
+const inReach = ({ isUsable, isConnected }: PeerClient): boolean => isUsable && isConnected;
+
 /** One turn on its way to its copies. */
 class CopyRound {
     private acknowledged = 0;
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -46,7 +46,7 @@
 
     constructor(private readonly options: JournalServerOptions) {
         const { log, self } = options;
-        const store = new RelayStore(options.store, except => this.peers.pick(Math.random, except), log);
+        const store = new RelayStore(options.store, except => this.peers.pick(except), log);
         const address = (): PeerAddress => ({ ...self, port: this.peerPort, keepsTurns: true });
         this.peers = new Peers(options.machine, address, store, log);
         this.server = new PeerServer(
@@ -106,10 +106,11 @@
             case "changes":
             case "txn":
                 return await answerStoreQuestion(this.options.store, question, progress);
+            case "loadTurn":
             case "returnBudget":
             case "reserveTokens":
             case "settleTokens":
-                throw new Error("this machine keeps no budgets");
+                throw new Error("this machine serves no callers");
         }
     }
 
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -32,6 +32,8 @@
         readonly puts: readonly Put[];
         readonly removals: readonly string[];
     }
+    /** Find a turn for an instance that does not reach the machines that keep turns. */
+    | { readonly kind: "loadTurn"; readonly id: string; readonly program: string; }
     /** Return what is not in use of a program's budget. */
     | { readonly kind: "returnBudget"; readonly program: string; }
     /** Reserve tokens of a program's budget for a turn of the asking instance. */
@@ -58,6 +60,8 @@
     range: { readonly values: readonly StoredValue[]; readonly revision: number; };
     changes: { readonly changes: readonly StoreChange[]; readonly revision: number; };
     txn: { readonly succeeded: boolean; readonly revision: number; readonly current?: readonly StoredValue[]; };
+    /** The packed record; a missing one does not say that there is no such turn. */
+    loadTurn: Buffer | undefined;
     returnBudget: boolean;
     /** `elsewhere` if the asked instance does not keep budgets for others now. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -55,6 +55,7 @@
         private readonly self: () => PeerAddress,
         private readonly store: VersionedStore,
         private readonly log: Logger,
+        private readonly random: () => number = Math.random,
     ) {}
 
     /** Whether the list names this instance. */
@@ -84,10 +85,10 @@
         return [...this.clients.values()].find(client => client.address.instance === instance);
     }
 
-    /** Peers of a zone that serve callers and may be asked. */
-    usableIn(zone: string): PeerClient[] {
+    /** Peers of a region that serve callers and may be asked. */
+    usableInRegion(region: string): PeerClient[] {
         return [...this.clients.values()].filter(({ address, isUsable }) =>
-            !address.keepsTurns && address.zone === zone && isUsable
+            !address.keepsTurns && address.region === region && isUsable
         );
     }
 
@@ -103,7 +104,9 @@
 
     /** Resolves once the list is known to hold all machines that are registered now. */
     async reload(progress: Progress): Promise<void> {
-        this.onMembers((await progress.race(this.store.range(membersPrefix, progress))).values);
+        const { values } = await progress.race(this.store.range(membersPrefix, progress));
+        this.onMembers(values);
+        this.forgetOthers(new Set(values.map(({ key }) => key)));
     }
 
     /** Removes this instance from the list, so that nobody looks for it. */
@@ -112,11 +115,17 @@
     }
 
     /** A peer that may be asked, of the own region if there is one. */
-    pick(random: () => number, except: ReadonlySet<PeerClient> = new Set()): PeerClient | undefined {
+    pick(except: ReadonlySet<PeerClient> = new Set()): PeerClient | undefined {
         const usable = [...this.clients.values()].filter(client => client.mayRelay && !except.has(client));
         const near = usable.filter(client => client.address.region === this.self().region);
         const candidates = near.length > 0 ? near : usable;
-        return candidates[Math.floor(random() * candidates.length)];
+        return candidates[Math.floor(this.random() * candidates.length)];
+    }
+
+    /** Another instance of the region that serves callers, and to which a connection is open. */
+    pickFront(): PeerClient | undefined {
+        const fronts = this.usableInRegion(this.self().region).filter(({ isConnected }) => isConnected);
+        return fronts[Math.floor(this.random() * fronts.length)];
     }
 
     /** Reads the list of instances now. */
@@ -143,15 +152,15 @@
     /** Opens the next missing connection that a call would otherwise wait for. */
     private prepareNext(): void {
         const next = [...this.clients.values()].find(client =>
-            this.isNear(client.address) && client.isUsable && !client.isConnected && !client.isOpening
+            this.isNeeded(client.address) && client.isUsable && !client.isConnected && !client.isOpening
         );
         void next?.prepare();
     }
 
-    /** Peers that most calls need: the journals of the region, and those that may keep budgets in the zone. */
-    private isNear({ keepsTurns, zone, region }: PeerAddress): boolean {
+    /** Peers that most calls need: journals, and instances of the region that may keep budgets. */
+    private isNeeded({ keepsTurns, region }: PeerAddress): boolean {
         const self = this.self();
-        return keepsTurns ? region === self.region : !self.keepsTurns && zone === self.zone;
+        return keepsTurns || (!self.keepsTurns && region === self.region);
     }
 
     /** Reads the shared key, or writes a new one; of several writers one wins. */
@@ -175,6 +184,17 @@
         this.log.info("registered", { machine: this.machine });
     }
 
+    /** Machines that were emptied have left the list. */
+    private forgetOthers(listed: ReadonlySet<string>): void {
+        for (const [key, client] of this.clients) {
+            if (!listed.has(key)) {
+                this.clients.delete(key);
+                client.close();
+                this.log.info("peer left", { peer: client.address.instance });
+            }
+        }
+    }
+
     private onMembers(values: readonly StoredValue[]): void {
         const own = this.self().instance;
         for (const { key, value } of values) {
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -173,6 +173,8 @@
     asked = 0;
     onAsked: () => void = () => {};
     onStoreAsked: () => void = () => {};
+    /** A front that reaches the machines. */
+    front: unknown = undefined;
 
     readonly store: TurnArchive = {
         save: async ({ turn }, progress) => {
@@ -191,7 +193,7 @@
     };
 
     archive(): JournalArchive {
-        const peers = { journals: this.journals, reload: async () => {} } as never;
+        const peers = { journals: this.journals, reload: async () => {}, pickFront: () => this.front } as never;
         const placement = { zone: "z", regionOf: () => "r", toleratedLosses: 1 };
         return new JournalArchive(peers, this.store, placement, silentLogger);
     }
@@ -205,6 +207,7 @@
         return {
             name,
             isUsable: true,
+            isConnected: true,
             address: { zone: "z" },
             ask: (question: JournalQuestion, progress: Progress) => this.answer(name, question, progress),
         };
@@ -281,7 +284,21 @@
         fleet.onAsked = () => order.push("machine");
         fleet.onStoreAsked = () => order.push("store");
         expect(await load(fleet, "t9")).toEqual(undefined);
-        expect(order).toEqual(["machine", "machine", "machine", "store"]);
+        expect(order).toEqual(["machine", "machine", "machine", "store", "store"]);
+    });
+
+    it("should find turns through another front, and keep them in the store, when cut off from the machines", async () => {
+        const fleet = new Fleet();
+        await fleet.archive().save(kept("t1"), new Progress(300));
+        const reaching = fleet.archive();
+        const found = await reaching.loadForPeer({ id: "t1", program: "p" }, new Progress(300));
+        fleet.front = { name: "front:1", ask: async () => packTurn(found!) };
+        fleet.journals.forEach(machine => Object.assign(machine, { isConnected: false, isUsable: false }));
+        const startedAt = performance.now();
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+        await fleet.archive().save(kept("t2"), new Progress(300));
+        expect(performance.now() - startedAt).toSatisfy(ms => ms < 100);
+        expect([fleet.holders("t2"), fleet.stored.has("t2")]).toEqual([[], true]);
     });
 
     it("should rule a turn out only if all but the tolerated machines have answered for their whole time", async () => {
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -22,8 +22,8 @@
         const others = [
             address("journal-near", "north-b", true),
             address("journal-far", "south-a", true),
-            address("front-near", "north-a", false),
-            address("front-far", "north-b", false),
+            address("front-near", "north-b", false),
+            address("front-far", "south-a", false),
         ];
         const key = { value: "" };
         const servers = await Promise.all(others.map(async other => {
@@ -44,9 +44,9 @@
             key.value = peers.key!;
             const connected = (): string[] =>
                 others.map(({ instance }) => instance).filter(instance => peers.get(instance)?.isConnected === true);
-            await until(() => connected().length === 2);
+            await until(() => connected().length === 3);
             await new Promise(resolve => setTimeout(resolve, 500));
-            expect(connected()).toEqual(["journal-near", "front-near"]);
+            expect(connected()).toEqual(["journal-near", "journal-far", "front-near"]);
         }
         finally {
             peers.stop();
--- a/tests/gateway/zoneBudgets.test.ts
+++ b/tests/gateway/regionBudgets.test.ts
@@ -1,5 +1,5 @@
 import { Progress, rendezvous, silentLogger } from "@marigolddrift/common";
-import { Budgets, GroupWriter, ZoneBudgets } from "@marigolddrift/gateway";
+import { Budgets, GroupWriter, RegionBudgets } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -7,7 +7,7 @@
 
 interface Member {
     readonly budgets: Budgets;
-    readonly zone: ZoneBudgets;
+    readonly region: RegionBudgets;
     /** Whether its peers reach it. */
     reachable: boolean;
 }
@@ -17,8 +17,8 @@
     readonly program: string;
 }
 
-/** Instances of one zone that call each other directly. */
-const createZone = (store: FakeStore, names: readonly string[]): Map<string, Member> => {
+/** Instances of one region that call each other directly. */
+const createRegion = (store: FakeStore, names: readonly string[]): Map<string, Member> => {
     const members = new Map<string, Member>();
     const answer = async (name: string, question: Question, progress: Progress): Promise<unknown> => {
         const member = members.get(name)!;
@@ -29,9 +29,9 @@
             case "returnBudget":
                 return await member.budgets.returnFor(question.program, progress);
             case "reserveTokens":
-                return await member.zone.lend(question as never, progress);
+                return await member.region.lend(question as never, progress);
             default:
-                return await member.zone.settleLent(question as never);
+                return await member.region.settleLent(question as never);
         }
     };
     const peer = (name: string) => ({
@@ -44,71 +44,71 @@
         const peers = {
             refresh: async () => {},
             get: (instance: string) => members.has(instance) ? peer(instance) : undefined,
-            usableIn: () => names.filter(other => other !== name).map(peer),
+            usableInRegion: () => names.filter(other => other !== name).map(peer),
         } as never;
         const budgets = new Budgets(name, new GroupWriter(store, 0, silentLogger), store, peers, silentLogger);
-        const self = { instance: name, zone: "z", address: () => name };
-        members.set(name, { budgets, zone: new ZoneBudgets(self, budgets, peers, silentLogger), reachable: true });
+        const self = { instance: name, region: "r", address: () => name };
+        members.set(name, { budgets, region: new RegionBudgets(self, budgets, peers, silentLogger), reachable: true });
     }
     return members;
 };
 
 const names = ["a", "b", "c", "d"];
-const close = (zone: Map<string, Member>): void => zone.forEach(({ budgets }) => budgets.close());
+const close = (region: Map<string, Member>): void => region.forEach(({ budgets }) => budgets.close());
 const total = 2_304;
 const needed = 288;
 
 const turn = async (member: Member, spent: number): Promise<void> => {
-    (await member.zone.reserve("p", total, needed, new Progress(5_000))).settle(spent);
+    (await member.region.reserve("p", total, needed, new Progress(5_000))).settle(spent);
     await new Promise(resolve => setTimeout(resolve, 1));
 };
 
-describe("budgets of a zone", () => {
+describe("budgets of a region", () => {
     it("should write the record once while the turns of a program come in through all instances", async () => {
         const store = new FakeStore();
-        const zone = createZone(store, names);
+        const region = createRegion(store, names);
         for (let index = 0; index < 8; index++) {
-            await turn(zone.get(names[index % names.length]!)!, 73);
+            await turn(region.get(names[index % names.length]!)!, 73);
         }
         expect(store.writes).toEqual(1);
-        close(zone);
+        close(region);
     });
 
     it("should refuse what the budget does not hold, through any instance", async () => {
         const store = new FakeStore();
-        const zone = createZone(store, names);
+        const region = createRegion(store, names);
         for (let spent = 0; spent + needed <= total; spent += needed) {
-            await turn(zone.get(names[spent % names.length]!)!, needed);
+            await turn(region.get(names[spent % names.length]!)!, needed);
         }
-        for (const member of zone.values()) {
+        for (const member of region.values()) {
             await expect(turn(member, 1)).toBeRejectedWith("spent");
         }
-        close(zone);
+        close(region);
     });
 
     it("should go on with portions of its own when the keeper is silent", async () => {
         const store = new FakeStore();
-        const zone = createZone(store, names);
+        const region = createRegion(store, names);
         const keeper = rendezvous("p", names)[0]!;
-        zone.get(keeper)!.reachable = false;
+        region.get(keeper)!.reachable = false;
         const other = names.find(name => name !== keeper)!;
-        await turn(zone.get(other)!, 73);
+        await turn(region.get(other)!, 73);
         expect(store.writes).toEqual(1);
-        close(zone);
+        close(region);
     });
 
     it("should let others keep their tokens once it stops, and give back what it holds", async () => {
         const store = new FakeStore();
-        const zone = createZone(store, names);
+        const region = createRegion(store, names);
         const keeper = rendezvous("p", names)[0]!;
         const other = names.find(name => name !== keeper)!;
-        await turn(zone.get(other)!, needed);
-        zone.get(keeper)!.zone.stop();
-        await zone.get(keeper)!.budgets.returnAll(new Progress(1_000));
+        await turn(region.get(other)!, needed);
+        region.get(keeper)!.region.stop();
+        await region.get(keeper)!.budgets.returnAll(new Progress(1_000));
         for (let spent = needed; spent + needed <= total; spent += needed) {
-            await turn(zone.get(other)!, needed);
+            await turn(region.get(other)!, needed);
         }
-        await expect(turn(zone.get(other)!, 1)).toBeRejectedWith("spent");
-        close(zone);
+        await expect(turn(region.get(other)!, 1)).toBeRejectedWith("spent");
+        close(region);
     });
 });
