Share the load of a region's instances, and sample the workers that hold a prompt

Each of 67 fronts knew its own one or two calls a worker only, and kept to the workers whose caches it knew. 186 callers left after 2 s without a first event, 115 of them at 6 engines. Ruled out: too few places (204 for 133 to 213 calls), waits in the front (99 in 100 under 16 ms). Change: each front reports its calls by worker five times a second to one front of its region, and gets the sum of the others; placement adds it to its own. A random sample is weighed also of the workers that hold the prompt, against herding. A worker gets half as many calls again as it has places; beyond that a call waits where it can still be ordered.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { StoreArchive } from "./turns/storeArchive.js";
 import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
+import { SharedLoad } from "./upstreams/sharedLoad.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
 import { Upstreams } from "./upstreams/upstreams.js";
 
@@ -71,6 +72,7 @@
     private storeAwayUntil = -Infinity;
     private readonly regionBudgets: RegionBudgets;
     private readonly writer: GroupWriter;
+    private readonly sharedLoad: SharedLoad;
     private readonly archive: StoreArchive;
     private readonly journals: JournalArchive;
     private readonly configFollower: Follower;
@@ -101,15 +103,16 @@
             maxConnections => Math.min(maxConnectionsPerUpstream, Math.floor(maxConnections / assumedInstances)),
             log,
         );
-        const pool = new UpstreamPool(self, this.upstreams);
+        const address = (): string => peerName({ host: options.host, port: this.peerPort });
+        const reporter = { instance: options.instance, region: self.region, address };
+        this.sharedLoad = new SharedLoad(reporter, this.peers, () => this.upstreams.ownLoad(), log);
+        const pool = new UpstreamPool(self, this.upstreams, upstream => this.sharedLoad.on(upstream));
         this.writer = new GroupWriter(store, gatherMs, log);
         this.archive = new StoreArchive(store, this.writer, log);
         this.journals = new JournalArchive(this.peers, this.archive, options, log);
         this.turns = new TurnStore(this.journals, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
-        const address = (): string => peerName({ host: options.host, port: this.peerPort });
-        const keeper = { instance: options.instance, region: options.regionOf(options.zone), address };
-        this.regionBudgets = new RegionBudgets(keeper, this.budgets, this.peers, log);
+        this.regionBudgets = new RegionBudgets(reporter, this.budgets, this.peers, log);
         const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
@@ -168,6 +171,7 @@
     close(): void {
         this.configFollower.stop();
         this.upstreamFollower.stop();
+        this.sharedLoad.close();
         this.peers.stop();
         this.peerServer.close();
         this.archive.close();
@@ -187,6 +191,8 @@
         switch (question.kind) {
             case "returnBudget":
                 return await this.budgets.returnFor(question.program, progress);
+            case "shareLoad":
+                return this.sharedLoad.onReport(question.instance, question.load);
             case "loadTurn": {
                 const turn = await this.journals.loadForPeer(question, progress);
                 return turn && packTurn(turn);
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,4 +1,5 @@
 /** What instances ask each other. */
+import type { WorkerLoad } from "@marigolddrift/policy";
 import type { Compare, Put, StoreChange, StoredValue } from "@marigolddrift/store";
 
 /** A turn as it is handed to a machine that keeps it on its disk. */
@@ -32,6 +33,8 @@
         readonly puts: readonly Put[];
         readonly removals: readonly string[];
     }
+    /** The asking instance's calls by upstream; the answer has those of all others that report to the same peer. */
+    | { readonly kind: "shareLoad"; readonly instance: string; readonly load: WorkerLoad; }
     /** Find a turn for an instance that does not reach the machines that keep turns. */
     | { readonly kind: "loadTurn"; readonly id: string; readonly program: string; }
     /** Return what is not in use of a program's budget. */
@@ -62,6 +65,7 @@
     txn: { readonly succeeded: boolean; readonly revision: number; readonly current?: readonly StoredValue[]; };
     /** The packed record; a missing one does not say that there is no such turn. */
     loadTurn: Buffer | undefined;
+    shareLoad: WorkerLoad;
     returnBudget: boolean;
     /** `elsewhere` if the asked instance does not keep budgets for others now. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -5,6 +5,7 @@
 
 import type { PromptPart } from "./call.js";
 import type { CallContext } from "./filters/callContext.js";
+import type { OthersLoad } from "./upstreams/sharedLoad.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
 
 /** Speed of an engine before anything was observed of it, in milliseconds. */
@@ -16,6 +17,9 @@
 /** Share of its longest output that a turn generates, where the caller does not say. */
 const expectedOutputShare = 0.3;
 
+/** Calls on an upstream at a time, as a share of its places. */
+const queueShare = 1.5;
+
 /** A call that waits for an upstream. */
 export interface PlacedCall extends DispatchRequest {
     readonly parts: readonly PromptPart[];
@@ -58,7 +62,11 @@
 export class UpstreamPool implements DispatchTarget<PlacedCall> {
     readonly prefixes = new PrefixView();
 
-    constructor(private readonly self: Geography, private readonly upstreams: Upstreams) {}
+    constructor(
+        private readonly self: Geography,
+        private readonly upstreams: Upstreams,
+        private readonly othersOn: (upstream: string) => OthersLoad,
+    ) {}
 
     /** Upstreams of the own region; others only if all of them are full or failed the call. */
     views(req: PlacedCall): WorkerView[] {
@@ -92,18 +100,20 @@
 
     private view(upstream: Upstream, req: PlacedCall): WorkerView {
         const { entry, inFlight } = upstream;
+        const others = this.othersOn(entry.id);
         return {
             worker: entry.id,
             zone: entry.zone,
             ownInFlight: inFlight,
-            reportedInFlight: 0,
+            reportedInFlight: others.calls,
             ownAtReport: 0,
-            reportAgeMs: 0,
+            reportAgeMs: others.ageMs,
             cachedTokens: this.prefixes.cachedTokens(entry.id, req.parts),
             exportedTokens: 0,
             slowdown: 1,
             roundTripMs: expectedRoundTripMs(this.self, { zone: entry.zone, region: this.self.regionOf(entry.zone) }),
-            maxInFlight: entry.slots,
+            // Some calls wait at the upstream, so that it never idles while the news of a free place is under way.
+            maxInFlight: entry.slots * queueShare,
             cost: costOf(upstream, req),
         };
     }
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -60,6 +60,12 @@
         return this.byId.size;
     }
 
+    /** Calls of this instance by upstream, without those that have none. */
+    ownLoad(): Record<string, number> {
+        const busy = [...this.byId.values()].filter(({ inFlight }) => inFlight > 0);
+        return Object.fromEntries(busy.map(({ entry, inFlight }) => [entry.id, inFlight]));
+    }
+
     /** Upstreams of a service that may get calls now. */
     usable(service: string): Upstream[] {
         const now = performance.now();
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -55,9 +55,12 @@
 /** Age at which a load report says nothing any more, in milliseconds. */
 const reportHorizonMs = 10_000;
 
-/** Number of random candidates weighed beside those that hold the program's history. */
+/** Random candidates of those that hold much of the prompt, and of the others. */
 const sampledCandidates = 3;
 
+/** Part of the longest cached prompt from which on a worker counts as holding much of it. */
+const cachedShare = 0.7;
+
 /** Calls that are probably on the worker now: this instance's own, and what others had there. */
 export const estimatedInFlight = (view: WorkerView): number => {
     const others = Math.max(0, view.reportedInFlight - view.ownAtReport);
@@ -91,8 +94,8 @@
 };
 
 /**
- * Places a call. Cached workers are always weighed; of the others only a random sample, so that many instances with the
- * same stale view do not choose the same worker.
+ * Places a call. Only random samples are weighed, of the workers that hold most of the prompt and of the others, so that many
+ * instances with the same stale view do not choose the same worker, as when a burst of new programs shares one prefix.
  *
  * @param random Yields numbers in [0, 1).
  * @example
@@ -120,15 +123,26 @@
     return rest.filter(score => score.open).sort(byTotalDelay)[0];
 };
 
+/** A random part of the workers with the most of the prompt in their caches, and of the others. */
 const sampleCandidates = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
-    const cached = views.filter(view => view.cachedTokens > 0 || view.exportedTokens > 0);
-    const others = views.filter(view => view.cachedTokens === 0 && view.exportedTokens === 0);
+    const held = views.map(heldTokens);
+    const most = Math.max(...held);
+    const isCached = (index: number): boolean => most > 0 && held[index]! >= most * cachedShare;
+    const cached = views.filter((_, index) => isCached(index));
+    const others = views.filter((_, index) => !isCached(index));
+    return [...sample(cached, random), ...sample(others, random)];
+};
+
+const heldTokens = ({ cachedTokens, exportedTokens }: WorkerView): number => cachedTokens + exportedTokens;
+
+const sample = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
+    const left = [...views];
     const sampled: WorkerView[] = [];
-    while (sampled.length < sampledCandidates && others.length > 0) {
-        const index = Math.floor(random() * others.length);
-        sampled.push(others[index]!);
-        others[index] = others.at(-1)!;
-        others.pop();
+    while (sampled.length < sampledCandidates && left.length > 0) {
+        const index = Math.floor(random() * left.length);
+        sampled.push(left[index]!);
+        left[index] = left.at(-1)!;
+        left.pop();
     }
-    return [...cached, ...sampled];
+    return sampled;
 };
