Follow the store through three instances of a region, and let others follow those

At 20.8 s 1648 routes are added; 34 fronts of that region each fetched the whole configuration over a link of 42 Mbit/s, with a second's patience, and began again. About 0.5 MB for each of 34 is 3.6 s of the whole link. Change: three instances of a region, named by rendezvous hashing, follow the store; all others wait for the changes at all three at once, so that one that is frozen or cut off delays nobody, and go to the store when none answers. Long changes are compressed between instances. The same way serves the entries of the workers.

--- a/bench/ranking.ts
+++ b/bench/ranking.ts
@@ -30,6 +30,7 @@
 };
 const benchNames: Readonly<Record<PlacementName, string>> = {
     expectedFinish: marigolddrift.name,
+    expectedFinishSampled: `${marigolddrift.name}, sampled`,
     roundRobin: "round robin",
     leastOutstanding: "least outstanding",
     consistentHashing: "consistent hashing",
--- a/packages/gateway/src/budgets/regionBudgets.ts
+++ b/packages/gateway/src/budgets/regionBudgets.ts
@@ -6,7 +6,7 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 
 import type { PeerClient } from "../peers/peerClient.js";
-import type { PeerAnswers, PeerQuestion } from "../peers/peerMessages.js";
+import type { PeerAnswers, PeerQuestion, PeerSelf } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import { notDurable } from "../state/groupWriter.js";
 import type { Budgets, Reservation } from "./budgets.js";
@@ -25,14 +25,6 @@
     readonly pending: Promise<Reservation>;
 }
 
-/** Who this instance is to its peers. */
-export interface KeeperSelf {
-    readonly instance: string;
-    readonly region: string;
-    /** Host and port for peers, the same after a restart. */
-    address(): string;
-}
-
 /** Reserves tokens for turns. */
 export interface TokenReserver {
     /** @throws ProblemError `budget_exhausted` if the budget does not hold them. */
@@ -50,7 +42,7 @@
     private stopping = false;
 
     constructor(
-        private readonly self: KeeperSelf,
+        private readonly self: PeerSelf,
         private readonly own: Budgets,
         private readonly peers: Pick<Peers, "usableInRegion">,
         private readonly log: Logger,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,15 +16,18 @@
 import type { GatewayOptions } from "./gatewayOptions.js";
 import { JournalArchive } from "./journal/journalArchive.js";
 import { peerName } from "./peers/peerMessages.js";
-import type { JournalQuestion, PeerQuestion } from "./peers/peerMessages.js";
+import type { JournalQuestion, PeerQuestion, PeerSelf } from "./peers/peerMessages.js";
 import { Peers } from "./peers/peers.js";
 import { PeerServer } from "./peers/peerServer.js";
 import { answerStoreQuestion, RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { PlacedCall } from "./placement.js";
 import { RouteTable } from "./routes.js";
+import { ChangeFeed } from "./state/changeFeed.js";
 import { Follower } from "./state/follower.js";
+import type { FollowerEvents } from "./state/follower.js";
 import { GroupWriter } from "./state/groupWriter.js";
+import { RegionReads } from "./state/regionReads.js";
 import { StoreArchive } from "./turns/storeArchive.js";
 import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
@@ -56,6 +59,12 @@
 /** Time after an outage of the store for which removed entries may have lapsed only because of it, in milliseconds. */
 const lapseWindowMs = 5_000;
 
+/** A part of the store that is followed, also for peers. */
+interface Followed {
+    readonly follower: Follower;
+    readonly reads: RegionReads;
+}
+
 /** One serving instance. */
 export class Gateway {
     readonly metrics = new GatewayMetrics();
@@ -75,8 +84,9 @@
     private readonly sharedLoad: SharedLoad;
     private readonly archive: StoreArchive;
     private readonly journals: JournalArchive;
-    private readonly configFollower: Follower;
-    private readonly upstreamFollower: Follower;
+    private readonly self: PeerSelf;
+    private readonly config: Followed;
+    private readonly upstreamEntries: Followed;
     private readonly dispatcher: Dispatcher<PlacedCall>;
     private readonly peers: Peers;
     private readonly peerServer: PeerServer;
@@ -104,23 +114,23 @@
             log,
         );
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
-        const reporter = { instance: options.instance, region: self.region, address };
-        this.sharedLoad = new SharedLoad(reporter, this.peers, () => this.upstreams.ownLoad(), log);
+        this.self = { instance: options.instance, region: self.region, address };
+        this.sharedLoad = new SharedLoad(this.self, this.peers, () => this.upstreams.ownLoad(), log);
         const pool = new UpstreamPool(self, this.upstreams, upstream => this.sharedLoad.on(upstream));
         this.writer = new GroupWriter(store, gatherMs, log);
         this.archive = new StoreArchive(store, this.writer, log);
         this.journals = new JournalArchive(this.peers, this.archive, options, log);
         this.turns = new TurnStore(this.journals, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
-        this.regionBudgets = new RegionBudgets(reporter, this.budgets, this.peers, log);
-        const policy = { place: createPlacement("expectedFinish"), order: nextCall, admission: true, random };
+        this.regionBudgets = new RegionBudgets(this.self, this.budgets, this.peers, log);
+        const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
-        this.configFollower = this.follow(layout.configKey, {
+        this.config = this.follow(layout.configKey, {
             onSnapshot: values => values.forEach(stored => this.onConfig(stored)),
             onChanges: changes => changes.forEach(change => change.kind === "put" && this.onConfig(change.stored)),
         });
-        this.upstreamFollower = this.follow(layout.upstreamsPrefix, {
+        this.upstreamEntries = this.follow(layout.upstreamsPrefix, {
             onSnapshot: values => this.onUpstreamSnapshot(values),
             onChanges: changes => changes.forEach(change => this.onUpstreamChange(change)),
         });
@@ -136,8 +146,8 @@
         const { host } = this.options;
         this.peerPort = await this.peerServer.listen(host, this.options.peerPort);
         this.peers.start();
-        this.configFollower.start();
-        this.upstreamFollower.start();
+        this.config.follower.start();
+        this.upstreamEntries.follower.start();
         this.port = await this.entry.listen(host, this.options.port);
     }
 
@@ -169,8 +179,8 @@
     }
 
     close(): void {
-        this.configFollower.stop();
-        this.upstreamFollower.stop();
+        this.config.follower.stop();
+        this.upstreamEntries.follower.stop();
         this.sharedLoad.close();
         this.peers.stop();
         this.peerServer.close();
@@ -191,6 +201,11 @@
         switch (question.kind) {
             case "returnBudget":
                 return await this.budgets.returnFor(question.program, progress);
+            case "followed": {
+                const { prefix, revision, waitMs } = question;
+                const { reads } = prefix === this.options.layout.configKey ? this.config : this.upstreamEntries;
+                return await reads.answer(prefix, revision, waitMs, progress);
+            }
             case "shareLoad":
                 return this.sharedLoad.onReport(question.instance, question.load);
             case "loadTurn": {
@@ -243,22 +258,17 @@
 
     private follow(
         prefix: string,
-        events: {
-            onSnapshot(values: readonly StoredValue[]): void;
-            onChanges(changes: readonly StoreChange[]): void;
-        },
-    ): Follower {
-        return new Follower(
-            this.store,
-            prefix,
-            {
-                ...events,
-                onLost: () => this.storeAwayUntil = Infinity,
-                onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
-            },
-            this.options.storeSilenceMs,
-            this.log,
-        );
+        events: Pick<FollowerEvents, "onSnapshot" | "onChanges">,
+    ): Followed {
+        const { storeSilenceMs } = this.options;
+        const feed = new ChangeFeed();
+        const reads = new RegionReads(this.self, this.store, this.peers, feed, this.log);
+        const outages = {
+            onLost: () => this.storeAwayUntil = Infinity,
+            onRegained: () => this.storeAwayUntil = performance.now() + lapseWindowMs,
+        };
+        const follower = new Follower(reads, prefix, { ...events, ...outages }, storeSilenceMs, this.log, feed);
+        return { follower, reads };
     }
 
     private get storeWasAway(): boolean {
@@ -320,7 +330,7 @@
         this.metrics.addGauge(
             "store_age_milliseconds",
             "Age of the view of the upstreams",
-            () => this.upstreamFollower.ageMs,
+            () => this.upstreamEntries.follower.ageMs,
         );
     }
 }
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -107,6 +107,7 @@
             case "txn":
                 return await answerStoreQuestion(this.options.store, question, progress);
             case "loadTurn":
+            case "followed":
             case "shareLoad":
             case "returnBudget":
             case "reserveTokens":
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,6 +1,23 @@
 /** What instances ask each other. */
 import type { WorkerLoad } from "@marigolddrift/policy";
 import type { Compare, Put, StoreChange, StoredValue } from "@marigolddrift/store";
+import { Packr } from "msgpackr";
+
+/** Changes that a peer has followed. */
+export interface FollowedBatch {
+    /** As {@link packChanges} makes them. */
+    readonly changes: Buffer;
+    readonly revision: number;
+    readonly isCompressed: boolean;
+}
+
+const packr = new Packr({ useRecords: false });
+
+/** Encodes changes of the store. */
+export const packChanges = (changes: readonly StoreChange[]): Buffer => packr.pack(changes);
+
+/** Decodes changes of the store. */
+export const unpackChanges = (bytes: Buffer): StoreChange[] => packr.unpack(bytes) as StoreChange[];
 
 /** A turn as it is handed to a machine that keeps it on its disk. */
 export interface JournalTurn {
@@ -33,6 +50,8 @@
         readonly puts: readonly Put[];
         readonly removals: readonly string[];
     }
+    /** Changes that the peer has followed itself, without a call to the store. */
+    | { readonly kind: "followed"; readonly prefix: string; readonly revision: number; readonly waitMs: number; }
     /** The asking instance's calls by upstream; the answer has those of all others that report to the same peer. */
     | { readonly kind: "shareLoad"; readonly instance: string; readonly load: WorkerLoad; }
     /** Find a turn for an instance that does not reach the machines that keep turns. */
@@ -65,6 +84,7 @@
     txn: { readonly succeeded: boolean; readonly revision: number; readonly current?: readonly StoredValue[]; };
     /** The packed record; a missing one does not say that there is no such turn. */
     loadTurn: Buffer | undefined;
+    followed: FollowedBatch;
     shareLoad: WorkerLoad;
     returnBudget: boolean;
     /** `elsewhere` if the asked instance does not keep budgets for others now. */
@@ -102,5 +122,13 @@
     readonly keepsTurns: boolean;
 }
 
+/** Who an instance is to the peers of its region. */
+export interface PeerSelf {
+    readonly instance: string;
+    readonly region: string;
+    /** Host and port for peers, the same after a restart. */
+    address(): string;
+}
+
 /** Host and port of a peer, which stay the same when it restarts. */
 export const peerName = ({ host, port }: Pick<PeerAddress, "host" | "port">): string => `${host}:${port}`;
--- a/packages/gateway/src/state/follower.ts
+++ b/packages/gateway/src/state/follower.ts
@@ -4,6 +4,8 @@
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
+import { ChangeFeed } from "./changeFeed.js";
+
 /** Time that the store may take beyond the wait, in milliseconds. */
 const slackMs = 1_000;
 
@@ -37,12 +39,14 @@
     private isLost = false;
 
     constructor(
-        private readonly store: VersionedStore,
+        private readonly store: Pick<VersionedStore, "range" | "changes">,
         private readonly prefix: string,
         private readonly events: FollowerEvents,
         /** Longest time for which a silent connection may go unnoticed, in milliseconds. */
         private readonly silenceMs: number,
         private readonly log: Logger,
+        /** Gets all that is seen, for peers. */
+        private readonly feed = new ChangeFeed(),
     ) {}
 
     /** Time for which one question for changes waits at the store, in milliseconds. */
@@ -84,12 +88,14 @@
                 const snapshot = await progress.race(this.store.range(this.prefix, progress));
                 this.onContact();
                 this.revision = snapshot.revision;
+                this.feed.onSnapshot(snapshot.revision);
                 this.events.onSnapshot(snapshot.values);
                 return;
             }
             const batch = await progress.race(this.store.changes(this.prefix, this.revision, wait, progress));
             this.onContact();
             this.revision = Math.max(this.revision, batch.revision);
+            this.feed.onChanges(batch.changes, this.revision);
             if (batch.changes.length > 0) {
                 this.events.onChanges(batch.changes);
                 await progress.sleep(gatherMs);
@@ -122,6 +128,7 @@
         if (!this.isLost) {
             this.isLost = true;
             this.log.warn("store lost", { prefix: this.prefix, error: err.message, ageMs: Math.round(this.ageMs) });
+            this.feed.onLost();
             this.events.onLost(err);
         }
         await new Promise(resolve => setTimeout(resolve, retryMs));
--- a/packages/gateway/src/upstreams/sharedLoad.ts
+++ b/packages/gateway/src/upstreams/sharedLoad.ts
@@ -5,6 +5,7 @@
 import type { WorkerLoad } from "@marigolddrift/policy";
 
 import type { PeerClient } from "../peers/peerClient.js";
+import type { PeerSelf } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 
 /** Period of the reports, in milliseconds: about the time in which a busy region places one call on each upstream. */
@@ -19,14 +20,6 @@
 /** Key by which the instances of a region agree on the one with the board. */
 const boardKey = "load board";
 
-/** Who this instance is to its peers. */
-export interface LoadReporter {
-    readonly instance: string;
-    readonly region: string;
-    /** Host and port for peers. */
-    address(): string;
-}
-
 /** What other instances have on an upstream. */
 export interface OthersLoad {
     readonly calls: number;
@@ -44,7 +37,7 @@
     private readonly timer: NodeJS.Timeout;
 
     constructor(
-        private readonly self: LoadReporter,
+        private readonly self: PeerSelf,
         private readonly peers: Pick<Peers, "usableInRegion">,
         private readonly ownLoad: () => WorkerLoad,
         private readonly log: Logger,
--- a/packages/policy/src/baselines.ts
+++ b/packages/policy/src/baselines.ts
@@ -1,5 +1,5 @@
 /** Simple placements to compare with; operators can set one, and the bench measures against them. */
-import { place, scoreWorker } from "./placement.js";
+import { place, placeSampled, scoreWorker } from "./placement.js";
 import type { CallShape, Placement, WorkerView } from "./placement.js";
 
 /** Chooses among the workers that may get a call. */
@@ -18,6 +18,7 @@
 /** Names of the placements. */
 export const placementNames = [
     "expectedFinish",
+    "expectedFinishSampled",
     "roundRobin",
     "leastOutstanding",
     "consistentHashing",
@@ -67,6 +68,7 @@
 
 const placements: Readonly<Record<PlacementName, () => PlaceFunction>> = {
     expectedFinish: () => place,
+    expectedFinishSampled: () => placeSampled,
     roundRobin,
     leastOutstanding: () => leastOutstanding,
     consistentHashing: () => consistentHashing,
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -55,7 +55,7 @@
 /** Age at which a load report says nothing any more, in milliseconds. */
 const reportHorizonMs = 10_000;
 
-/** Random candidates of those that hold much of the prompt, and of the others. */
+/** Number of random candidates of a group of workers. */
 const sampledCandidates = 3;
 
 /** Part of the longest cached prompt from which on a worker counts as holding much of it. */
@@ -94,18 +94,31 @@
 };
 
 /**
- * Places a call. Only random samples are weighed, of the workers that hold most of the prompt and of the others, so that many
- * instances with the same stale view do not choose the same worker, as when a burst of new programs shares one prefix.
+ * Places a call. Cached workers are always weighed; of the others only a random sample, so that many instances with the
+ * same stale view do not choose the same worker.
  *
  * @param random Yields numbers in [0, 1).
  * @example
  * const { worker, reason } = place(views, { promptTokens: 1200, expectedTokens: 150 }, random);
  */
-export const place = (views: readonly WorkerView[], call: CallShape, random: () => number): Placement => {
+export const place = (views: readonly WorkerView[], call: CallShape, random: () => number): Placement =>
+    placeAmong(views, weighAllCached(views, random), call);
+
+/**
+ * Places a call as {@link place} does, but weighs a random sample also of the workers that hold most of the prompt. Load
+ * pattern: bursts of new programs that share one beginning, which most workers have read, through dozens of instances.
+ */
+export const placeSampled = (views: readonly WorkerView[], call: CallShape, random: () => number): Placement =>
+    placeAmong(views, sampleAll(views, random), call);
+
+const placeAmong = (
+    views: readonly WorkerView[],
+    candidates: readonly WorkerView[],
+    call: CallShape,
+): Placement => {
     if (views.length === 0) {
         return { worker: undefined, reason: "noWorker", scores: [] };
     }
-    const candidates = sampleCandidates(views, random);
     const scores = candidates.map(view => scoreWorker(view, call)).sort(byTotalDelay);
     const best = scores.find(score => score.open) ?? lastResort(views, candidates, call);
     if (best === undefined) {
@@ -123,8 +136,13 @@
     return rest.filter(score => score.open).sort(byTotalDelay)[0];
 };
 
-/** A random part of the workers with the most of the prompt in their caches, and of the others. */
-const sampleCandidates = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
+const weighAllCached = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
+    const cached = views.filter(view => heldTokens(view) > 0);
+    const others = views.filter(view => heldTokens(view) === 0);
+    return [...cached, ...sample(others, random)];
+};
+
+const sampleAll = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
     const held = views.map(heldTokens);
     const most = Math.max(...held);
     const isCached = (index: number): boolean => most > 0 && held[index]! >= most * cachedShare;
--- a/tests/policy/loadBoard.test.ts
+++ b/tests/policy/loadBoard.test.ts
@@ -1,4 +1,4 @@
-import { LoadBoard, place } from "@marigolddrift/policy";
+import { LoadBoard, placeSampled } from "@marigolddrift/policy";
 import type { WorkerLoad, WorkerView } from "@marigolddrift/policy";
 import { createRandom } from "@marigolddrift/workload";
 import { expect } from "earl";
@@ -94,7 +94,7 @@
 
     private beginTurn(program: Program, now: number): void {
         const views = this.names.map(name => this.view(program, name, now));
-        const worker = place(views, { promptTokens, expectedTokens: 90 }, this.random).worker!;
+        const worker = placeSampled(views, { promptTokens, expectedTokens: 90 }, this.random).worker!;
         const free = [...this.total.values()].filter(calls => calls < slots).length;
         this.placed += 1;
         this.vain += this.total.get(worker)! >= slots && free >= workers / 4 ? 1 : 0;
