--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -20,6 +20,9 @@
 
 const callTimeoutMs = 1_000;
 
+/** Period at which lost connections are looked for, in milliseconds. */
+const connectedMs = 500;
+
 /** Period at which one missing connection to a near peer is opened, in milliseconds: opening many at once stalls a small machine. */
 const prepareMs = 150;
 
@@ -70,13 +73,13 @@
 
     start(): void {
         void this.refresh();
-        this.prepareTimer = setInterval(() => this.prepareNext(), prepareMs);
+        this.prepareNext();
     }
 
     stop(): void {
         this.stopped = true;
         clearTimeout(this.timer);
-        clearInterval(this.prepareTimer);
+        clearTimeout(this.prepareTimer);
         this.clients.forEach(client => client.close());
     }
 
@@ -155,6 +158,7 @@
             this.isNeeded(client.address) && client.isUsable && !client.isConnected && !client.isOpening
         );
         void next?.prepare();
+        this.prepareTimer = setTimeout(() => this.prepareNext(), next === undefined ? connectedMs : prepareMs);
     }
 
     /** Peers that most calls need: journals, and instances of the region that may keep budgets. */
