--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -18,6 +18,15 @@
 /** Time without an answer after which another way is tried as well, in milliseconds. */
 const hedgeMs = 180;
 
+/**
+ * The same for answers that may be long, as a share of the time that the caller has: instances that all fetch them once more
+ * through peers fill a narrow link for good.
+ */
+const longHedgeShare = 0.6;
+
+/** The same for changes, beyond the time for which the call waits for them, in milliseconds. */
+const changesHedgeMs = 500;
+
 /** Time after a failure in which calls go to peers first, in milliseconds; then one finds out whether the store answers. */
 const doubtMs = 1_000;
 
@@ -46,13 +55,18 @@
 
     range(prefix: string, progress: Progress, options: RangeOptions = {}): Promise<Snapshot> {
         const question = { kind: "range" as const, prefix, mayBeStale: options.mayBeStale ?? false };
-        return this.call(own => this.direct.range(prefix, own, options), ask(question), hedgeMs, progress);
+        return this.call(
+            own => this.direct.range(prefix, own, options),
+            ask(question),
+            longHedgeShare * progress.leftMs,
+            progress,
+        );
     }
 
     changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
         const question = { kind: "changes" as const, prefix, revision, waitMs };
         const direct = (own: Progress): Promise<ChangeBatch> => this.direct.changes(prefix, revision, waitMs, own);
-        return this.call(direct, ask(question), waitMs + hedgeMs, progress);
+        return this.call(direct, ask(question), waitMs + changesHedgeMs, progress);
     }
 
     txn(
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -2,7 +2,7 @@
 import { createTurn, Follower, GroupWriter, RelayStore, StoreArchive, TurnStore } from "@marigolddrift/gateway";
 import type { TurnRecord } from "@marigolddrift/gateway";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
-import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import type { Snapshot, StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -40,6 +40,20 @@
         follower.stop();
     });
 
+    it("should get a long snapshot over a narrow link, although all that follow fetch it at once", async () => {
+        const link = { freeAt: 0, fetched: 0 };
+        const store = new NarrowStore(link);
+        const peers = Array.from({ length: 10 }, () => ({ onRelayFailed: () => {}, ask: () => store.range("x/") }));
+        const pick = (asked: ReadonlySet<unknown>) => peers.find(peer => !asked.has(peer)) as never;
+        const followers = Array.from({ length: 10 }, () => {
+            const seen: string[] = [];
+            return { seen, follower: createFollower(new RelayStore(store, pick, silentLogger), seen) };
+        });
+        await until(() => followers.every(({ seen }) => seen.length === 1));
+        expect(link.fetched).toSatisfy(fetched => fetched <= 20);
+        followers.forEach(({ follower }) => follower.stop());
+    });
+
     it("should read changes that come in quick succession with few calls, as when a whole fleet starts", async () => {
         const store = new FakeStore();
         const seen: string[] = [];
@@ -135,7 +149,22 @@
     }
 }
 
-const createFollower = (store: FakeStore, seen: string[]): Follower => {
+/** Answers one after the other, as over a link that a long answer fills for a while. */
+class NarrowStore extends FakeStore {
+    constructor(private readonly link: { freeAt: number; fetched: number; }) {
+        super();
+    }
+
+    override async range(...args: Parameters<FakeStore["range"]>): Promise<Snapshot> {
+        const now = performance.now();
+        this.link.fetched += 1;
+        this.link.freeAt = Math.max(now, this.link.freeAt) + 300;
+        await new Promise(resolve => setTimeout(resolve, this.link.freeAt - now));
+        return await super.range(...args);
+    }
+}
+
+const createFollower = (store: Pick<VersionedStore, "range" | "changes">, seen: string[]): Follower => {
     const follower = new Follower(
         store,
         "x/",
