--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -18,11 +18,8 @@
 /** Time without an answer after which another way is tried as well, in milliseconds. */
 const hedgeMs = 180;
 
-/**
- * The same for answers that may be long, as a share of the time that the caller has: instances that all fetch them once more
- * through peers fill a narrow link for good.
- */
-const longHedgeShare = 0.6;
+/** The same for answers that may be long, in milliseconds: since the last part of the answer. */
+const longHedgeMs = 900;
 
 /** The same for changes, beyond the time for which the call waits for them, in milliseconds. */
 const changesHedgeMs = 500;
@@ -55,12 +52,14 @@
 
     range(prefix: string, progress: Progress, options: RangeOptions = {}): Promise<Snapshot> {
         const question = { kind: "range" as const, prefix, mayBeStale: options.mayBeStale ?? false };
-        return this.call(
-            own => this.direct.range(prefix, own, options),
-            ask(question),
-            longHedgeShare * progress.leftMs,
-            progress,
-        );
+        // Instances that all fetch a long answer once more through peers fill a narrow link for good.
+        let lastByteAt = -Infinity;
+        const onBytes = (): void => {
+            lastByteAt = performance.now();
+            options.onBytes?.();
+        };
+        const direct = (own: Progress): Promise<Snapshot> => this.direct.range(prefix, own, { ...options, onBytes });
+        return this.call(direct, ask(question), longHedgeMs, progress, () => lastByteAt);
     }
 
     changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
@@ -84,7 +83,13 @@
         return performance.now() - this.failedAt < doubtMs;
     }
 
-    private call<T>(direct: DirectCall<T>, viaPeer: AskPeer, silenceMs: number, progress: Progress): Promise<T> {
+    private call<T>(
+        direct: DirectCall<T>,
+        viaPeer: AskPeer,
+        silenceMs: number,
+        progress: Progress,
+        lastByteAt: () => number = () => -Infinity,
+    ): Promise<T> {
         const asked = new Set<PeerClient>();
         const askPeer = (own: Progress): Promise<T> | undefined => {
             const peer = asked.size < maxPeers ? this.pick(asked) : undefined;
@@ -115,7 +120,7 @@
         const next = this.isDoubtful ?
             (own: Progress) => askPeer(own) ?? askStore(own) :
             (own: Progress) => askStore(own) ?? askPeer(own);
-        return firstAnswer(next, silenceMs, progress);
+        return firstAnswer(next, silenceMs, progress, lastByteAt);
     }
 
     private onDirectFailure(err: unknown): void {
@@ -131,6 +136,7 @@
     next: (own: Progress) => Promise<T> | undefined,
     silenceMs: number,
     progress: Progress,
+    lastByteAt: () => number,
 ): Promise<T> =>
     new Promise<T>((resolve, reject) => {
         // Ends the other ways when one has answered: a call left alone on a silent connection would hold it for ever.
@@ -149,10 +155,18 @@
             }
             open += 1;
             clearTimeout(timer);
-            timer = setTimeout(start, silenceMs);
+            timer = setTimeout(onSilence, silenceMs);
             own.race(way).then(value => finish(() => resolve(value)), onError);
             return true;
         };
+        const onSilence = (): void => {
+            const quietMs = performance.now() - lastByteAt();
+            if (quietMs < silenceMs) {
+                timer = setTimeout(onSilence, silenceMs - quietMs);
+                return;
+            }
+            start();
+        };
         const onError = (err: unknown): void => {
             open -= 1;
             if (isFinal(err) || (!start() && open === 0)) {
--- a/packages/gateway/src/state/follower.ts
+++ b/packages/gateway/src/state/follower.ts
@@ -2,18 +2,18 @@
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { HistoryGoneError } from "@marigolddrift/store";
-import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import type { Snapshot, StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import { ChangeFeed } from "./changeFeed.js";
 
 /** Time that the store may take beyond the wait, in milliseconds. */
 const slackMs = 1_000;
 
-/** Time that a first snapshot may take, in milliseconds: a few pages of a slow store. It doubles with each that fails. */
-const snapshotMs = 1_500;
+/** Time for which nothing of a snapshot may arrive, in milliseconds: that of a slow store. */
+const snapshotSilenceMs = 1_500;
 
-/** Longest such time, in milliseconds: a long configuration that a whole region fetches over a narrow link. */
-const maxSnapshotMs = 6_000;
+/** Time that a snapshot may take, in milliseconds: a long configuration that a whole region fetches over a narrow link. */
+const snapshotMs = 8_000;
 
 /** Pause after changes, in milliseconds: those that come together, as at a start of the whole fleet, share an answer. */
 const gatherMs = 150;
@@ -38,7 +38,6 @@
 export class Follower {
     private readonly stopped = new AbortController();
     private revision: number | undefined;
-    private snapshotMs = snapshotMs;
     private lastContactAt = performance.now();
     private isLost = false;
 
@@ -85,13 +84,11 @@
     private async step(): Promise<void> {
         // A store that may be back answers at once, so that its return is known.
         const wait = this.isLost ? 0 : this.waitMs;
-        const timeoutMs = this.revision === undefined ? this.snapshotMs : wait + slackMs;
+        const timeoutMs = this.revision === undefined ? snapshotMs : wait + slackMs;
         const progress = new Progress(timeoutMs, this.stopped.signal);
         try {
             if (this.revision === undefined) {
-                this.snapshotMs = Math.min(maxSnapshotMs, 2 * this.snapshotMs);
-                const snapshot = await progress.race(this.store.range(this.prefix, progress));
-                this.snapshotMs = snapshotMs;
+                const snapshot = await this.readSnapshot(progress);
                 this.onContact();
                 this.revision = snapshot.revision;
                 this.feed.onSnapshot(snapshot.revision);
@@ -112,6 +109,18 @@
         }
     }
 
+    private async readSnapshot(progress: Progress): Promise<Snapshot> {
+        const giveUp = (): void =>
+            progress.abort(new Error(`nothing of the snapshot arrived in ${snapshotSilenceMs} ms`));
+        const silence = setTimeout(giveUp, snapshotSilenceMs);
+        try {
+            return await progress.race(this.store.range(this.prefix, progress, { onBytes: () => silence.refresh() }));
+        }
+        finally {
+            clearTimeout(silence);
+        }
+    }
+
     private onContact(): void {
         const awayMs = this.ageMs;
         this.lastContactAt = performance.now();
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -77,6 +77,8 @@
 export interface RangeOptions {
     /** Whether values may be seconds old, which costs the store less. */
     readonly mayBeStale?: boolean;
+    /** Called for each part of the answer that arrives, so that a long answer is not taken for silence. */
+    readonly onBytes?: () => void;
 }
 
 /** Values under conditions, and their changes. */
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -2,7 +2,7 @@
 import { createTurn, Follower, GroupWriter, RelayStore, StoreArchive, TurnStore } from "@marigolddrift/gateway";
 import type { TurnRecord } from "@marigolddrift/gateway";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
-import type { Snapshot, StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import type { RangeOptions, Snapshot, StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -50,7 +50,7 @@
             return { seen, follower: createFollower(new RelayStore(store, pick, silentLogger), seen) };
         });
         await until(() => followers.every(({ seen }) => seen.length === 1));
-        expect(link.fetched).toSatisfy(fetched => fetched <= 20);
+        expect(link.fetched).toEqual(10);
         followers.forEach(({ follower }) => follower.stop());
     });
 
@@ -155,12 +155,14 @@
         super();
     }
 
-    override async range(...args: Parameters<FakeStore["range"]>): Promise<Snapshot> {
+    override async range(prefix: string, _?: Progress, options?: RangeOptions): Promise<Snapshot> {
         const now = performance.now();
         this.link.fetched += 1;
         this.link.freeAt = Math.max(now, this.link.freeAt) + 300;
+        const parts = setInterval(() => options?.onBytes?.(), 100);
         await new Promise(resolve => setTimeout(resolve, this.link.freeAt - now));
-        return await super.range(...args);
+        clearInterval(parts);
+        return await super.range(prefix);
     }
 }
 
