Bound the changes kept for peers by their bytes, and reconnect to the machines with disks first

Found in reading the change: 500 versions of a configuration of 0.4 MB, as a storm of configurations after one of many routes may bring some of, would not fit a machine of 178 MB; after a reset of all connections, up to 38 peers are connected to one each 150 ms, in the order in which they were found, while turns wait for the machines that keep them. The first has a test.

--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -154,9 +154,11 @@
 
     /** Opens the next missing connection that a call would otherwise wait for. */
     private prepareNext(): void {
-        const next = [...this.clients.values()].find(client =>
+        const missing = [...this.clients.values()].filter(client =>
             this.isNeeded(client.address) && client.isUsable && !client.isConnected && !client.isOpening
         );
+        // Turns wait for the machines that keep them.
+        const next = missing.find(({ address }) => address.keepsTurns) ?? missing[0];
         void next?.prepare();
         this.prepareTimer = setTimeout(() => this.prepareNext(), next === undefined ? connectedMs : prepareMs);
     }
--- a/packages/gateway/src/state/changeFeed.ts
+++ b/packages/gateway/src/state/changeFeed.ts
@@ -4,11 +4,16 @@
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { ChangeBatch, StoreChange } from "@marigolddrift/store";
 
-/** Changes that are kept. */
+/** Changes that are kept at most. */
 const maxChanges = 500;
 
+/** Bytes of them beyond which only the newest is kept: long configurations may follow each other quickly. */
+const maxBytes = 4 * 1024 * 1024;
+
 const revisionOf = (change: StoreChange): number => change.kind === "put" ? change.stored.revision : change.revision;
 
+const bytesOf = (change: StoreChange): number => change.kind === "put" ? change.stored.value.length : 0;
+
 /**
  * What a {@link Follower} has seen lately.
  *
@@ -39,8 +44,7 @@
             return;
         }
         this.changes.push(...changes);
-        const dropped = this.changes.splice(0, Math.max(0, this.changes.length - maxChanges));
-        this.from = dropped.length > 0 ? revisionOf(dropped.at(-1)!) : this.from;
+        this.dropOldest();
         this.wake();
     }
 
@@ -73,6 +77,20 @@
         return this.changes.filter(change => revisionOf(change) > after);
     }
 
+    private dropOldest(): void {
+        let bytes = 0;
+        let kept = 0;
+        for (let index = this.changes.length - 1; index >= 0 && kept < maxChanges; index--) {
+            bytes += bytesOf(this.changes[index]!);
+            if (kept > 0 && bytes > maxBytes) {
+                break;
+            }
+            kept += 1;
+        }
+        const dropped = this.changes.splice(0, this.changes.length - kept);
+        this.from = dropped.length > 0 ? revisionOf(dropped.at(-1)!) : this.from;
+    }
+
     private async nextChange(waitMs: number, progress: Progress): Promise<void> {
         let wake: () => void = () => {};
         let timer: NodeJS.Timeout | undefined;
--- a/tests/gateway/regionReads.test.ts
+++ b/tests/gateway/regionReads.test.ts
@@ -144,10 +144,15 @@
         expect((await feed.next(10, 10, progress)).changes.length).toEqual(1);
         expect(await feed.next(12, 10, progress)).toEqual({ changes: [], revision: 12 });
         await expect(feed.next(9, 10, progress)).toBeRejectedWith(HistoryGoneError);
-        const waiting = feed.next(12, 5_000, progress);
+        const value = Buffer.alloc(3 * 1024 * 1024);
+        const long = (revision: number) => ({ kind: "put" as const, stored: { key: "a", value, revision } });
+        feed.onChanges([long(13), long(14)], 14);
+        expect((await feed.next(13, 10, progress)).changes.length).toEqual(1);
+        await expect(feed.next(12, 10, progress)).toBeRejectedWith(HistoryGoneError);
+        const waiting = feed.next(14, 5_000, progress);
         feed.onLost();
         await expect(waiting).toBeRejectedWith("away");
-        feed.onChanges([], 13);
-        expect((await feed.next(12, 10, progress)).revision).toEqual(13);
+        feed.onChanges([], 15);
+        expect((await feed.next(14, 10, progress)).revision).toEqual(15);
     });
 });
