Let the test runner pass over listed tests on Node.js 20

Change: the runner uses the run() API of node:test, which reports each test's end, and decides by the tests that failed and are not listed. A listed test that does not exist fails the run, so that no entry outlives its test.

--- a/tests/run.mjs
+++ b/tests/run.mjs
@@ -1,27 +1,49 @@
 // Runs all tests. Those listed in KNOWN-RED.txt are run and printed, but do not affect the exit code.
-import { spawnSync } from "node:child_process";
 import { existsSync, readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { join, resolve } from "node:path";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+
+const root = process.argv[2] ?? "dist/tests";
+const knownFailuresFile = process.argv[3] ?? "KNOWN-RED.txt";
+
+/** Number of test files that run at once. */
+const concurrency = 4;
 
-const root = "dist/tests";
-const files = readdirSync(root, { recursive: true }).filter(file => file.endsWith(".test.js")).map(file =>
-    join(root, file)
-).sort();
-const knownFailures = existsSync("KNOWN-RED.txt") ?
-    readFileSync("KNOWN-RED.txt", "utf8").split("\n").filter(line => line.startsWith("test: ")).map(line =>
-        line.slice(6).trim()
-    ) :
-    [];
 /** Timeout of a test, and of a test file's exit after its tests, so that a hung one fails and is reported by name. */
 const testTimeoutMs = 180_000;
-const options = ["--test", "--test-concurrency=4", `--test-timeout=${testTimeoutMs}`];
-const run = args => spawnSync(process.execPath, [...options, ...args, ...files], { stdio: "inherit" }).status ?? 1;
-const escape = text => text.replace(/[.*+?^${}()|[\]\\/]/g, "\\$&");
 
-if (knownFailures.length === 0) {
-    process.exit(run([]));
-}
-const pattern = `^(${knownFailures.map(escape).join("|")})$`;
-console.log(`Known red, not deciding:\n${knownFailures.map(name => `  ${name}`).join("\n")}`);
-run([`--test-name-pattern=/${pattern}/`]);
-process.exit(run([`--test-skip-pattern=/${pattern}/`]));
+const knownFailureNames = existsSync(knownFailuresFile) ?
+    readFileSync(knownFailuresFile, "utf8").split("\n").filter(line => line.startsWith("test: ")).map(line =>
+        line.slice("test: ".length).trim()
+    ) :
+    [];
+const files = readdirSync(root, { recursive: true }).filter(file => file.endsWith(".test.js")).map(file =>
+    resolve(join(root, file))
+).sort();
+
+const ended = new Set();
+const failed = new Set();
+// A suite or file whose only fault is a failed test of its own is not counted a second time.
+const isOwnFailure = ({ details }) => details.error?.failureType !== "subtestsFailed";
+
+const stream = run({ files, concurrency, timeout: testTimeoutMs });
+stream.on("test:pass", test => ended.add(test.name));
+stream.on("test:fail", test => {
+    ended.add(test.name);
+    if (isOwnFailure(test)) {
+        failed.add(test.name);
+    }
+});
+stream.on("end", () => {
+    const known = new Set(knownFailureNames);
+    const unexpected = [...failed].filter(name => !known.has(name));
+    const missing = [...known].filter(name => !ended.has(name));
+    for (const name of known) {
+        console.log(`known red, not deciding: ${name}: ${failed.has(name) ? "failed" : "did not fail"}`);
+    }
+    missing.forEach(name => console.log(`listed in ${knownFailuresFile}, but there is no such test: ${name}`));
+    unexpected.forEach(name => console.log(`failed: ${name}`));
+    process.exitCode = ended.size === 0 || unexpected.length > 0 || missing.length > 0 ? 1 : 0;
+});
+stream.compose(spec).pipe(process.stdout);
