Log where a configuration came from, who leads, stalls of the process and the limit of a call

Change: the configuration in force is a class of its own (state/activeConfig.ts, taken out of gateway.ts) that logs version, revision and source, and says when it ignores an older one; 'leading instances' and 'process stalled' are new lines; a call's line has limitMs; gauges for the age of the configuration's view and for stalls. No decision changes.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -138,8 +138,9 @@
         if (head.id === undefined) {
             throw new ProblemError("invalid_request", "notRun", "The request has no id.");
         }
-        Object.assign(trace, { route: route.name, service: service.name });
-        const progress = new Progress(Math.min(head.leftMs ?? Infinity, route.timeoutMs));
+        const limitMs = Math.min(head.leftMs ?? Infinity, route.timeoutMs);
+        Object.assign(trace, { route: route.name, service: service.name, limitMs });
+        const progress = new Progress(limitMs);
         res.on("close", () => {
             if (!res.writableFinished && (route.isStreaming || route.idempotent)) {
                 progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -17,6 +17,8 @@
     turnOf?: string;
     /** Version of the configuration that the route was taken from. */
     config?: number;
+    /** The earlier of the caller's deadline and the route's timeout, in milliseconds since the headers arrived. */
+    limitMs?: number;
     route?: string;
     service?: string;
     /** Id of the last upstream that the call was sent to. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,12 +22,13 @@
 import { handleStoreRequest, RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { QueuedCall } from "./placement.js";
-import { RouteTable } from "./routes.js";
+import { StallMonitor } from "./stallMonitor.js";
+import { ActiveConfig } from "./state/activeConfig.js";
 import { BatchWriter } from "./state/batchWriter.js";
 import { ChangeFeed } from "./state/changeFeed.js";
 import { PrefixWatcher } from "./state/prefixWatcher.js";
 import type { PrefixWatcherEvents } from "./state/prefixWatcher.js";
-import { RegionalStoreReader } from "./state/regionalStoreReader.js";
+import { directSource, RegionalStoreReader } from "./state/regionalStoreReader.js";
 import { StoreArchive } from "./turns/storeArchive.js";
 import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
@@ -75,7 +76,6 @@
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
-    private routeTable: RouteTable | undefined;
     private hasUpstreamSnapshot = false;
     private stopping = false;
     private storeOutageUntil = -Infinity;
@@ -85,6 +85,7 @@
     private readonly storeArchive: StoreArchive;
     private readonly journalArchive: JournalArchive;
     private readonly localInstance: LocalInstance;
+    private readonly activeConfig: ActiveConfig;
     private readonly config: WatchedPrefix;
     private readonly upstreamEntries: WatchedPrefix;
     private readonly dispatcher: Dispatcher<QueuedCall>;
@@ -93,11 +94,14 @@
     /** The platform's store; calls that fail directly are relayed through peers. */
     private readonly store: VersionedStore;
     private readonly log: Logger;
+    private readonly stallMonitor: StallMonitor;
 
     constructor(private readonly options: GatewayOptions) {
         const { log, layout } = options;
         const random = options.random ?? Math.random;
         this.log = log;
+        this.stallMonitor = new StallMonitor(log);
+        this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         const store = this.store;
         this.peers = this.createPeers();
@@ -109,7 +113,7 @@
         const topology = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
         this.upstreams = new Upstreams(
             id => pool.prefixes.removeWorker(id),
-            () => this.routeTable,
+            () => this.activeConfig.table,
             maxConnections => Math.min(maxConnectionsPerUpstream, Math.floor(maxConnections / assumedInstanceCount)),
             log,
         );
@@ -127,8 +131,8 @@
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.entry = this.createEntry(pool, random);
         this.config = this.watch(layout.configKey, {
-            onSnapshot: values => values.forEach(stored => this.applyConfig(stored)),
-            onChanges: changes => changes.forEach(change => change.kind === "put" && this.applyConfig(change.stored)),
+            onSnapshot: values => values.forEach(stored => this.activeConfig.apply(stored, directSource)),
+            onChanges: changes => this.onConfigChanges(changes),
         });
         this.upstreamEntries = this.watch(layout.upstreamsPrefix, {
             onSnapshot: values => this.onUpstreamSnapshot(values),
@@ -139,7 +143,7 @@
 
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
-        return !this.stopping && this.routeTable !== undefined && this.hasUpstreamSnapshot;
+        return !this.stopping && this.activeConfig.table !== undefined && this.hasUpstreamSnapshot;
     }
 
     async start(): Promise<void> {
@@ -181,6 +185,7 @@
     close(): void {
         this.config.watcher.stop();
         this.upstreamEntries.watcher.stop();
+        this.stallMonitor.close();
         this.loadExchange.close();
         this.peers.stop();
         this.peerServer.close();
@@ -239,7 +244,7 @@
             log,
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
         });
-        const maxBytes = (): number => this.routeTable?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
+        const maxBytes = (): number => this.activeConfig.table?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
         return new EntryServer({
             filters: [
                 new BodyFilter(maxBytes),
@@ -248,7 +253,7 @@
                 forward,
             ],
             protocol,
-            routes: () => this.routeTable,
+            routes: () => this.activeConfig.table,
             isStopping: () => this.stopping,
             random,
             metrics: this.metrics,
@@ -275,24 +280,9 @@
         return performance.now() < this.storeOutageUntil;
     }
 
-    private applyConfig(stored: StoredValue): void {
-        if (stored.key !== this.options.layout.configKey) {
-            return;
-        }
-        const config = this.options.layout.decodeConfig(stored.value);
-        if (config === undefined) {
-            this.log.warn("configuration refused", {
-                revision: stored.revision,
-                reason: "it does not match the schema",
-            });
-            return;
-        }
-        if (this.routeTable !== undefined && config.version <= this.routeTable.config.version) {
-            return;
-        }
-        this.routeTable = new RouteTable(config);
-        this.entry.applyLimits(config.limits);
-        this.log.info("configuration applied", { version: config.version, routes: config.routes.length });
+    private onConfigChanges(changes: readonly StoreChange[]): void {
+        const puts = changes.filter(change => change.kind === "put");
+        puts.forEach(({ stored }) => this.activeConfig.apply(stored, this.config.reader.source));
     }
 
     private onUpstreamSnapshot(values: readonly StoredValue[]): void {
@@ -326,7 +316,17 @@
         this.metrics.addGauge("calls_active", "Calls whose answers have not ended", () => this.entry.active);
         this.metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => this.dispatcher.waitingCalls);
         this.metrics.addGauge("upstreams", "Known upstreams", () => this.upstreams.size);
-        this.metrics.addGauge("config_version", "Version in force", () => this.routeTable?.config.version ?? 0);
+        this.metrics.addGauge("config_version", "Version in force", () => this.activeConfig.table?.config.version ?? 0);
+        this.metrics.addGauge(
+            "stall_milliseconds",
+            "Lateness of the last checked timer",
+            () => this.stallMonitor.lastStallMs,
+        );
+        this.metrics.addGauge(
+            "config_age_milliseconds",
+            "Age of the view of the configuration",
+            () => this.config.watcher.ageMs,
+        );
         this.metrics.addGauge(
             "store_age_milliseconds",
             "Age of the view of the upstreams",
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,6 +17,8 @@
 export * from "./peers/relayStore.js";
 export * from "./protocol.js";
 export * from "./routes.js";
+export * from "./stallMonitor.js";
+export * from "./state/activeConfig.js";
 export * from "./state/batchWriter.js";
 export * from "./state/changeFeed.js";
 export * from "./state/prefixWatcher.js";
--- /dev/null
+++ b/packages/gateway/src/state/activeConfig.ts
@@ -0,0 +1,49 @@
+/** The configuration that is in force on this instance. */
+import type { Logger } from "@marigolddrift/common";
+import type { StoredValue } from "@marigolddrift/store";
+
+import type { StoreLayout } from "../gatewayOptions.js";
+import { RouteTable } from "../routes.js";
+import type { RoutingConfig } from "../routes.js";
+
+/** Takes each newer version of the configuration; an older one, an unchanged one or an invalid one changes nothing. */
+export class ActiveConfig {
+    private routeTable: RouteTable | undefined;
+
+    constructor(
+        private readonly layout: Pick<StoreLayout, "configKey" | "decodeConfig">,
+        private readonly onApplied: (config: RoutingConfig) => void,
+        private readonly log: Logger,
+    ) {}
+
+    /** The routes in force; undefined until a version has been read. */
+    get table(): RouteTable | undefined {
+        return this.routeTable;
+    }
+
+    /**
+     * Applies a stored value if it is a newer version of the configuration.
+     *
+     * @param source The store, or the name of the peer, from which the value was read.
+     */
+    apply(stored: StoredValue, source: string): void {
+        if (stored.key !== this.layout.configKey) {
+            return;
+        }
+        const { revision } = stored;
+        const config = this.layout.decodeConfig(stored.value);
+        if (config === undefined) {
+            this.log.warn("configuration refused", { revision, source, reason: "it does not match the schema" });
+            return;
+        }
+        const { version, routes } = config;
+        const activeVersion = this.routeTable?.config.version;
+        if (activeVersion !== undefined && version <= activeVersion) {
+            this.log.info("configuration ignored", { version, revision, source, activeVersion });
+            return;
+        }
+        this.routeTable = new RouteTable(config);
+        this.onApplied(config);
+        this.log.info("configuration applied", { version, routes: routes.length, revision, source });
+    }
+}
--- a/packages/gateway/src/state/regionalStoreReader.ts
+++ b/packages/gateway/src/state/regionalStoreReader.ts
@@ -29,6 +29,9 @@
 /** The fastest level suffices, since the text of a configuration is repetitive. */
 const compressionLevel = 1;
 
+/** Name of the store as the source of a batch, where a peer has its own name. */
+export const directSource = "store";
+
 type PackedChanges = Omit<PackedChangeBatch, "revision">;
 
 /**
@@ -36,7 +39,10 @@
  * instances that read the store directly; from the store if this instance is a leader or all leaders fail.
  */
 export class RegionalStoreReader implements Pick<VersionedStore, "range" | "changes"> {
+    /** The store or the name of the peer that sent the last batch. */
+    source = directSource;
     private isReadingDirectly = true;
+    private leaderNames = "";
     /** The last encoded batch, since all peers wait for the same one. */
     private lastPacked: { readonly key: string; readonly packed: PackedChanges; } | undefined;
 
@@ -76,7 +82,9 @@
             }
         }
         const leftMs = Math.max(0, progress.leftMs - storeResponseMs);
-        return await this.store.changes(prefix, revision, Math.min(waitMs, leftMs), progress);
+        const batch = await this.store.changes(prefix, revision, Math.min(waitMs, leftMs), progress);
+        this.source = directSource;
+        return batch;
     }
 
     /** Reads changes for a peer that watches the prefix through this instance. */
@@ -117,7 +125,10 @@
         const attempt = progress.child(waitMs + peerSlackMs);
         try {
             const request = { kind: "followed" as const, prefix, revision, waitMs };
-            return unpack(await Promise.any(leaders.map(peer => peer.ask(request, attempt))));
+            const answers = leaders.map(async peer => ({ peer, packed: await peer.ask(request, attempt) }));
+            const { peer, packed } = await Promise.any(answers);
+            this.source = peer.name;
+            return unpack(packed);
         }
         finally {
             attempt.abort(new Error("the question was answered by another peer"));
@@ -129,8 +140,16 @@
         const connected = this.peers.usableInRegion(this.localInstance.region).filter(({ isConnected }) => isConnected);
         const byName = new Map(connected.map(peer => [peer.name, peer]));
         const names = rendezvous(prefix, [this.localInstance.address(), ...byName.keys()]).slice(0, leaderCount);
+        this.logLeaders(prefix, names.join());
         return names.includes(this.localInstance.address()) ? [] : names.map(name => byName.get(name)!);
     }
+
+    private logLeaders(prefix: string, names: string): void {
+        if (names !== this.leaderNames) {
+            this.leaderNames = names;
+            this.log.info("leading instances", { prefix, names });
+        }
+    }
 }
 
 const pack = (changes: readonly StoreChange[]): PackedChanges => {
