Reproduce a configuration that is late where all leading instances of a region are out of touch

Two tests show the form "late" (hypothesis H1): of 12 instances of a region, the three that lead are cut off from the store without a sign, or do not respond; the other nine are sound and reach the store. A silent peer of these tests now also swallows the responses to requests that it received before.

--- a/tests/gateway/regionalStoreReader.test.ts
+++ b/tests/gateway/regionalStoreReader.test.ts
@@ -1,8 +1,10 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
 import { ChangeFeed, PrefixWatcher, RegionalStoreReader } from "@marigolddrift/gateway";
 import type { PeerRequest } from "@marigolddrift/gateway";
+import { storeSilenceTimeoutMs } from "@marigolddrift/platform";
+import type { PlatformSettings } from "@marigolddrift/platform";
 import { HistoryGoneError } from "@marigolddrift/store";
-import type { ChangeBatch, StoredValue } from "@marigolddrift/store";
+import type { ChangeBatch, Snapshot, StoredValue, VersionedStore } from "@marigolddrift/store";
 import { expect } from "earl";
 import { randomBytes } from "node:crypto";
 import { describe, it } from "node:test";
@@ -13,6 +15,9 @@
 const prefix = "config";
 const silenceMs = 2_000;
 
+/** Bounds of a deployment with dozens of instances. */
+const grownBounds = { contactMs: 5_000, drainMs: 4_000, configApplyMs: 4_000, graceS: 8 };
+
 /** A store that counts the bytes of the values that it returns as changes. */
 class CountingStore extends FakeStore {
     bytesSent = 0;
@@ -24,8 +29,31 @@
     }
 }
 
+/** One instance's access to the shared store, which can go silent: calls then get no response and no error. */
+class MemberStore implements Pick<VersionedStore, "range" | "changes"> {
+    isCutOff = false;
+
+    constructor(private readonly store: FakeStore) {}
+
+    async range(prefix: string, progress: Progress): Promise<Snapshot> {
+        return await this.receive(await this.store.range(prefix), progress);
+    }
+
+    async changes(...args: Parameters<FakeStore["changes"]>): Promise<ChangeBatch> {
+        return await this.receive(await this.store.changes(...args), args[3]);
+    }
+
+    private async receive<T>(response: T, progress: Progress): Promise<T> {
+        if (this.isCutOff) {
+            await progress.sleep(60_000);
+        }
+        return response;
+    }
+}
+
 interface RegionMember {
     readonly reader: RegionalStoreReader;
+    readonly store: MemberStore;
     readonly watcher: PrefixWatcher;
     /** The latest value that the instance has read. */
     value: string;
@@ -34,7 +62,7 @@
 }
 
 /** Creates instances of a region that watch the same store and call each other in memory. */
-const createRegion = (store: FakeStore, size: number): Map<string, RegionMember> => {
+const createRegion = (store: FakeStore, size: number, maxSilenceMs: number): Map<string, RegionMember> => {
     const members = new Map<string, RegionMember>();
     const names = Array.from({ length: size }, (_, index) => `front-${index}`);
     const ask = async (name: string, request: PeerRequest, progress: Progress): Promise<unknown> => {
@@ -42,10 +70,13 @@
         if (request.kind !== "followed" || member.mode === "down") {
             throw new Error("the peer is down");
         }
+        const response = await progress.race(
+            member.reader.readForPeer(prefix, request.revision, request.waitMs, progress),
+        );
         if (member.mode === "silent") {
             await progress.sleep(60_000);
         }
-        return await progress.race(member.reader.readForPeer(prefix, request.revision, request.waitMs, progress));
+        return response;
     };
     const peer = (name: string) => ({
         name,
@@ -56,7 +87,8 @@
         const peers = { usableInRegion: () => names.filter(other => other !== name).map(peer) } as never;
         const feed = new ChangeFeed();
         const localPeer = { instance: name, region: "r", address: () => name };
-        const reader = new RegionalStoreReader(localPeer, store, peers, feed, silentLogger);
+        const memberStore = new MemberStore(store);
+        const reader = new RegionalStoreReader(localPeer, memberStore as never, peers, feed, silentLogger);
         const recordValue = ({ value }: StoredValue): void => void (members.get(name)!.value = value.toString());
         const watcher = new PrefixWatcher(
             reader,
@@ -67,11 +99,11 @@
                 onDisconnected: () => {},
                 onReconnected: () => {},
             },
-            silenceMs,
+            maxSilenceMs,
             silentLogger,
             feed,
         );
-        members.set(name, { reader, watcher, value: "", mode: "answers" });
+        members.set(name, { reader, store: memberStore, watcher, value: "", mode: "answers" });
     }
     return members;
 };
@@ -79,10 +111,11 @@
 const withRegion = async (
     size: number,
     test: (region: Map<string, RegionMember>, store: CountingStore) => Promise<void>,
+    maxSilenceMs = silenceMs,
 ): Promise<void> => {
     const store = new CountingStore();
     await write(store, "v1");
-    const region = createRegion(store, size);
+    const region = createRegion(store, size, maxSilenceMs);
     region.forEach(({ watcher }) => watcher.start());
     try {
         await waitUntil(() => allHave(region, "v1"));
@@ -123,6 +156,26 @@
             expect(performance.now() - startedAt).toSatisfy(ms => ms < 1_000);
         }));
 
+    // Guards against CONFIG late at instances that are in touch, because those that lead their region are not.
+    for (const fault of ["cut off from the store", "silent"] as const) {
+        it(`should take a change in time although all leading instances are ${fault}`, () => {
+            const maxSilenceMs = storeSilenceTimeoutMs({ bounds: grownBounds } as PlatformSettings);
+            return withRegion(12, async (region, store) => {
+                const leaders = [...region.values()].filter(({ reader }) => reader.readsDirectly);
+                expect(leaders.length).toEqual(3);
+                const others = [...region.values()].filter(member => !leaders.includes(member));
+                for (const leader of leaders) {
+                    leader.store.isCutOff = fault === "cut off from the store";
+                    leader.mode = fault === "silent" ? "silent" : "answers";
+                }
+                const changedAt = performance.now();
+                await write(store, "v2");
+                await waitUntil(() => others.every(({ value }) => value === "v2"), 2 * grownBounds.configApplyMs);
+                expect(performance.now() - changedAt).toSatisfy(ms => ms <= grownBounds.configApplyMs);
+            }, maxSilenceMs);
+        });
+    }
+
     it("should read from the store directly when no peer responds", () =>
         withRegion(8, async (region, store) => {
             region.forEach(member => member.mode = "down");
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -186,11 +186,11 @@
 const conditionTimeoutMs = 5_000;
 
 /** Polls until a condition holds. */
-export const waitUntil = async (condition: () => boolean): Promise<void> => {
-    const endsAt = performance.now() + conditionTimeoutMs;
+export const waitUntil = async (condition: () => boolean, timeoutMs = conditionTimeoutMs): Promise<void> => {
+    const endsAt = performance.now() + timeoutMs;
     while (!condition()) {
         if (performance.now() > endsAt) {
-            throw new Error(`the condition did not hold within ${conditionTimeoutMs} ms: ${condition.toString()}`);
+            throw new Error(`the condition did not hold within ${timeoutMs} ms: ${condition.toString()}`);
         }
         await new Promise(resolve => setTimeout(resolve, 5));
     }
