Bound the delay of a change when the instances that lead a region are in trouble

The form is: late. Cause: an instance that follows the leading instances of its region waited 6.5 s for them and believed an empty reply. That wait comes from the time that an instance has to find its own silent connection, but an instance whose own paths are sound has configApplyMs. Change: a leading instance reads the store at intervals of 0.3 of the bound, and passes on an empty batch only while the store has answered it within that and 0.3 s; a question to leading instances waits no longer either; if none answers, the store is asked. Leading instances that do not respond are found out although others answer. A long response that is arriving counts as an answer of the store, so that nobody fetches it a second time. Regions of six instances or fewer have no leading instances. Why it works: each wait on the way to a sound instance now comes from the bound that runs for that instance.

--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -108,5 +108,14 @@
 
 const deadlineError = (): ProblemError => new ProblemError("deadline_exceeded", "notRun", "The deadline passed.");
 
+/**
+ * Whether an abort reason is that of a passed deadline, rather than of a caller that no longer needs the result.
+ *
+ * @example
+ * isDeadlineExceeded(progress.signal.reason);
+ */
+export const isDeadlineExceeded = (reason: unknown): boolean =>
+    reason instanceof ProblemError && reason.code === "deadline_exceeded";
+
 /** Waits for the given time outside of any operation, without keeping the process alive. */
 export const delay = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms).unref());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -265,9 +265,16 @@
         prefix: string,
         events: Pick<PrefixWatcherEvents, "onSnapshot" | "onChanges">,
     ): WatchedPrefix {
-        const { storeSilenceMs } = this.options;
+        const { storeSilenceMs, changeDelayLimitMs } = this.options;
         const feed = new ChangeFeed();
-        const reader = new RegionalStoreReader(this.localInstance, this.store, this.peers, feed, this.log);
+        const reader = new RegionalStoreReader(
+            this.localInstance,
+            this.store,
+            this.peers,
+            feed,
+            changeDelayLimitMs,
+            this.log,
+        );
         const outages = {
             onDisconnected: () => this.storeOutageUntil = Infinity,
             onReconnected: () => this.storeOutageUntil = performance.now() + postOutageWindowMs,
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -35,6 +35,8 @@
     readonly toleratedLosses: number;
     /** Longest time within which an unresponsive connection to the store must be detected. */
     readonly storeSilenceMs: number;
+    /** Time within which a change in the store must be in force on an instance that reaches the store. */
+    readonly changeDelayLimitMs: number;
     /** Time between the stop signal and the end of the process. */
     readonly graceMs: number;
     readonly random?: () => number;
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -1,5 +1,5 @@
 /** Requests to one peer over a WebSocket connection, which is opened on first use. */
-import { ProblemError, Progress } from "@marigolddrift/common";
+import { isDeadlineExceeded, Progress } from "@marigolddrift/common";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
@@ -29,10 +29,6 @@
     reject(err: Error): void;
 }
 
-/** Whether a request ended by its deadline, rather than because another hedged attempt had succeeded. */
-const isDeadlineExceeded = (reason: unknown): boolean =>
-    reason instanceof ProblemError && reason.code === "deadline_exceeded";
-
 /** A connection to one peer. */
 export class PeerClient {
     private readonly packr = new Packr({ useRecords: false });
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -8,6 +8,7 @@
     RangeOptions,
     Snapshot,
     StoredValue,
+    TransferOptions,
     TxnResult,
     VersionedStore,
 } from "@marigolddrift/store";
@@ -58,22 +59,24 @@
 
     range(prefix: string, progress: Progress, options: RangeOptions = {}): Promise<Snapshot> {
         const request = { kind: "range" as const, prefix, mayBeStale: options.mayBeStale ?? false };
-        // If all instances hedged while a long response is arriving, the transfers would saturate a slow link for good.
-        let lastByteAt = -Infinity;
-        const onBytes = (): void => {
-            lastByteAt = performance.now();
-            options.onBytes?.();
-        };
+        const transfer = new Transfer(options);
         const direct = (callProgress: Progress): Promise<Snapshot> =>
-            this.direct.range(prefix, callProgress, { ...options, onBytes });
-        return this.call(direct, askPeer(request), rangeHedgeMs, progress, () => lastByteAt);
+            this.direct.range(prefix, callProgress, { ...options, onBytes: transfer.onBytes });
+        return this.call(direct, askPeer(request), rangeHedgeMs, progress, transfer);
     }
 
-    changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
+    changes(
+        prefix: string,
+        revision: number,
+        waitMs: number,
+        progress: Progress,
+        options: TransferOptions = {},
+    ): Promise<ChangeBatch> {
         const request = { kind: "changes" as const, prefix, revision, waitMs };
+        const transfer = new Transfer(options);
         const direct = (callProgress: Progress): Promise<ChangeBatch> =>
-            this.direct.changes(prefix, revision, waitMs, callProgress);
-        return this.call(direct, askPeer(request), waitMs + changesHedgeMs, progress);
+            this.direct.changes(prefix, revision, waitMs, callProgress, { onBytes: transfer.onBytes });
+        return this.call(direct, askPeer(request), waitMs + changesHedgeMs, progress, transfer);
     }
 
     txn(
@@ -97,7 +100,7 @@
         callPeer: PeerCall,
         hedgeAfterMs: number,
         progress: Progress,
-        lastByteAt: () => number = () => -Infinity,
+        transfer = new Transfer(),
     ): Promise<T> {
         const askedPeers = new Set<PeerClient>();
         const startPeerCall = (callProgress: Progress): Promise<T> | undefined => {
@@ -129,7 +132,7 @@
         const startNext = this.isDirectSuspect ?
             (callProgress: Progress) => startPeerCall(callProgress) ?? startDirectCall(callProgress) :
             (callProgress: Progress) => startDirectCall(callProgress) ?? startPeerCall(callProgress);
-        return hedgedCall(startNext, hedgeAfterMs, progress, lastByteAt);
+        return hedgedCall(startNext, hedgeAfterMs, progress, transfer);
     }
 
     private onDirectFailure(err: unknown): void {
@@ -143,12 +146,28 @@
     }
 }
 
+/**
+ * The arrival of a long response. If all instances hedged while one is arriving, the transfers would saturate a slow
+ * link for good.
+ */
+class Transfer {
+    /** Monotonic time at which the last chunk arrived. */
+    lastByteAt = -Infinity;
+
+    constructor(private readonly options: TransferOptions = {}) {}
+
+    readonly onBytes = (): void => {
+        this.lastByteAt = performance.now();
+        this.options.onBytes?.();
+    };
+}
+
 /** Starts one attempt after another until one succeeds or none is left. */
 const hedgedCall = <T>(
     startNext: (callProgress: Progress) => Promise<T> | undefined,
     hedgeAfterMs: number,
     progress: Progress,
-    lastByteAt: () => number,
+    transfer: Transfer,
 ): Promise<T> =>
     new Promise<T>((resolve, reject) => {
         // Aborts the other attempts when one has succeeded: an abandoned call would hold a silent connection forever.
@@ -172,7 +191,7 @@
             return true;
         };
         const onHedgeTimer = (): void => {
-            const silentMs = performance.now() - lastByteAt();
+            const silentMs = performance.now() - transfer.lastByteAt;
             if (silentMs < hedgeAfterMs) {
                 timer = setTimeout(onHedgeTimer, hedgeAfterMs - silentMs);
                 return;
--- a/packages/gateway/src/state/regionalStoreReader.ts
+++ b/packages/gateway/src/state/regionalStoreReader.ts
@@ -3,20 +3,23 @@
  * wait for, such as a configuration with many routes, which each of them would otherwise read over the narrow link
  * between regions.
  */
-import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, isDeadlineExceeded, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 import type { ChangeBatch, RangeOptions, Snapshot, StoreChange, VersionedStore } from "@marigolddrift/store";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 
 import type { PeerClient } from "../peers/peerClient.js";
 import { packChanges, unpackChanges } from "../peers/peerMessages.js";
-import type { LocalInstance, PackedChangeBatch } from "../peers/peerMessages.js";
+import type { LocalInstance, PackedChangeBatch, PeerRequest } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import type { ChangeFeed } from "./changeFeed.js";
 
 /** Number of leaders per region. All are asked at once, since some may have lost their connection unnoticed. */
 const leaderCount = 3;
 
+/** Size of a region up to which every instance reads the store itself: leaders would save few reads. */
+const maxIndependentInstances = 2 * leaderCount;
+
 /** Minimum size of changes that are compressed between instances. */
 const compressionThresholdBytes = 16 * 1024;
 
@@ -26,6 +29,12 @@
 /** Time reserved for the store's response to a read that does not wait. */
 const storeResponseMs = 900;
 
+/** Wait of a question to a leader, and of a leader's read, as a share of the time within which a change must arrive. */
+const waitShare = 0.3;
+
+/** Age that a leader's view reaches between two reads of the store: a response over a slow link, and a short pause. */
+const readIntervalSlackMs = 300;
+
 /** The fastest level suffices, since the text of a configuration is repetitive. */
 const compressionLevel = 1;
 
@@ -34,41 +43,67 @@
 
 type PackedChanges = Omit<PackedChangeBatch, "revision">;
 
+/** How an instance reads the changes of a prefix. */
+type ReadingRole =
+    | { readonly kind: "independent"; }
+    /** The instance reads the store for itself and its peers. */
+    | { readonly kind: "leader"; }
+    | { readonly kind: "follower"; readonly leaders: readonly PeerClient[]; };
+
 /**
  * The store reads of a {@link PrefixWatcher} for one key prefix. Changes are read from the region's leaders, the
- * instances that read the store directly; from the store if this instance is a leader or all leaders fail.
+ * instances that read the store directly; from the store if this instance is a leader, the region is small, or no leader
+ * responds with a recent view. A leader that has lost the store or its connections does not delay the others beyond the
+ * time limit for changes: it passes on an empty batch only while its own view is recent, and is asked for short waits.
  */
 export class RegionalStoreReader implements Pick<VersionedStore, "range" | "changes"> {
     /** The store or the name of the peer that sent the last batch. */
     source = directSource;
     private isReadingDirectly = true;
     private leaderNames = "";
+    /** Monotonic time of the last sign of the store in reads of this instance. */
+    private confirmedAt = -Infinity;
+    private readonly failedLeaders = new Set<string>();
+    private readonly leaderWaitMs: number;
     /** The last encoded batch, since all peers wait for the same one. */
     private lastPacked: { readonly key: string; readonly packed: PackedChanges; } | undefined;
 
+    /** @param changeDelayLimitMs Time within which a change must arrive at an instance that reaches the store. */
     constructor(
         private readonly localInstance: LocalInstance,
-        private readonly store: VersionedStore,
+        private readonly store: Pick<VersionedStore, "range" | "changes">,
         private readonly peers: Pick<Peers, "usableInRegion">,
         private readonly feed: ChangeFeed,
+        changeDelayLimitMs: number,
         private readonly log: Logger,
-    ) {}
+    ) {
+        this.leaderWaitMs = Math.round(waitShare * changeDelayLimitMs);
+    }
 
     /** Whether this instance reads from the store directly. */
     get readsDirectly(): boolean {
         return this.isReadingDirectly;
     }
 
-    range(prefix: string, progress: Progress, options?: RangeOptions): Promise<Snapshot> {
-        return this.store.range(prefix, progress, options);
+    /** Time for which peers may still rely on this instance's view of the store. */
+    private get recentForMs(): number {
+        return this.confirmedAt + this.leaderWaitMs + readIntervalSlackMs - performance.now();
+    }
+
+    async range(prefix: string, progress: Progress, options: RangeOptions = {}): Promise<Snapshot> {
+        const startedAt = performance.now();
+        const snapshot = await this.store.range(prefix, progress, options);
+        this.confirmedAt = startedAt;
+        return snapshot;
     }
 
     async changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
-        const leaders = waitMs > 0 ? this.findLeaders(prefix) : [];
-        this.isReadingDirectly = leaders.length === 0;
-        if (!this.isReadingDirectly) {
+        const role: ReadingRole = waitMs > 0 ? this.findRole(prefix) : { kind: "independent" };
+        const leaderWaitMs = Math.min(waitMs, this.leaderWaitMs);
+        this.isReadingDirectly = role.kind !== "follower";
+        if (role.kind === "follower") {
             try {
-                return await this.readFromAnyPeer(leaders, prefix, revision, waitMs, progress);
+                return await this.readFromAnyPeer(role.leaders, prefix, revision, leaderWaitMs, progress);
             }
             catch (err) {
                 progress.throwIfAborted();
@@ -81,10 +116,7 @@
                 this.isReadingDirectly = true;
             }
         }
-        const leftMs = Math.max(0, progress.leftMs - storeResponseMs);
-        const batch = await this.store.changes(prefix, revision, Math.min(waitMs, leftMs), progress);
-        this.source = directSource;
-        return batch;
+        return await this.readFromStore(prefix, revision, role.kind === "leader" ? leaderWaitMs : waitMs, progress);
     }
 
     /** Reads changes for a peer that watches the prefix through this instance. */
@@ -95,14 +127,36 @@
         progress: Progress,
     ): Promise<PackedChangeBatch> {
         if (!this.isReadingDirectly) {
-            throw new ProblemError(
-                "not_durable",
-                "notRun",
-                "This instance does not follow the store itself.",
-            );
+            throw new ProblemError("not_durable", "notRun", "This instance does not follow the store itself.");
+        }
+        const endsAt = performance.now() + waitMs;
+        for (;;) {
+            const leftMs = Math.max(0, endsAt - performance.now());
+            const batch = await this.feed.next(revision, Math.min(leftMs, Math.max(0, this.recentForMs)), progress);
+            if (batch.changes.length > 0) {
+                return { ...this.packCached(batch.changes), revision: batch.revision };
+            }
+            if (this.recentForMs <= 0) {
+                throw new ProblemError("not_durable", "notRun", "This instance's view of the store is not recent.");
+            }
+            if (performance.now() >= endsAt) {
+                return { ...pack([]), revision: batch.revision };
+            }
         }
-        const { changes, revision: lastRevision } = await this.feed.next(revision, waitMs, progress);
-        return { ...this.packCached(changes), revision: lastRevision };
+    }
+
+    private async readFromStore(
+        prefix: string,
+        revision: number,
+        waitMs: number,
+        progress: Progress,
+    ): Promise<ChangeBatch> {
+        const leftMs = Math.max(0, progress.leftMs - storeResponseMs);
+        const onBytes = (): void => void (this.confirmedAt = performance.now());
+        const batch = await this.store.changes(prefix, revision, Math.min(waitMs, leftMs), progress, { onBytes });
+        this.confirmedAt = performance.now();
+        this.source = directSource;
+        return batch;
     }
 
     private packCached(changes: readonly StoreChange[]): PackedChanges {
@@ -123,25 +177,58 @@
         progress: Progress,
     ): Promise<ChangeBatch> {
         const attempt = progress.child(waitMs + peerSlackMs);
+        const request = { kind: "followed" as const, prefix, revision, waitMs };
+        let batch: ChangeBatch | undefined;
         try {
-            const request = { kind: "followed" as const, prefix, revision, waitMs };
-            const answers = leaders.map(async peer => ({ peer, packed: await peer.ask(request, attempt) }));
-            const { peer, packed } = await Promise.any(answers);
+            const replies = leaders.map(async peer => ({ peer, packed: await this.askLeader(peer, request, attempt) }));
+            const { peer, packed } = await Promise.any(replies);
+            batch = unpack(packed);
             this.source = peer.name;
-            return unpack(packed);
+            return batch;
         }
         finally {
-            attempt.abort(new Error("the question was answered by another peer"));
+            // After an empty batch the other leaders are due as well: those that do not respond in time have failed.
+            if (batch === undefined || batch.changes.length > 0) {
+                attempt.abort(new Error("the question was answered by another peer"));
+            }
         }
     }
 
-    /** Returns the peers that read the store for the region; none if this instance is one of them. */
-    private findLeaders(prefix: string): PeerClient[] {
+    private async askLeader(
+        peer: PeerClient,
+        request: Extract<PeerRequest, { kind: "followed"; }>,
+        attempt: Progress,
+    ): Promise<PackedChangeBatch> {
+        const { prefix } = request;
+        try {
+            const packed = await peer.ask(request, attempt);
+            if (this.failedLeaders.delete(peer.name)) {
+                this.log.info("leading instance responds again", { prefix, peer: peer.name });
+            }
+            return packed;
+        }
+        catch (err) {
+            const error = asError(err).message;
+            const wasAnswered = attempt.signal.aborted && !isDeadlineExceeded(attempt.signal.reason);
+            if (!wasAnswered && !this.failedLeaders.has(peer.name)) {
+                this.failedLeaders.add(peer.name);
+                this.log.info("leading instance failed", { prefix, peer: peer.name, error });
+            }
+            throw err;
+        }
+    }
+
+    private findRole(prefix: string): ReadingRole {
         const connected = this.peers.usableInRegion(this.localInstance.region).filter(({ isConnected }) => isConnected);
+        if (connected.length < maxIndependentInstances) {
+            return { kind: "independent" };
+        }
         const byName = new Map(connected.map(peer => [peer.name, peer]));
         const names = rendezvous(prefix, [this.localInstance.address(), ...byName.keys()]).slice(0, leaderCount);
         this.logLeaders(prefix, names.join());
-        return names.includes(this.localInstance.address()) ? [] : names.map(name => byName.get(name)!);
+        return names.includes(this.localInstance.address()) ?
+            { kind: "leader" } :
+            { kind: "follower", leaders: names.map(name => byName.get(name)!) };
     }
 
     private logLeaders(prefix: string, names: string): void {
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -73,12 +73,16 @@
     }
 }
 
+/** Options for reading a response that may be long. */
+export interface TransferOptions {
+    /** Called for each chunk of the response, so that a long response does not count as an idle connection. */
+    readonly onBytes?: () => void;
+}
+
 /** Options for reading a snapshot. */
-export interface RangeOptions {
+export interface RangeOptions extends TransferOptions {
     /** Allows values that are some seconds old; such reads cost the store less. */
     readonly mayBeStale?: boolean;
-    /** Called for each chunk of the response, so that a long response does not count as an idle connection. */
-    readonly onBytes?: () => void;
 }
 
 /** A key-value store with conditional writes and a change history. */
@@ -90,7 +94,13 @@
      *
      * @throws HistoryGoneError if the changes after `revision` are no longer available.
      */
-    changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch>;
+    changes(
+        prefix: string,
+        revision: number,
+        waitMs: number,
+        progress: Progress,
+        options?: TransferOptions,
+    ): Promise<ChangeBatch>;
     /** Applies the puts and removals if all conditions hold. */
     txn(
         compares: readonly Compare[],
--- a/tests/gateway/regionalStoreReader.test.ts
+++ b/tests/gateway/regionalStoreReader.test.ts
@@ -2,22 +2,19 @@
 import { ChangeFeed, PrefixWatcher, RegionalStoreReader } from "@marigolddrift/gateway";
 import type { PeerRequest } from "@marigolddrift/gateway";
 import { storeSilenceTimeoutMs } from "@marigolddrift/platform";
-import type { PlatformSettings } from "@marigolddrift/platform";
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { ChangeBatch, Snapshot, StoredValue, VersionedStore } from "@marigolddrift/store";
 import { expect } from "earl";
 import { randomBytes } from "node:crypto";
 import { describe, it } from "node:test";
 
+import { grownBounds } from "../bounds.js";
 import { FakeStore } from "../fakeStore.js";
 import { waitUntil } from "../platform/deployment.js";
 
 const prefix = "config";
 const silenceMs = 2_000;
 
-/** Bounds of a deployment with dozens of instances. */
-const grownBounds = { contactMs: 5_000, drainMs: 4_000, configApplyMs: 4_000, graceS: 8 };
-
 /** A store that counts the bytes of the values that it returns as changes. */
 class CountingStore extends FakeStore {
     bytesSent = 0;
@@ -88,7 +85,14 @@
         const feed = new ChangeFeed();
         const localPeer = { instance: name, region: "r", address: () => name };
         const memberStore = new MemberStore(store);
-        const reader = new RegionalStoreReader(localPeer, memberStore as never, peers, feed, silentLogger);
+        const reader = new RegionalStoreReader(
+            localPeer,
+            memberStore,
+            peers,
+            feed,
+            grownBounds.configApplyMs,
+            silentLogger,
+        );
         const recordValue = ({ value }: StoredValue): void => void (members.get(name)!.value = value.toString());
         const watcher = new PrefixWatcher(
             reader,
@@ -159,7 +163,7 @@
     // Guards against CONFIG late at instances that are in touch, because those that lead their region are not.
     for (const fault of ["cut off from the store", "silent"] as const) {
         it(`should take a change in time although all leading instances are ${fault}`, () => {
-            const maxSilenceMs = storeSilenceTimeoutMs({ bounds: grownBounds } as PlatformSettings);
+            const maxSilenceMs = storeSilenceTimeoutMs({ bounds: grownBounds });
             return withRegion(12, async (region, store) => {
                 const leaders = [...region.values()].filter(({ reader }) => reader.readsDirectly);
                 expect(leaders.length).toEqual(3);
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -81,6 +81,7 @@
             protocol: callHeaders,
             toleratedLosses: 1,
             storeSilenceMs: 5_000,
+            changeDelayLimitMs: 2_500,
             graceMs: 4_000,
             log: silentLogger,
         });
