--- a/packages/gateway/src/state/prefixWatcher.ts
+++ b/packages/gateway/src/state/prefixWatcher.ts
@@ -2,7 +2,7 @@
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { HistoryGoneError } from "@marigolddrift/store";
-import type { Snapshot, StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import { ChangeFeed } from "./changeFeed.js";
 
@@ -12,8 +12,8 @@
 /** Longest pause in the data of a snapshot before the read is aborted; allows for a slow store. */
 const snapshotIdleTimeoutMs = 1_500;
 
-/** Timeout for a snapshot; allows for a large configuration that a whole region reads over a narrow link. */
-const snapshotTimeoutMs = 8_000;
+/** Timeout for a response that is arriving: a large configuration that a whole region reads over a narrow link. */
+const transferTimeoutMs = 8_000;
 
 /** Pause after changes, so that changes in quick succession, as when a whole fleet starts, share one response. */
 const coalesceMs = 150;
@@ -82,42 +82,43 @@
     }
 
     private async poll(): Promise<void> {
-        // After a failure the poll does not wait, so that the recovery of the store is detected at once.
-        const wait = this.isDisconnected ? 0 : this.waitMs;
-        const timeoutMs = this.revision === undefined ? snapshotTimeoutMs : wait + responseSlackMs;
-        const progress = new Progress(timeoutMs, this.stopController.signal);
+        const progress = new Progress(this.waitMs + transferTimeoutMs, this.stopController.signal);
         try {
-            if (this.revision === undefined) {
-                const snapshot = await this.readSnapshot(progress);
-                this.onContact();
-                this.revision = snapshot.revision;
-                this.feed.onSnapshot(snapshot.revision);
-                this.events.onSnapshot(snapshot.values);
-                return;
-            }
-            const batch = await progress.race(this.store.changes(this.prefix, this.revision, wait, progress));
-            this.onContact();
-            this.revision = Math.max(this.revision, batch.revision);
-            this.feed.onChanges(batch.changes, this.revision);
-            if (batch.changes.length > 0) {
-                this.events.onChanges(batch.changes);
-                await progress.sleep(coalesceMs);
-            }
+            await (this.revision === undefined ?
+                this.pollSnapshot(progress) :
+                this.pollChanges(this.revision, progress));
         }
         finally {
             progress.dispose();
         }
     }
 
-    private async readSnapshot(progress: Progress): Promise<Snapshot> {
-        const onIdle = (): void =>
-            progress.abort(new Error(`no data of the snapshot received for ${snapshotIdleTimeoutMs} ms`));
-        const idleTimer = setTimeout(onIdle, snapshotIdleTimeoutMs);
-        try {
-            return await progress.race(this.store.range(this.prefix, progress, { onBytes: () => idleTimer.refresh() }));
-        }
-        finally {
-            clearTimeout(idleTimer);
+    private async pollSnapshot(progress: Progress): Promise<void> {
+        const snapshot = await abortWhenIdle(
+            progress,
+            snapshotIdleTimeoutMs,
+            onBytes => this.store.range(this.prefix, progress, { onBytes }),
+        );
+        this.onContact();
+        this.revision = snapshot.revision;
+        this.feed.onSnapshot(snapshot.revision);
+        this.events.onSnapshot(snapshot.values);
+    }
+
+    private async pollChanges(revision: number, progress: Progress): Promise<void> {
+        // After a failure the poll does not wait, so that the recovery of the store is detected at once.
+        const wait = this.isDisconnected ? 0 : this.waitMs;
+        const batch = await abortWhenIdle(
+            progress,
+            wait + responseSlackMs,
+            onBytes => this.store.changes(this.prefix, revision, wait, progress, { onBytes }),
+        );
+        this.onContact();
+        this.revision = Math.max(revision, batch.revision);
+        this.feed.onChanges(batch.changes, this.revision);
+        if (batch.changes.length > 0) {
+            this.events.onChanges(batch.changes);
+            await progress.sleep(coalesceMs);
         }
     }
 
@@ -156,3 +157,19 @@
         await new Promise(resolve => setTimeout(resolve, retryDelayMs));
     }
 }
+
+/** Makes a call, and aborts it when no data of the response has arrived for a while. */
+const abortWhenIdle = async <T>(
+    progress: Progress,
+    idleTimeoutMs: number,
+    call: (onBytes: () => void) => Promise<T>,
+): Promise<T> => {
+    const onIdle = (): void => progress.abort(new Error(`no data received for ${idleTimeoutMs} ms`));
+    const idleTimer = setTimeout(onIdle, idleTimeoutMs);
+    try {
+        return await progress.race(call(() => idleTimer.refresh()));
+    }
+    finally {
+        clearTimeout(idleTimer);
+    }
+};
--- a/packages/gateway/src/state/regionalStoreReader.ts
+++ b/packages/gateway/src/state/regionalStoreReader.ts
@@ -5,7 +5,14 @@
  */
 import { asError, isDeadlineExceeded, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
-import type { ChangeBatch, RangeOptions, Snapshot, StoreChange, VersionedStore } from "@marigolddrift/store";
+import type {
+    ChangeBatch,
+    RangeOptions,
+    Snapshot,
+    StoreChange,
+    TransferOptions,
+    VersionedStore,
+} from "@marigolddrift/store";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 
 import type { PeerClient } from "../peers/peerClient.js";
@@ -26,9 +33,6 @@
 /** Time that a peer may take to respond beyond the requested wait. */
 const peerSlackMs = 400;
 
-/** Time reserved for the store's response to a read that does not wait. */
-const storeResponseMs = 900;
-
 /** Wait of a question to a leader, and of a leader's read, as a share of the time within which a change must arrive. */
 const waitShare = 0.3;
 
@@ -97,7 +101,14 @@
         return snapshot;
     }
 
-    async changes(prefix: string, revision: number, waitMs: number, progress: Progress): Promise<ChangeBatch> {
+    async changes(
+        prefix: string,
+        revision: number,
+        waitMs: number,
+        progress: Progress,
+        options: TransferOptions = {},
+    ): Promise<ChangeBatch> {
+        const startedAt = performance.now();
         const role: ReadingRole = waitMs > 0 ? this.findRole(prefix) : { kind: "independent" };
         const leaderWaitMs = Math.min(waitMs, this.leaderWaitMs);
         this.isReadingDirectly = role.kind !== "follower";
@@ -116,7 +127,9 @@
                 this.isReadingDirectly = true;
             }
         }
-        return await this.readFromStore(prefix, revision, role.kind === "leader" ? leaderWaitMs : waitMs, progress);
+        const leftMs = Math.max(0, waitMs - (performance.now() - startedAt));
+        const storeWaitMs = role.kind === "leader" ? leaderWaitMs : leftMs;
+        return await this.readFromStore(prefix, revision, storeWaitMs, progress, options);
     }
 
     /** Reads changes for a peer that watches the prefix through this instance. */
@@ -150,10 +163,13 @@
         revision: number,
         waitMs: number,
         progress: Progress,
+        options: TransferOptions,
     ): Promise<ChangeBatch> {
-        const leftMs = Math.max(0, progress.leftMs - storeResponseMs);
-        const onBytes = (): void => void (this.confirmedAt = performance.now());
-        const batch = await this.store.changes(prefix, revision, Math.min(waitMs, leftMs), progress, { onBytes });
+        const onBytes = (): void => {
+            this.confirmedAt = performance.now();
+            options.onBytes?.();
+        };
+        const batch = await this.store.changes(prefix, revision, waitMs, progress, { onBytes });
         this.confirmedAt = performance.now();
         this.source = directSource;
         return batch;
