Break off replies of upstreams that do not end, and take a refusal at its word

The body of a plain reply was kept without a bound until the deadline (2.5 s of loopback), and a refusal counted only when its body had ended: the caller got 504 "may have run" at its deadline, although the upstream had said that the call did not run. Change: a reply of more than 4 MiB is broken off (502, may have run); a refusal counts from its head on, and its connection is closed when its body is longer than 64 KiB or takes more than 0.5 s. Heads were already bounded by the HTTP client (16 KiB).

--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -20,6 +20,13 @@
     onData(chunk: Buffer): void;
 }
 
+/** Size from which the body of a reply is taken for endless: faulty upstreams may send bytes until the caller closes. */
+const maxReplyBytes = 4 * 1024 * 1024;
+
+/** Size and time within which the body of a refusal must end for its connection to be kept. */
+const maxRefusalBytes = 64 * 1024;
+const refusalBodyTimeoutMs = 500;
+
 /** Sends a call to an upstream and writes the reply to a sink. */
 export const attemptCall = (
     upstream: Upstream,
@@ -31,12 +38,13 @@
 ): Promise<AttemptResult> =>
     new Promise(resolve => {
         const active: { call?: RunningCall; } = {};
-        const onAbort = (): void => active.call?.abort(progress.signal.reason as Error);
+        const abort = (reason: Error): void => active.call?.abort(reason);
+        const onAbort = (): void => abort(progress.signal.reason as Error);
         const finish = (result: AttemptResult): void => {
             progress.signal.removeEventListener("abort", onAbort);
             resolve(result);
         };
-        active.call = upstream.connections.send(call, new AttemptListener(callId, protocol, sink, finish));
+        active.call = upstream.connections.send(call, new AttemptListener(callId, protocol, sink, finish, abort));
         progress.signal.addEventListener("abort", onAbort, { once: true });
         if (progress.signal.aborted) {
             onAbort();
@@ -44,13 +52,17 @@
     });
 
 class AttemptListener implements ReplyListener {
-    private refusal: AttemptResult | undefined;
+    /** Set once the result is known although the reply goes on. */
+    private result: AttemptResult | undefined;
+    private bytes = 0;
+    private refusalTimer: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly callId: string,
         private readonly protocol: CallProtocol,
         private readonly sink: ResponseSink,
         private readonly finish: (result: AttemptResult) => void,
+        private readonly abort: (reason: Error) => void,
     ) {}
 
     onHead(status: number, rawHeaders: string[]): boolean {
@@ -61,36 +73,54 @@
             return true;
         }
         if (replyKind === "notRun") {
-            this.refusal = {
-                kind: "notRun",
-                detail: `the upstream refused with ${status}`,
-                unreachable: status === 421,
-            };
+            this.onRefused(status);
             return true;
         }
-        this.refusal = { kind: "broken", detail: `a reply with status ${status} that does not belong to the call` };
+        this.result = { kind: "broken", detail: `a reply with status ${status} that does not belong to the call` };
         return false;
     }
 
-    onData(chunk: Buffer): void {
-        if (this.refusal === undefined) {
-            this.sink.onData(chunk);
+    onData(chunk: Buffer): boolean {
+        this.bytes += chunk.length;
+        if (this.result !== undefined) {
+            return this.bytes <= maxRefusalBytes;
+        }
+        if (this.bytes > maxReplyBytes) {
+            this.result = { kind: "broken", detail: `the reply is longer than ${maxReplyBytes} bytes` };
+            return false;
         }
+        this.sink.onData(chunk);
+        return true;
     }
 
     onEnd(): void {
-        this.finish(this.refusal ?? { kind: "complete" });
+        this.end({ kind: "complete" });
     }
 
     onError(err: Error, sent: boolean): void {
-        if (this.refusal !== undefined) {
-            this.finish(this.refusal);
-        }
-        else if (sent) {
-            this.finish({ kind: "broken", detail: err.message });
-        }
-        else {
-            this.finish({ kind: "notRun", detail: err.message, unreachable: true });
-        }
+        this.end(
+            sent ?
+                { kind: "broken", detail: err.message } :
+                { kind: "notRun", detail: err.message, unreachable: true },
+        );
+    }
+
+    /** A refusal counts from its head on; its body is read only so that the connection can be used again. */
+    private onRefused(status: number): void {
+        this.result = {
+            kind: "notRun",
+            detail: `the upstream refused with ${status}`,
+            unreachable: status === 421,
+        };
+        this.refusalTimer = setTimeout(
+            () => this.abort(new Error("the body of the refusal did not end")),
+            refusalBodyTimeoutMs,
+        );
+        this.finish(this.result);
+    }
+
+    private end(result: AttemptResult): void {
+        clearTimeout(this.refusalTimer);
+        this.finish(this.result ?? result);
     }
 }
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -21,7 +21,8 @@
 export interface ReplyListener {
     /** Returns false to abort the reply. */
     onHead(status: number, rawHeaders: string[]): boolean;
-    onData(chunk: Buffer): void;
+    /** Returns false to abort the reply. */
+    onData(chunk: Buffer): boolean;
     /** The complete reply has arrived. */
     onEnd(): void;
     /** @param sent Whether any part of the call may have reached the upstream. */
@@ -134,8 +135,8 @@
     }
 
     onResponseData(_: HttpDispatcher.DispatchController, chunk: Buffer): void {
-        if (!this.ended) {
-            this.listener.onData(chunk);
+        if (!this.ended && !this.listener.onData(chunk)) {
+            this.abort(new Error("the reply was refused by its listener"));
         }
     }
 
