--- a/tests/storeFaults/intents.test.ts
+++ b/tests/storeFaults/intents.test.ts
@@ -10,6 +10,12 @@
     zones: [{ zone: "tunis-a", region: "tunis-north", daemons: 1, engines: 1, services: 1 }],
 };
 
+/** Lifetime of an instance's lease; it is renewed each third of it. */
+const leaseMs = 6_000;
+
+/** Pause before a refused call is sent again. */
+const retryDelayMs = 200;
+
 describe("calls while the store is unavailable", () => {
     const fleet = new LocalFleet({ layout });
     const client = new Client(layout.callerKey);
@@ -28,18 +34,41 @@
         fleet.standins.store.server.faults.apply({ fault: "down", on: isDown, ms: 0, count: 0 });
     const executions = (): Map<string, number> => [...fleet.standins.services.values()][0]!.executionsByKey();
 
-    it("should report that an order did not run, and run it once when it is retried after the outage", async () => {
-        setStoreDown(true);
-        const first = await placeOrder("o-1", "1");
-        expect(first.value as Problem).toHaveSubset({ verdict: "notRun" });
-        const second = await placeOrder("o-1", "1");
-        expect(second.value as Problem).toHaveSubset({ verdict: "notRun" });
-        expect(executions().get("o-1")).toEqual(undefined);
-        setStoreDown(false);
-        const third = await placeOrder("o-1", "20");
-        expect(third.status).toEqual(200);
-        expect(executions().get("o-1")).toEqual(1);
-    });
+    /** Retries while the instance has not renewed its lease, which takes a third of the lease's lifetime at most. */
+    const retryOrder = async (key: string): ReturnType<Client["service"]> => {
+        const endsAt = performance.now() + leaseMs / 3 + retryDelayMs;
+        for (;;) {
+            const res = await placeOrder(key, "20");
+            if (res.status !== 503 || performance.now() > endsAt) {
+                return res;
+            }
+            expect(res.value as Problem).toHaveSubset({ verdict: "notRun" });
+            expect(executions().get(key)).toEqual(undefined);
+            await new Promise(resolve => setTimeout(resolve, retryDelayMs));
+        }
+    };
+
+    for (
+        const [title, outageMs] of [["a short outage", 0], [
+            "an outage longer than its lease",
+            leaseMs + 1_000,
+        ]] as const
+    ) {
+        it(`should report that an order did not run, and run it once when it is retried after ${title}`, async () => {
+            const key = `o-${outageMs}`;
+            setStoreDown(true);
+            const first = await placeOrder(key, "1");
+            expect(first.value as Problem).toHaveSubset({ verdict: "notRun" });
+            const second = await placeOrder(key, "1");
+            expect(second.value as Problem).toHaveSubset({ verdict: "notRun" });
+            expect(executions().get(key)).toEqual(undefined);
+            await new Promise(resolve => setTimeout(resolve, outageMs));
+            setStoreDown(false);
+            const third = await retryOrder(key);
+            expect(third.status).toEqual(200);
+            expect(executions().get(key)).toEqual(1);
+        });
+    }
 
     it("should go on with model calls and new programs", async () => {
         setStoreDown(true);
