--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -93,6 +93,7 @@
         const hasBody = body.length > 0 || ctx.req.headers["content-length"] !== undefined;
         const call = { method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
         const startedAt = performance.now();
+        response.onLimit = requestsPerSecond => upstream.onLimitNamed(requestsPerSecond, startedAt, this.options.log);
         const result = await attemptCall(upstream, call, ctx.id, this.options.protocol, response, ctx.progress);
         if (result.kind === "notRun" && result.unreachable) {
             upstream.eject();
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -7,6 +7,7 @@
 
 /** Buffers a response, which is sent only once it is complete. */
 export class BufferedResponse implements ResponseSink {
+    onLimit: ResponseSink["onLimit"] = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
@@ -35,6 +36,7 @@
 
 /** Forwards a stream as it arrives. `end` must be called once the stream is known to be complete. */
 export class StreamedResponse implements ResponseSink {
+    onLimit: ResponseSink["onLimit"] = () => {};
     readonly events = new EventCollector();
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -16,6 +16,8 @@
 
 /** Receives a reply that has been found to belong to the call. */
 export interface ResponseSink {
+    /** Called for each reply to the call, also a refusal, with the limit that the upstream names in it, if any. */
+    onLimit(requestsPerSecond: number | undefined): void;
     onHead(head: ReplyHead): void;
     onData(chunk: Buffer): void;
 }
@@ -68,6 +70,9 @@
     onHead(status: number, rawHeaders: string[]): boolean {
         const head = this.protocol.parseReply(status, rawHeaders);
         const replyKind = classifyReply(head, this.callId);
+        if (head.callId === this.callId && replyKind !== "unusable") {
+            this.sink.onLimit(head.requestsPerSecond);
+        }
         if (replyKind === "answer") {
             this.sink.onHead(head);
             return true;
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -24,8 +24,37 @@
     /** Moving average of the duration of calls, which run concurrently with others; undefined before the first one. */
     meanCallMs: number | undefined;
 
+    /** Requests a second that it takes from all instances together, by its latest answer; undefined if it names none. */
+    requestsPerSecond: number | undefined;
+    /** Monotonic time of the latest answer that named a limit. */
+    private limitNamedAt = -Infinity;
+    /** Calls sent since the limit was first named. */
+    private sentUnderLimit = 0;
+
     constructor(public entry: UpstreamEntry, readonly connections: UpstreamConnections) {}
 
+    /** Handles an answer to a call that was sent at `sentAt`; one sent before the latest named limit does not end it. */
+    onLimitNamed(requestsPerSecond: number | undefined, sentAt: number, log: Logger): void {
+        const now = performance.now();
+        this.sentUnderLimit += 1;
+        if (
+            requestsPerSecond === undefined ?
+                sentAt <= this.limitNamedAt :
+                requestsPerSecond === this.requestsPerSecond
+        ) {
+            this.limitNamedAt = requestsPerSecond === undefined ? this.limitNamedAt : now;
+            return;
+        }
+        const previous = this.requestsPerSecond;
+        if (previous === undefined && requestsPerSecond === undefined) {
+            return;
+        }
+        log.info("upstream limit", { upstream: this.entry.id, requestsPerSecond, previous, sent: this.sentUnderLimit });
+        this.limitNamedAt = requestsPerSecond === undefined ? this.limitNamedAt : now;
+        this.sentUnderLimit = 0;
+        this.requestsPerSecond = requestsPerSecond;
+    }
+
     isAvailable(now: number): boolean {
         return !this.entry.draining && this.missingSince === undefined && now >= this.ejectedUntil;
     }
