Log whether an upstream has ended, and which calls ended with it

When calls break off before any of their answer, the instance connects to the upstream once: if connections are refused although the upstream is not leaving, it has crashed, and a line names each call that ended with it.

--- /dev/null
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -0,0 +1,64 @@
+/** Finds out whether an upstream has ended when the connections of calls to it end. */
+import type { Logger } from "@marigolddrift/common";
+import { connect } from "node:net";
+
+import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
+
+/** Timeout of the connection by which an upstream is checked. */
+const checkTimeoutMs = 500;
+
+/** Handles the end of an upstream; `calls` are the fingerprints of the calls that had not been answered at all. */
+export type CrashListener = (upstream: Upstream, calls: readonly string[]) => void;
+
+/**
+ * Takes an upstream for crashed if calls to it broke off and its address refuses connections, although it has not said that
+ * it leaves. A reset connection, a cut network, a lost answer and a planned end leave other traces.
+ */
+export class CrashDetector {
+    /** Fingerprints of the calls that broke off, by upstreams that are being checked. */
+    private readonly checked = new Map<Upstream, Set<string>>();
+
+    constructor(
+        private readonly upstreams: Pick<Upstreams, "get">,
+        private readonly onCrash: CrashListener,
+        private readonly log: Logger,
+    ) {}
+
+    /** Handles a call that broke off before any of its answer had arrived. */
+    onBroken(upstream: Upstream, fingerprint: string): void {
+        const calls = this.checked.get(upstream);
+        if (calls !== undefined) {
+            calls.add(fingerprint);
+            return;
+        }
+        this.checked.set(upstream, new Set([fingerprint]));
+        void this.check(upstream);
+    }
+
+    private async check(upstream: Upstream): Promise<void> {
+        const { id, address } = upstream.entry;
+        const refused = await refusesConnections(address);
+        const calls = [...this.checked.get(upstream) ?? []];
+        this.checked.delete(upstream);
+        const isLeaving = upstream.entry.draining || this.upstreams.get(id) !== upstream;
+        const crashed = refused && !isLeaving;
+        this.log.info("upstream checked", { upstream: id, refused, isLeaving, crashed, calls: calls.length });
+        if (crashed) {
+            this.onCrash(upstream, calls);
+        }
+    }
+}
+
+const refusesConnections = (address: string): Promise<boolean> => {
+    const [host, port] = address.split(":");
+    return new Promise(resolve => {
+        const socket = connect({ host: host!, port: Number(port), timeout: checkTimeoutMs });
+        const end = (refused: boolean): void => {
+            socket.destroy();
+            resolve(refused);
+        };
+        socket.on("connect", () => end(false));
+        socket.on("timeout", () => end(false));
+        socket.on("error", err => end((err as NodeJS.ErrnoException).code === "ECONNREFUSED"));
+    });
+};
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -7,6 +7,7 @@
 import polka from "polka";
 import type { Polka } from "polka";
 
+import { fingerprintOf } from "../crashes/fingerprint.js";
 import type { CallContext, CallTrace } from "../filters/callContext.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { CallProtocol } from "../protocol.js";
@@ -146,7 +147,8 @@
                 progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
             }
         });
-        return {
+        let fingerprint: string | undefined;
+        const ctx: CallContext = {
             req,
             res,
             head,
@@ -159,7 +161,9 @@
             conversation: undefined,
             reservation: undefined,
             trace,
+            fingerprint: () => fingerprint ??= fingerprintOf(req, ctx.body),
         };
+        return ctx;
     }
 
     private onFailed(
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -56,6 +56,8 @@
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
     readonly trace: CallTrace;
+    /** Recognizes the call if its caller sends it again. To be used only once the body has been read. */
+    fingerprint(): string;
 }
 
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -6,6 +6,7 @@
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
 
+import type { CrashDetector } from "../crashes/crashDetector.js";
 import type { LimitAdmission } from "../limits/limitAdmission.js";
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
 import type { QueuedCall } from "../placement.js";
@@ -32,6 +33,7 @@
     readonly upstreams: Upstreams;
     readonly limits: UpstreamLimits;
     readonly admission: LimitAdmission;
+    readonly crashes: CrashDetector;
     readonly protocol: CallProtocol;
     readonly turns: TurnStore;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
@@ -132,6 +134,9 @@
         if (result.kind === "complete") {
             upstream.recordDuration(performance.now() - startedAt);
         }
+        if (result.kind === "broken" && !response.hasData && !ctx.progress.signal.aborted) {
+            this.options.crashes.onBroken(upstream, ctx.fingerprint());
+        }
         await this.completeAttempt(ctx, response, result);
         return result;
     }
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -15,6 +15,11 @@
         return this.head?.status;
     }
 
+    /** Whether any of the body has arrived. */
+    get hasData(): boolean {
+        return this.chunks.length > 0;
+    }
+
     onHead(head: ReplyHead): void {
         this.head = head;
         this.chunks.length = 0;
@@ -48,6 +53,11 @@
         return this.head?.status;
     }
 
+    /** Whether any of the body has arrived. */
+    get hasData(): boolean {
+        return this.firstDataAt !== undefined;
+    }
+
     get isSuccess(): boolean {
         return this.head !== undefined && this.head.status < 300;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
+import { CrashDetector } from "./crashes/crashDetector.js";
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
@@ -42,6 +43,7 @@
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
 import { Upstreams } from "./upstreams/upstreams.js";
+import type { Upstream } from "./upstreams/upstreams.js";
 
 /** Number of instances assumed to share an upstream's connection limit. */
 const assumedInstanceCount = 8;
@@ -271,11 +273,16 @@
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
         const { protocol, log } = this.options;
         const { dispatcher, upstreams, turns } = this;
+        const logCrash = (upstream: Upstream, calls: readonly string[]): void =>
+            calls.forEach(fingerprint =>
+                log.info("call ended with its upstream", { upstream: upstream.entry.id, fingerprint })
+            );
         const forward = new ForwardFilter({
             dispatcher,
             upstreams,
             limits: this.limits,
             admission: new LimitAdmission(dispatcher, pool, random),
+            crashes: new CrashDetector(upstreams, logCrash, log),
             protocol,
             turns,
             log,
