Wait longer for permits than a busy process stalls, and let calls of running programs wait

A request for permits that took 250 ms closed the connection to its peer, on which reservations of budgets wait, too: 400 ms now, as for load reports. Calls of tools and of routes that keep no turns were taken for the first call of a program while all upstreams are at their limits, and might wait a tenth of their time only; they belong to running programs. Relays hold requests for 2 s in place of 1 s: half of the messages, and two relays cover for each other.

--- a/packages/gateway/src/facts/factExchange.ts
+++ b/packages/gateway/src/facts/factExchange.ts
@@ -17,7 +17,7 @@
 const relayKey = "fact relay";
 
 /** Time for which a relay holds a request until there are new facts. */
-const waitMs = 1_000;
+const waitMs = 2_000;
 
 /** Time allowed for a response beyond the wait. */
 const responseTimeoutMs = 500;
--- a/packages/gateway/src/limits/limitAdmission.ts
+++ b/packages/gateway/src/limits/limitAdmission.ts
@@ -22,7 +22,7 @@
         if (!this.pool.isLimited(call.model)) {
             return await this.dispatcher.acquire(call, ctx.progress);
         }
-        const maxWaitMs = maxLimitedWaitMs(call.firstCall, ctx.progress.leftMs);
+        const maxWaitMs = maxLimitedWaitMs(startsProgram(ctx), ctx.progress.leftMs);
         this.checkWait(call, maxWaitMs);
         const progress = ctx.progress.child(maxWaitMs);
         try {
@@ -55,3 +55,7 @@
         });
     }
 }
+
+/** Whether the call is known to be the first of its program. Calls of tools and callers that send the history do not tell. */
+const startsProgram = ({ head, route }: CallContext): boolean =>
+    head.prompt !== undefined && route.turnRetentionMs > 0 && head.program?.previousTurnId === undefined;
--- a/packages/gateway/src/limits/permits.ts
+++ b/packages/gateway/src/limits/permits.ts
@@ -10,10 +10,13 @@
 import type { PermitGranter } from "./permitGranter.js";
 
 /** Timeout of a request for permits within the region. */
-const askTimeoutMs = 250;
+const askTimeoutMs = 400;
 
 /** Timeout of a request for permits that is passed on, shorter than that of the one that caused it. */
-const relayTimeoutMs = 180;
+const relayTimeoutMs = 300;
+
+/** Longest time until an instance that reaches no granting instance tries again. */
+const unreachableRetryMs = 250;
 
 /** Most permits in one request: permits are used at once, so there is no use for more than wait at an instance. */
 const maxPermits = 16;
@@ -187,7 +190,7 @@
         const { bucket, granted, retryInMs } = takePermits(state.unreachableBucket, rate, count, performance.now());
         state.unreachableBucket = bucket;
         this.metrics.count("permits.unreachable");
-        return { granted, retryInMs: Math.min(retryInMs, askTimeoutMs), sharers: instances };
+        return { granted, retryInMs: Math.min(retryInMs, unreachableRetryMs), sharers: instances };
     }
 
     private stateOf(key: string): UpstreamPermits {
