Block calls that upstreams end with, at all instances

- A crash that an instance sees adds the upstream's process to the record of each call that had not been answered at all; records spread as facts and merge in any order, so that one crash counts once.
Three crashes block a call at all instances, for ten minutes; after that one more crash blocks it again.
An answer clears it.
- What a blocked call explains does not count against the calls beside it.
- Besides the whole body, its beginnings of 256, 512, ... bytes have records: a caller that sends the conversation itself repeats a call with more or less of it.
A beginning that was answered in the last ten minutes is never suspected.
- The answer is 502 with no time to come back: the fault is the upstreams', not the caller's.

--- a/packages/common/src/verdict.ts
+++ b/packages/common/src/verdict.ts
@@ -53,6 +53,7 @@
     caller_gone: [499, "The connection closed before the answer was complete."],
     internal: [500, "Report it with the log lines of this request."],
     upstream_failed: [502, "Send an idempotent request again; check others with the service."],
+    call_blocked: [502, "Do not send it again unchanged: upstreams end when they begin to run it."],
     not_configured: [503, "Wait for Retry-After; this instance has no configuration yet."],
     no_upstream: [503, "Wait for Retry-After and send it again."],
     not_durable: [503, "The platform's store is away; wait for Retry-After and send it again."],
--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -3,20 +3,21 @@
 import { connect } from "node:net";
 
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
+import type { Fingerprints } from "./fingerprint.js";
 
 /** Timeout of the connection by which an upstream is checked. */
 const checkTimeoutMs = 500;
 
-/** Handles the end of an upstream; `calls` are the fingerprints of the calls that had not been answered at all. */
-export type CrashListener = (upstream: Upstream, calls: readonly string[]) => void;
+/** Handles the end of an upstream with the calls that it had not answered at all. */
+export type CrashListener = (upstream: Upstream, calls: readonly Fingerprints[]) => void;
 
 /**
  * Takes an upstream for crashed if calls to it broke off and its address refuses connections, although it has not said that
  * it leaves. A reset connection, a cut network, a lost answer and a planned end leave other traces.
  */
 export class CrashDetector {
-    /** Fingerprints of the calls that broke off, by upstreams that are being checked. */
-    private readonly checked = new Map<Upstream, Set<string>>();
+    /** The calls that broke off, by upstreams that are being checked. */
+    private readonly checked = new Map<Upstream, Fingerprints[]>();
 
     constructor(
         private readonly upstreams: Pick<Upstreams, "get">,
@@ -25,25 +26,26 @@
     ) {}
 
     /** Handles a call that broke off before any of its answer had arrived. */
-    onBroken(upstream: Upstream, fingerprint: string): void {
+    onBroken(upstream: Upstream, call: Fingerprints): void {
         const calls = this.checked.get(upstream);
         if (calls !== undefined) {
-            calls.add(fingerprint);
+            calls.push(call);
             return;
         }
-        this.checked.set(upstream, new Set([fingerprint]));
+        this.checked.set(upstream, [call]);
         void this.check(upstream);
     }
 
     private async check(upstream: Upstream): Promise<void> {
         const { id, address } = upstream.entry;
         const refused = await refusesConnections(address);
-        const calls = [...this.checked.get(upstream) ?? []];
+        const calls = this.checked.get(upstream) ?? [];
         this.checked.delete(upstream);
         const isLeaving = upstream.entry.draining || this.upstreams.get(id) !== upstream;
         const crashed = refused && !isLeaving;
         this.log.info("upstream checked", { upstream: id, refused, isLeaving, crashed, calls: calls.length });
         if (crashed) {
+            calls.forEach(({ whole }) => this.log.info("call ended with its upstream", { upstream: id, call: whole }));
             this.onCrash(upstream, calls);
         }
     }
--- a/packages/gateway/src/crashes/fingerprint.ts
+++ b/packages/gateway/src/crashes/fingerprint.ts
@@ -2,19 +2,58 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 
-const fingerprintBytes = 16;
+const fingerprintBytes = 12;
+
+/** Length of the shortest beginning of a body that has a fingerprint of its own; each further one is twice as long. */
+const minBeginningBytes = 256;
+
+/** Length of the longest beginning that has a fingerprint of its own. */
+const maxBeginningBytes = 64 * 1024;
+
+/** What identifies a call, without ids, deadlines and the conversation that the system adds. */
+export interface Fingerprints {
+    /** Digest of method, host, path, credentials and the whole body that the caller sent. */
+    readonly whole: string;
+    /**
+     * Digests of the same with the first 256, 512, ... bytes of the body: a caller that sends the conversation itself
+     * repeats a call with more, or less, of it.
+     */
+    readonly beginnings: readonly string[];
+}
 
 /**
- * Digest of what a caller asks for: method, host, path, credentials and the body that the caller sent. Ids, deadlines and
- * the conversation that the system adds differ from one attempt to the next.
+ * Returns the fingerprints of a call.
  *
  * @example
- * fingerprintOf(ctx.req, ctx.body) === "3f0a94c1d1b7a3f24f0c3a7b19d2c6e8";
+ * fingerprintsOf(ctx.req, ctx.body).whole === "P0qUwdG3o_JPDDp7";
  */
-export const fingerprintOf = (req: Pick<IncomingMessage, "method" | "url" | "headers">, body: Buffer): string => {
+export const fingerprintsOf = (
+    req: Pick<IncomingMessage, "method" | "url" | "headers">,
+    body: Buffer,
+): Fingerprints => {
     const hash = createHash("sha256");
     for (const part of [req.method, req.headers.host, req.url, req.headers.authorization]) {
         hash.update(`${part?.length ?? -1}:${part ?? ""}`);
     }
-    return hash.update(body).digest().subarray(0, fingerprintBytes).toString("hex");
+    const digest = (): string => hash.copy().digest().subarray(0, fingerprintBytes).toString("base64url");
+    const beginnings: string[] = [];
+    let hashed = 0;
+    for (let end = minBeginningBytes; end <= Math.min(body.length, maxBeginningBytes); end *= 2) {
+        hash.update(body.subarray(hashed, end));
+        hashed = end;
+        beginnings.push(`${digest()}+${end}`);
+    }
+    hash.update(body.subarray(hashed));
+    return { whole: digest(), beginnings };
+};
+
+const beginningBytes = (fingerprint: string): number => {
+    const plus = fingerprint.indexOf("+");
+    return plus < 0 ? Infinity : Number(fingerprint.slice(plus + 1));
+};
+
+/** Orders fingerprints so that those that fit the fewest calls come first. */
+export const compareFingerprints = (a: string, b: string): number => {
+    const [aBytes, bBytes] = [beginningBytes(a), beginningBytes(b)];
+    return aBytes === bBytes ? (a < b ? -1 : 1) : aBytes > bBytes ? -1 : 1;
 };
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -7,7 +7,8 @@
 import polka from "polka";
 import type { Polka } from "polka";
 
-import { fingerprintOf } from "../crashes/fingerprint.js";
+import { fingerprintsOf } from "../crashes/fingerprint.js";
+import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { CallContext, CallTrace } from "../filters/callContext.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { CallProtocol } from "../protocol.js";
@@ -147,7 +148,7 @@
                 progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
             }
         });
-        let fingerprint: string | undefined;
+        let fingerprints: Fingerprints | undefined;
         const ctx: CallContext = {
             req,
             res,
@@ -161,7 +162,7 @@
             conversation: undefined,
             reservation: undefined,
             trace,
-            fingerprint: () => fingerprint ??= fingerprintOf(req, ctx.body),
+            fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body),
         };
         return ctx;
     }
--- a/packages/gateway/src/facts/factTable.ts
+++ b/packages/gateway/src/facts/factTable.ts
@@ -32,11 +32,15 @@
     readonly sequence: number;
 }
 
-/** Facts of one kind by key; the oldest are dropped beyond a maximum. */
+/** Facts of one kind by key. Beyond a maximum, the oldest expendable one is dropped, or else the oldest. */
 export class FactTable<V> {
     private readonly entries = new Map<string, Entry<V>>();
 
-    constructor(private readonly clock: FactClock, private readonly maxEntries: number) {}
+    constructor(
+        private readonly clock: FactClock,
+        private readonly maxEntries: number,
+        private readonly isExpendable: (value: V) => boolean = () => true,
+    ) {}
 
     get(key: string): V | undefined {
         return this.entries.get(key)?.value;
@@ -46,8 +50,8 @@
         return this.entries.size;
     }
 
-    values(): V[] {
-        return [...this.entries.values()].map(({ value }) => value);
+    all(): [string, V][] {
+        return [...this.entries].map(([key, { value }]) => [key, value]);
     }
 
     /** Stores a fact that peers have to learn. */
@@ -55,7 +59,7 @@
         this.entries.delete(key);
         this.entries.set(key, { value, sequence: this.clock.sequence + 1 });
         if (this.entries.size > this.maxEntries) {
-            this.entries.delete(this.entries.keys().next().value!);
+            this.entries.delete(this.findExpendable());
         }
         this.clock.advance();
     }
@@ -72,6 +76,15 @@
         this.entries.delete(key);
     }
 
+    private findExpendable(): string {
+        for (const [key, { value }] of this.entries) {
+            if (this.isExpendable(value)) {
+                return key;
+            }
+        }
+        return this.entries.keys().next().value!;
+    }
+
     changedSince(sequence: number): [string, V][] {
         return [...this.entries].filter(([, entry]) => entry.sequence > sequence).map((
             [key, { value }],
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -4,6 +4,7 @@
 
 import type { Reservation } from "../budgets/budgets.js";
 import type { CallHead } from "../call.js";
+import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { Route, Service } from "../routes.js";
 import type { Conversation } from "../turns/turnStore.js";
 
@@ -56,8 +57,8 @@
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
     readonly trace: CallTrace;
-    /** Recognizes the call if its caller sends it again. To be used only once the body has been read. */
-    fingerprint(): string;
+    /** Recognize the call if its caller sends it again. To be used only once the body has been read. */
+    fingerprints(): Fingerprints;
 }
 
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -6,6 +6,7 @@
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
 
+import type { CallBlocker } from "../crashes/callBlocker.js";
 import type { CrashDetector } from "../crashes/crashDetector.js";
 import type { LimitAdmission } from "../limits/limitAdmission.js";
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
@@ -34,6 +35,7 @@
     readonly limits: UpstreamLimits;
     readonly admission: LimitAdmission;
     readonly crashes: CrashDetector;
+    readonly blocker: CallBlocker;
     readonly protocol: CallProtocol;
     readonly turns: TurnStore;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
@@ -55,7 +57,7 @@
         let refusals = 0;
         let runs = 0;
         for (;;) {
-            const result = await this.runAttempt(ctx, excluded);
+            const result = await this.runAttempt(ctx, excluded, runs > 0);
             if (result.kind === "complete") {
                 return;
             }
@@ -74,7 +76,11 @@
         }
     }
 
-    private async runAttempt(ctx: CallContext, excluded: Set<string>): Promise<AttemptResult | NoPermit> {
+    private async runAttempt(
+        ctx: CallContext,
+        excluded: Set<string>,
+        mayHaveRun: boolean,
+    ): Promise<AttemptResult | NoPermit> {
         const { dispatcher } = this.options;
         const lease = await this.options.admission.acquire(createQueuedCall(ctx, excluded), ctx);
         if (!await this.takePermit(ctx, lease)) {
@@ -86,6 +92,8 @@
         const queuedMs = Math.round(startedAt - ctx.arrivedAt);
         Object.assign(ctx.trace, { upstream: lease.worker, attempts: previousAttempts + 1, sentMs: queuedMs });
         try {
+            // While the call waited, others like it may have ended their upstreams.
+            this.options.blocker.check(ctx, mayHaveRun);
             return await this.send(ctx, lease);
         }
         finally {
@@ -133,9 +141,10 @@
         }
         if (result.kind === "complete") {
             upstream.recordDuration(performance.now() - startedAt);
+            this.options.blocker.onAnswered(ctx);
         }
         if (result.kind === "broken" && !response.hasData && !ctx.progress.signal.aborted) {
-            this.options.crashes.onBroken(upstream, ctx.fingerprint());
+            this.options.crashes.onBroken(upstream, ctx.fingerprints());
         }
         await this.completeAttempt(ctx, response, result);
         return result;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,10 +7,12 @@
 
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
+import { CallBlocker } from "./crashes/callBlocker.js";
 import { CrashDetector } from "./crashes/crashDetector.js";
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
+import { BlockFilter } from "./filters/blockFilter.js";
 import { BodyFilter } from "./filters/bodyFilter.js";
 import { BudgetFilter } from "./filters/budgetFilter.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
@@ -43,7 +45,6 @@
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
 import { Upstreams } from "./upstreams/upstreams.js";
-import type { Upstream } from "./upstreams/upstreams.js";
 
 /** Number of instances assumed to share an upstream's connection limit. */
 const assumedInstanceCount = 8;
@@ -88,6 +89,7 @@
     private readonly facts: FactExchange;
     private readonly limits: UpstreamLimits;
     private readonly permits: Permits;
+    private readonly blocker: CallBlocker;
     private readonly permitGranter: PermitGranter;
     private readonly storeArchive: StoreArchive;
     private readonly journalArchive: JournalArchive;
@@ -134,7 +136,9 @@
         this.permits = new Permits(this.localInstance, this.peers, this.permitGranter, this.metrics, log);
         const factClock = new FactClock();
         this.limits = new UpstreamLimits(factClock, this.permits, options.regionOf, log);
-        this.facts = new FactExchange(this.localInstance, this.peers, factClock, { limits: this.limits }, log);
+        this.blocker = new CallBlocker(factClock, this.metrics, log);
+        const sources = { limits: this.limits, crashes: this.blocker };
+        this.facts = new FactExchange(this.localInstance, this.peers, factClock, sources, log);
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
         const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits);
         this.writer = new BatchWriter(store, batchDelayMs, log);
@@ -165,6 +169,7 @@
             entry: this.entry,
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
+            blocker: this.blocker,
             activeConfig: this.activeConfig,
             stallMonitor: this.stallMonitor,
             config: this.config.watcher,
@@ -220,6 +225,7 @@
         this.loadExchange.close();
         this.facts.close();
         this.permitGranter.close();
+        this.blocker.close();
         this.peers.stop();
         this.peerServer.close();
         this.storeArchive.close();
@@ -273,16 +279,13 @@
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
         const { protocol, log } = this.options;
         const { dispatcher, upstreams, turns } = this;
-        const logCrash = (upstream: Upstream, calls: readonly string[]): void =>
-            calls.forEach(fingerprint =>
-                log.info("call ended with its upstream", { upstream: upstream.entry.id, fingerprint })
-            );
         const forward = new ForwardFilter({
             dispatcher,
             upstreams,
             limits: this.limits,
             admission: new LimitAdmission(dispatcher, pool, random),
-            crashes: new CrashDetector(upstreams, logCrash, log),
+            crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
+            blocker: this.blocker,
             protocol,
             turns,
             log,
@@ -292,6 +295,7 @@
         return new EntryServer({
             filters: [
                 new BodyFilter(maxBytes),
+                new BlockFilter(this.blocker),
                 new HistoryFilter(turns),
                 new BudgetFilter(this.regionBudgets),
                 forward,
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of an instance that serves callers. */
+import type { CallBlocker } from "./crashes/callBlocker.js";
 import type { EntryServer } from "./entry/entryServer.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { StallMonitor } from "./stallMonitor.js";
@@ -11,6 +12,7 @@
     readonly entry: Pick<EntryServer, "active">;
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size">;
+    readonly blocker: Pick<CallBlocker, "blocked">;
     readonly activeConfig: Pick<ActiveConfig, "table">;
     readonly stallMonitor: Pick<StallMonitor, "lastStallMs">;
     readonly config: Pick<PrefixWatcher, "ageMs">;
@@ -22,6 +24,7 @@
     metrics.addGauge("calls_active", "Calls whose answers have not ended", () => of.entry.active);
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
+    metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
     metrics.addGauge("config_version", "Version in force", () => of.activeConfig.table?.config.version ?? 0);
     metrics.addGauge(
         "stall_milliseconds",
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./baselines.js";
 export * from "./cacheView.js";
 export * from "./costModel.js";
+export * from "./crashRecords.js";
 export * from "./distance.js";
 export * from "./loadAggregator.js";
 export * from "./loopDetection.js";
