Let a blocked call excuse the calls beside it only for crashes before it was blocked

The explorer found it (new model of the crash records): a harmless call that had run beside the deadly one at three ends, and at a fourth through another instance, was blocked first, and all crashes of the deadly one counted as explained; that was sent on until it had three more. Now any crash that no blocked call explains blocks a call that three upstreams ended with. Instances that know of three crashes send the call three times at the most, and only while another call may be the cause.

Model: 558,458 states, no invariant broken; before the change broken after 9,963 states. Five mutants are found.

--- a/packages/policy/src/crashRecords.ts
+++ b/packages/policy/src/crashRecords.ts
@@ -68,31 +68,43 @@
 
 const latestCrashAt = ({ crashes }: CrashRecord): number => Math.max(-Infinity, ...crashes.map(({ at }) => at));
 
+/** A call that enough upstreams ended with, and those of them that no blocked call explains. */
+interface Suspect {
+    readonly fingerprint: string;
+    readonly record: CrashRecord;
+    unexplained: number;
+}
+
 /**
- * Finds the calls that must not be sent to an upstream. The call that most upstreams ended with comes first: what it explains
- * does not count against the calls that ran beside it.
+ * Finds the calls that must not be sent to an upstream, from the one that explains the most crashes on. Calls that ended only
+ * beside blocked ones are let through; one further crash blocks them, too, as nothing explains that.
  *
  * @param records Records by the calls' fingerprints.
- * @param compare Orders fingerprints that as many upstreams ended with, in the same way at all instances.
+ * @param compare Orders fingerprints that explain as many crashes, in the same way at all instances.
  */
 export const findBlocked = (
     records: Iterable<readonly [string, CrashRecord]>,
     now: number,
     compare: (a: string, b: string) => number,
 ): Set<string> => {
-    const suspects = [...records].filter(([, { crashes }]) => crashes.length >= crashesUntilBlocked).sort((a, b) =>
-        b[1].crashes.length - a[1].crashes.length || compare(a[0], b[0])
-    );
-    const explained = new Set<string>();
     const blocked = new Set<string>();
-    for (const [fingerprint, record] of suspects) {
-        const unexplained = record.crashes.filter(({ upstream }) => !explained.has(upstream));
-        if (unexplained.length >= crashesUntilBlocked) {
-            record.crashes.forEach(({ upstream }) => explained.add(upstream));
-            if (now - latestCrashAt(record) < blockedMs) {
-                blocked.add(fingerprint);
-            }
+    const explained = new Set<string>();
+    let suspects: Suspect[] = [...records].filter(([, { crashes }]) => crashes.length >= crashesUntilBlocked).map((
+        [fingerprint, record],
+    ) => ({ fingerprint, record, unexplained: record.crashes.length }));
+    while (suspects.length > 0) {
+        const [first, ...others] = suspects.sort((a, b) =>
+            b.unexplained - a.unexplained || compare(a.fingerprint, b.fingerprint)
+        );
+        first!.record.crashes.forEach(({ upstream }) => explained.add(upstream));
+        if (now - latestCrashAt(first!.record) < blockedMs) {
+            blocked.add(first!.fingerprint);
         }
+        const count = ({ crashes }: CrashRecord): number =>
+            crashes.filter(({ upstream }) => !explained.has(upstream)).length;
+        suspects = others.map(suspect => ({ ...suspect, unexplained: count(suspect.record) })).filter(suspect =>
+            suspect.unexplained > 0
+        );
     }
     return blocked;
 };
--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -1,5 +1,6 @@
 /** Checks the invariants of the slot protocol and the bundle chain, or with --mutants that each mutant is detected. */
 import { bundleInvariants, bundleSteps, initialBundleWorld } from "./bundleModel.js";
+import { crashInvariants, crashSteps, initialCrashWorld } from "./crashModel.js";
 import { explore } from "./explorer.js";
 import type { Exploration } from "./explorer.js";
 import { invariants } from "./invariants.js";
@@ -29,10 +30,15 @@
     };
 };
 
+const exploreCrashes = (mutation: Mutation): Exploration =>
+    explore(initialCrashWorld, world => crashSteps(world, mutation), crashInvariants(mutation), maxStates);
+
 const exploreWorld = (world: typeof mutants[string]["world"], mutation: Mutation): Exploration => {
     switch (world) {
         case "bundles":
             return exploreBundles(mutation);
+        case "crashes":
+            return exploreCrashes(mutation);
         case "limits":
             return exploreLimits(mutation);
         case "leases":
@@ -58,12 +64,15 @@
         budget: exploreScope("budget", {}),
         bundles: exploreBundles({}),
         limits: exploreLimits({}),
+        crashes: exploreCrashes({}),
     };
     for (const [name, result] of Object.entries(results)) {
         print(name, result);
         result.violation?.trace.forEach(step => console.log(`    ${step}`));
     }
-    [...invariants, ...bundleInvariants, ...limitInvariants].forEach(({ name }) => console.log(`  checked: ${name}`));
+    [...invariants, ...bundleInvariants, ...limitInvariants, ...crashInvariants({})].forEach(({ name }) =>
+        console.log(`  checked: ${name}`)
+    );
     return Object.values(results).every(result => result.complete);
 };
 
--- a/spec/mutants.ts
+++ b/spec/mutants.ts
@@ -34,13 +34,26 @@
     readonly grantBeforeSettled?: boolean;
     /** An instance that reaches no granting instance uses the whole limit. */
     readonly unreachableUseAll?: boolean;
+    /** A blocked call is sent all the same. */
+    readonly sendBlocked?: boolean;
+    /** What a peer tells replaces what is known. */
+    readonly forgetOnMerge?: boolean;
+    /** The end of an upstream counts once for each instance that sees it. */
+    readonly countPerInstance?: boolean;
+    /** An answer does not clear the call. */
+    readonly keepAnswered?: boolean;
+    /** Crashes that a blocked call explains count against the calls beside it. */
+    readonly ignoreExplained?: boolean;
 }
 
 /** Mutants by name, with the scope in which each must be detected. */
 export const mutants: Readonly<
     Record<
         string,
-        { readonly world: "leases" | "deadlines" | "budget" | "bundles" | "limits"; readonly mutation: Mutation; }
+        {
+            readonly world: "leases" | "deadlines" | "budget" | "bundles" | "limits" | "crashes";
+            readonly mutation: Mutation;
+        }
     >
 > = {
     "drop the fence": { world: "deadlines", mutation: { skipRevisionCheck: true } },
@@ -64,5 +77,10 @@
         mutation: { grantBeforeSettled: true },
     },
     "use the whole limit without permits": { world: "limits", mutation: { unreachableUseAll: true } },
+    "send a blocked call": { world: "crashes", mutation: { sendBlocked: true } },
+    "replace what is known of a call by what a peer tells": { world: "crashes", mutation: { forgetOnMerge: true } },
+    "count the end of an upstream once for each instance": { world: "crashes", mutation: { countPerInstance: true } },
+    "keep the crashes of an answered call": { world: "crashes", mutation: { keepAnswered: true } },
+    "count crashes that a blocked call explains": { world: "crashes", mutation: { ignoreExplained: true } },
     "serve an older bundle than peers do": { world: "bundles", mutation: { ignorePeers: true } },
 };
--- a/tests/policy/crashRecords.test.ts
+++ b/tests/policy/crashRecords.test.ts
@@ -51,6 +51,11 @@
         const deadly = crashed("u1", "u2", "u3", "u4")!;
         const beside = crashed("u1", "u2", "u3")!;
         expect([...findBlocked([["beside", beside], ["deadly", deadly]], 20, compare)]).toEqual(["deadly"]);
+        const again = crashed("u1", "u2", "u3", "u5")!;
+        expect([...findBlocked([["again", again], ["deadly", deadly]], 20, compare)].sort()).toEqual([
+            "again",
+            "deadly",
+        ]);
         const another = crashed("u4", "u5", "u6", "u7")!;
         expect([...findBlocked([["another", another], ["deadly", deadly]], 20, compare)].sort()).toEqual([
             "another",
