--- a/tests/gateway/factExchange.test.ts
+++ b/tests/gateway/factExchange.test.ts
@@ -1,4 +1,4 @@
-import type { Progress} from "@marigolddrift/common";
+import type { Progress } from "@marigolddrift/common";
 import { silentLogger } from "@marigolddrift/common";
 import { FactClock, FactExchange, FactTable } from "@marigolddrift/gateway";
 import type { FactSource, PeerRequest } from "@marigolddrift/gateway";
