--- a/spec/limitModel.ts
+++ b/spec/limitModel.ts
@@ -1,6 +1,6 @@
 /**
- * Model of the permits for an upstream whose limit all instances share: instances lose and regain sight of each other,
- * stand still, and join without being known to all. Rates and buckets are those of the production code.
+ * Model of the permits for an upstream whose limit all instances share: instances lose and regain contact with each other,
+ * freeze, and join without being known to all. Rates and buckets are those of the production code.
  */
 import { grantingRate, takePermits, unreachableRate } from "@marigolddrift/policy";
 import type { PermitBucket } from "@marigolddrift/policy";
@@ -147,7 +147,7 @@
         next: change(world, name, { usable: instances.filter(peer => peer === other || view.usable.includes(peer)) }),
     }));
     const frozen = {
-        name: `${name} ${view.isFrozen ? "resumes" : "stands still"}`,
+        name: `${name} ${view.isFrozen ? "resumes" : "freezes"}`,
         next: change(world, name, { isFrozen: !view.isFrozen }),
     };
     return [...lost, ...regained, frozen];
--- a/tests/gateway/factExchange.test.ts
+++ b/tests/gateway/factExchange.test.ts
@@ -109,7 +109,7 @@
 
 describe("fact exchange", () => {
     for (const instances of [7, 67]) {
-        it(`should tell ${instances} instances of two regions a fact, also while any one of them stands still`, async () => {
+        it(`should tell ${instances} instances of two regions a fact, also while any one of them is frozen`, async () => {
             await withClock(async clock => {
                 const fleet = new Fleet(instances);
                 await clock.tickAsync(5_000);
--- a/tests/gateway/permits.test.ts
+++ b/tests/gateway/permits.test.ts
@@ -148,7 +148,7 @@
     }
 
     for (const fault of ["isFrozen", "isCutOff"] as const) {
-        it(`should keep to the limit while the granting instance ${fault === "isFrozen" ? "stands still" : "is cut off"}`, async () => {
+        it(`should keep to the limit while the granting instance ${fault === "isFrozen" ? "is frozen" : "is cut off"}`, async () => {
             await withClock(async clock => {
                 const perSecond = 12;
                 const fleet = new Fleet(16, perSecond);
