--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -13,11 +13,12 @@
 import type { QueuedCall } from "../placement.js";
 import { createQueuedCall } from "../placement.js";
 import type { CallProtocol } from "../protocol.js";
+import type { Exchange } from "../trafficMeter.js";
 import { createTurn } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
 import { attemptCall } from "../upstreams/attempt.js";
 import type { AttemptResult } from "../upstreams/attempt.js";
-import type { Upstreams } from "../upstreams/upstreams.js";
+import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
@@ -39,6 +40,7 @@
     readonly protocol: CallProtocol;
     readonly turns: TurnStore;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
+    readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
     readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void;
     readonly log: Logger;
 }
@@ -136,6 +138,12 @@
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
         const result = await attemptCall(upstream, call, ctx.id, this.options.protocol, response, ctx.progress);
+        this.options.recordTraffic(upstream, {
+            kind: "call",
+            sentBytes: body.length,
+            receivedBytes: response.receivedBytes,
+            ms: result.kind === "complete" ? performance.now() - startedAt : undefined,
+        });
         if (result.kind === "notRun" && result.unreachable) {
             upstream.eject();
         }
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -11,6 +11,10 @@
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
+    get receivedBytes(): number {
+        return this.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    }
+
     get status(): number | undefined {
         return this.head?.status;
     }
@@ -45,6 +49,7 @@
     readonly events = new EventCollector();
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
+    receivedBytes = 0;
     private head: ReplyHead | undefined;
 
     constructor(private readonly res: ServerResponse) {}
@@ -69,6 +74,7 @@
     onData(chunk: Buffer): void {
         this.writeHead();
         this.firstDataAt ??= performance.now();
+        this.receivedBytes += chunk.length;
         this.events.feed(chunk);
         this.res.write(chunk);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { createPlacement, nextCall } from "@marigolddrift/policy";
-import type { StoreChange, StoredValue, VersionedStore } from "@marigolddrift/store";
+import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
@@ -38,13 +38,15 @@
 import { directSource } from "./state/regionalStoreReader.js";
 import { watchPrefix } from "./state/watchedPrefix.js";
 import type { WatchedPrefix } from "./state/watchedPrefix.js";
+import type { Exchange } from "./trafficMeter.js";
 import { StoreArchive } from "./turns/storeArchive.js";
 import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
-import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
+import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
 import { Upstreams } from "./upstreams/upstreams.js";
+import type { Upstream } from "./upstreams/upstreams.js";
 
 /** Number of instances assumed to share an upstream's connection limit. */
 const assumedInstanceCount = 8;
@@ -67,9 +69,6 @@
 /** Limit on the body size until a configuration has been loaded. */
 const defaultMaxBodyBytes = 1024 * 1024;
 
-/** Time after a store outage during which the removal of an entry may be an expiry caused only by the outage. */
-const postOutageWindowMs = 5_000;
-
 /** An instance that serves callers. */
 export class Gateway {
     readonly metrics = new GatewayMetrics();
@@ -80,9 +79,7 @@
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
-    private hasUpstreamSnapshot = false;
     private stopping = false;
-    private storeOutageUntil = -Infinity;
     private readonly regionBudgets: RegionBudgets;
     private readonly writer: BatchWriter;
     private readonly loadExchange: LoadExchange;
@@ -97,6 +94,7 @@
     private readonly activeConfig: ActiveConfig;
     private readonly config: WatchedPrefix;
     private readonly upstreamEntries: WatchedPrefix;
+    private readonly upstreamFollower: UpstreamFollower;
     private readonly dispatcher: Dispatcher<QueuedCall>;
     private readonly peers: Peers;
     private readonly peerServer: PeerServer;
@@ -149,11 +147,13 @@
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.peers, log);
         const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
+        const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
+        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
         this.entry = this.createEntry(pool, random);
         const watchOptions = { ...options, store, localInstance: this.localInstance, peers: this.peers };
         const outages = {
-            onDisconnected: () => this.storeOutageUntil = Infinity,
-            onReconnected: () => this.storeOutageUntil = performance.now() + postOutageWindowMs,
+            onDisconnected: () => this.upstreamFollower.onStoreLost(),
+            onReconnected: () => this.upstreamFollower.onStoreRegained(),
         };
         this.config = watchPrefix(watchOptions, layout.configKey, {
             ...outages,
@@ -162,8 +162,8 @@
         });
         this.upstreamEntries = watchPrefix(watchOptions, layout.upstreamsPrefix, {
             ...outages,
-            onSnapshot: values => this.onUpstreamSnapshot(values),
-            onChanges: changes => changes.forEach(change => this.onUpstreamChange(change)),
+            onSnapshot: values => this.upstreamFollower.onSnapshot(values),
+            onChanges: changes => changes.forEach(change => this.upstreamFollower.onChange(change)),
         });
         addGauges(this.metrics, {
             entry: this.entry,
@@ -179,7 +179,7 @@
 
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
-        return !this.stopping && this.activeConfig.table !== undefined && this.hasUpstreamSnapshot;
+        return !this.stopping && this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
     }
 
     async start(): Promise<void> {
@@ -238,7 +238,7 @@
         const { instance, zone, regionOf, host, machine } = this.options;
         const region = regionOf(zone);
         const localAddress = () => ({ instance, host, zone, region, port: this.peerPort, keepsTurns: false });
-        return new Peers(machine, localAddress, this.store, this.log);
+        return new Peers(machine, localAddress, this.store, this.log, this.options.recordTraffic);
     }
 
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
@@ -289,6 +289,7 @@
             protocol,
             turns,
             log,
+            recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
         });
         const maxBytes = (): number => this.activeConfig.table?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
@@ -309,39 +310,13 @@
         });
     }
 
-    private get storeWasUnavailable(): boolean {
-        return performance.now() < this.storeOutageUntil;
+    private recordUpstreamTraffic({ entry }: Upstream, exchange: Omit<Exchange, "link">): void {
+        const isNear = this.options.regionOf(entry.zone) === this.localInstance.region;
+        this.options.recordTraffic?.({ ...exchange, link: isNear ? "region" : "otherRegion" });
     }
 
     private onConfigChanges(changes: readonly StoreChange[]): void {
         const puts = changes.filter(change => change.kind === "put");
         puts.forEach(({ stored }) => this.activeConfig.apply(stored, this.config.reader.source));
     }
-
-    private onUpstreamSnapshot(values: readonly StoredValue[]): void {
-        const entries = values.map(stored => this.decodeUpstream(stored)).filter(entry => entry !== undefined);
-        this.upstreams.onSnapshot(entries, this.storeWasUnavailable);
-        this.hasUpstreamSnapshot = true;
-        this.dispatcher.dispatchAllQueued();
-    }
-
-    private onUpstreamChange(change: StoreChange): void {
-        if (change.kind === "removed") {
-            this.upstreams.onEntryRemoved(this.options.layout.upstreamId(change.key), this.storeWasUnavailable);
-            return;
-        }
-        const entry = this.decodeUpstream(change.stored);
-        if (entry !== undefined) {
-            this.upstreams.onEntryPut(entry);
-            this.dispatcher.dispatchAllQueued();
-        }
-    }
-
-    private decodeUpstream(stored: StoredValue): UpstreamEntry | undefined {
-        const entry = this.options.layout.decodeUpstream(stored.key, stored.value);
-        if (entry === undefined) {
-            this.log.info("upstream entry ignored", { key: stored.key, reason: "it names no valid upstream" });
-        }
-        return entry;
-    }
 }
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -4,6 +4,7 @@
 
 import type { CallProtocol } from "./protocol.js";
 import type { RoutingConfig } from "./routes.js";
+import type { TrafficRecorder } from "./trafficMeter.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
 
 /** Keys and encodings of the configuration and the upstreams in the store. */
@@ -40,5 +41,7 @@
     /** Time between the stop signal and the end of the process. */
     readonly graceMs: number;
     readonly random?: () => number;
+    /** Receives the bytes exchanged with peers and upstreams. */
+    readonly recordTraffic?: TrafficRecorder;
     readonly log: Logger;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -28,6 +28,7 @@
 export * from "./state/changeFeed.js";
 export * from "./state/prefixWatcher.js";
 export * from "./state/regionalStoreReader.js";
+export * from "./trafficMeter.js";
 export * from "./turns/recordRemover.js";
 export * from "./turns/storeArchive.js";
 export * from "./turns/turnRecord.js";
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -7,6 +7,7 @@
 import { Peers } from "../peers/peers.js";
 import { PeerServer } from "../peers/peerServer.js";
 import { handleStoreRequest, RelayStore } from "../peers/relayStore.js";
+import type { TrafficRecorder } from "../trafficMeter.js";
 import { RecordRemover } from "../turns/recordRemover.js";
 import { DiskLog } from "./diskLog.js";
 import { TurnJournal } from "./turnJournal.js";
@@ -32,6 +33,8 @@
     /** Whether the whole system starts for the first time, in which case an empty disk is complete. */
     readonly firstStart: boolean;
     readonly store: VersionedStore;
+    /** Receives the bytes exchanged with peers. */
+    readonly recordTraffic?: TrafficRecorder;
     readonly log: Logger;
 }
 
@@ -48,7 +51,7 @@
         const { log, peerAddress } = options;
         const store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         const localAddress = (): PeerAddress => ({ ...peerAddress, port: this.peerPort, keepsTurns: true });
-        this.peers = new Peers(options.machine, localAddress, store, log);
+        this.peers = new Peers(options.machine, localAddress, store, log, options.recordTraffic);
         this.server = new PeerServer(
             () => this.peers.key,
             (request, progress) => this.handleRequest(request, progress),
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -4,6 +4,7 @@
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
 
+import type { Exchange } from "../trafficMeter.js";
 import { peerName } from "./peerMessages.js";
 import type { JournalRequest, PeerAddress, PeerRequest, PeerResponses, ResponseFrame } from "./peerMessages.js";
 
@@ -24,7 +25,12 @@
 
 type AnyRequest = PeerRequest | JournalRequest;
 
+/** Records an exchange with one peer, whose link is known. */
+export type PeerTrafficRecorder = (exchange: Omit<Exchange, "link">) => void;
+
 interface PendingRequest {
+    /** Size of the response; 0 until it has arrived. */
+    receivedBytes: number;
     resolve(value: unknown): void;
     reject(err: Error): void;
 }
@@ -42,7 +48,11 @@
     /** Monotonic time at which the last frame was received from the peer. */
     private lastFrameAt = -Infinity;
 
-    constructor(readonly address: PeerAddress, private readonly getKey: () => string | undefined) {}
+    constructor(
+        readonly address: PeerAddress,
+        private readonly getKey: () => string | undefined,
+        private readonly recordTraffic: PeerTrafficRecorder = () => {},
+    ) {}
 
     /** Whether requests may be sent to the peer, that is, it is not in backoff. */
     get isUsable(): boolean {
@@ -99,13 +109,20 @@
         const id = this.nextId++;
         const startedAt = performance.now();
         let sentAt: number | undefined;
+        let sentBytes = 0;
+        let isAnswered = false;
         try {
             const socket = await progress.race(this.connect());
-            const response = new Promise<unknown>((resolve, reject) => this.pending.set(id, { resolve, reject }));
-            socket.send(this.packr.pack({ id, leftMs: progress.leftMs, question: request }));
+            const frame = this.packr.pack({ id, leftMs: progress.leftMs, question: request });
+            sentBytes = frame.length;
+            const response = new Promise<unknown>((resolve, reject) =>
+                this.pending.set(id, { resolve, reject, receivedBytes: 0 })
+            );
+            socket.send(frame);
             sentAt = performance.now();
             const value = await progress.race(response) as PeerResponses[K];
             this.failures = 0;
+            isAnswered = true;
             return value;
         }
         catch (err) {
@@ -117,6 +134,9 @@
             throw err;
         }
         finally {
+            const receivedBytes = this.pending.get(id)?.receivedBytes ?? 0;
+            const ms = isAnswered ? performance.now() - startedAt : undefined;
+            this.recordTraffic({ kind: request.kind, sentBytes, receivedBytes, ms });
             this.pending.delete(id);
         }
     }
@@ -168,7 +188,10 @@
                 this.usableFrom = -Infinity;
                 resolve(socket);
             });
-            socket.on("message", (data: Buffer) => this.onResponse(this.packr.unpack(data) as ResponseFrame));
+            socket.on(
+                "message",
+                (data: Buffer) => this.onResponse(this.packr.unpack(data) as ResponseFrame, data.length),
+            );
             socket.on("error", err => {
                 this.onFailure();
                 reject(new StoreError("no", `cannot connect to peer ${this.address.instance}`, err));
@@ -177,9 +200,12 @@
         });
     }
 
-    private onResponse(frame: ResponseFrame): void {
+    private onResponse(frame: ResponseFrame, bytes: number): void {
         this.lastFrameAt = performance.now();
         const pending = this.pending.get(frame.id);
+        if (pending !== undefined) {
+            pending.receivedBytes = bytes;
+        }
         if (frame.error === undefined) {
             pending?.resolve(frame.value);
             return;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -5,6 +5,7 @@
 import { randomBytes } from "node:crypto";
 import { z } from "zod";
 
+import type { TrafficRecorder } from "../trafficMeter.js";
 import { PeerClient } from "./peerClient.js";
 import type { PeerAddress } from "./peerMessages.js";
 
@@ -58,6 +59,7 @@
         private readonly localAddress: () => PeerAddress,
         private readonly store: VersionedStore,
         private readonly log: Logger,
+        private readonly recordTraffic: TrafficRecorder = () => {},
         private readonly random: () => number = Math.random,
     ) {}
 
@@ -227,6 +229,11 @@
         }
     }
 
+    private createClient(address: PeerAddress): PeerClient {
+        const link = address.region === this.localAddress().region ? "region" : "otherRegion";
+        return new PeerClient(address, () => this.sharedKey, exchange => this.recordTraffic({ ...exchange, link }));
+    }
+
     private applyMembers(values: readonly StoredValue[]): void {
         const localInstance = this.localAddress().instance;
         for (const { key, value } of values) {
@@ -237,7 +244,7 @@
             }
             else if (address.instance !== localInstance && known?.address.instance !== address.instance) {
                 known?.close();
-                this.clients.set(key, new PeerClient(address, () => this.sharedKey));
+                this.clients.set(key, this.createClient(address));
                 this.log.info("peer found", { peer: address.instance, zone: address.zone });
             }
         }
