Let each turn cross the link between regions once, and hedge only what is later than usual

Fronts sent up to 1.5 MB in 5 s of copies, a third of them hedges, and 3.5 MB of turns to the store after 250 ms. Each turn carried up to 32 KB of its conversation again.

Change: the holder on the store's side flushes; a tail rolls over at 8 KB; hedges wait for the usual latency of that peer or of the store, longer for long writes, and are limited to a share of the calls; a machine whose direct store calls are slower than a peer's asks peers first and probes with one call at a time. Test of a narrow link between stand-ins.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./gatewayMetrics.js";
 export * from "./gatewayOptions.js";
 export * from "./journal/diskLog.js";
+export * from "./journal/flushOrder.js";
 export * from "./journal/journalArchive.js";
 export * from "./journal/journalServer.js";
 export * from "./journal/turnJournal.js";
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -3,24 +3,22 @@
  * when too few of them respond. Load pattern: turns that end while the store is unavailable, or at a rate at which one
  * store call per turn would be too expensive.
  */
-import { asError, delay, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
+import { RetryBudget } from "@marigolddrift/policy";
 
 import type { PeerClient } from "../peers/peerClient.js";
 import type { FindTurnResponse } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
-import { packTurn, unpackTurn } from "../turns/turnRecord.js";
+import { unpackTurn } from "../turns/turnRecord.js";
 import type { TurnRecord } from "../turns/turnRecord.js";
 import type { TurnArchive, TurnRef, TurnToSave } from "../turns/turnStore.js";
+import { findInStages } from "./lookupStages.js";
+import type { Lookup } from "./lookupStages.js";
+import { TurnReplication } from "./turnReplication.js";
 
-/** Delay before a further server gets a copy: above a round trip between regions including a disk sync. */
-const copyHedgeMs = 90;
-
-/** Delay before the turn is also written to the store. */
-const storeFallbackMs = 250;
-
-/** Delay before a lookup proceeds to the next stage: above a round trip within the region. */
-const lookupStageMs = 60;
+/** Hedges per turn, over many turns: copies that are late are not lost, and further ones would slow down all others. */
+const hedgeShare = 0.1;
 
 /** Timeout of a request to one server. */
 const requestTimeoutMs = 400;
@@ -37,6 +35,8 @@
 
 /** Saves turns on journal servers, with the store as the fallback. */
 export class JournalArchive implements TurnArchive {
+    private readonly hedgeBudget = new RetryBudget(hedgeShare);
+
     constructor(
         private readonly peers: Pick<Peers, "journals" | "reload" | "pickFront">,
         private readonly store: TurnArchive,
@@ -51,7 +51,9 @@
             await this.store.save(turnToSave, progress);
             return;
         }
-        await new TurnReplication(turnToSave, servers, copyCount, this.store, progress, this.log).run();
+        this.hedgeBudget.onRequest();
+        await new TurnReplication(turnToSave, servers, copyCount, this.store, this.hedgeBudget, progress, this.log)
+            .run();
     }
 
     async load(ref: TurnRef, progress: Progress): Promise<TurnRecord | undefined> {
@@ -190,136 +192,6 @@
 /** Whether the connection is open. Connections are opened in the background, so that no turn waits for one. */
 const isReachable = ({ isUsable, isConnected }: PeerClient): boolean => isUsable && isConnected;
 
-/** Replication of one turn to journal servers. */
-class TurnReplication {
-    private acknowledgedCopies = 0;
-    private sentCopies = 0;
-    private done = false;
-    private readonly holders: readonly string[];
-    private readonly record: Buffer;
-    private resolve: () => void = () => {};
-    private reject: (err: unknown) => void = () => {};
-
-    constructor(
-        private readonly turnToSave: TurnToSave,
-        private readonly servers: readonly PeerClient[],
-        private readonly copyCount: number,
-        private readonly store: TurnArchive,
-        private readonly progress: Progress,
-        private readonly log: Logger,
-    ) {
-        this.holders = servers.slice(0, copyCount).map(({ name }) => name);
-        this.record = packTurn(turnToSave.turn);
-    }
-
-    /** Resolves once enough servers or the store have the turn. */
-    async run(): Promise<void> {
-        const result = new Promise<void>((resolve, reject) => Object.assign(this, { resolve, reject }));
-        const timers = [
-            setTimeout(() => this.sendNext(), copyHedgeMs),
-            setTimeout(() => this.saveInStore(), storeFallbackMs),
-        ];
-        for (let copy = 0; copy < this.copyCount; copy++) {
-            this.sendNext();
-        }
-        try {
-            await this.progress.race(result);
-        }
-        finally {
-            this.done = true;
-            timers.forEach(timer => clearTimeout(timer));
-        }
-    }
-
-    private sendNext(): void {
-        const server = this.servers[this.sentCopies];
-        if (server === undefined || this.done) {
-            return;
-        }
-        const copy = this.sentCopies++;
-        void this.send(server, copy);
-    }
-
-    private async send(server: PeerClient, copy: number): Promise<void> {
-        const { turn: { id }, keepMs } = this.turnToSave;
-        const askProgress = this.progress.child(requestTimeoutMs);
-        try {
-            const turn = { id, record: this.record, keepMs, copy, holders: this.holders };
-            const isStored = await server.ask({ kind: "keepTurn", turn }, askProgress);
-            if (isStored) {
-                this.onAcknowledged();
-            }
-            else {
-                this.sendNext();
-            }
-        }
-        catch (err) {
-            this.log.info("failed to save copy of turn", {
-                turn: id,
-                machine: server.name,
-                error: asError(err).message,
-            });
-            this.sendNext();
-        }
-        finally {
-            askProgress.dispose();
-        }
-    }
-
-    private onAcknowledged(): void {
-        this.acknowledgedCopies += 1;
-        if (this.acknowledgedCopies >= this.copyCount) {
-            this.resolve();
-        }
-    }
-
-    private saveInStore(): void {
-        const { turn: { id } } = this.turnToSave;
-        this.log.info("replication too slow; saving turn in the store", {
-            turn: id,
-            copies: this.acknowledgedCopies,
-            sent: this.sentCopies,
-        });
-        this.store.save(this.turnToSave, this.progress).then(() => this.resolve(), err => this.reject(err));
-    }
-}
-
-type Lookup = () => Promise<TurnRecord | undefined>;
-
-/**
- * Runs lookups in stages and resolves to the first record found, or to undefined if there is none. Rejects if a lookup
- * failed and no other found the record. A stage starts when all earlier lookups have ended without a record, or after
- * `lookupStageMs`: querying all servers at once for every turn of a busy fleet would overload them.
- */
-const findInStages = async (stages: readonly (readonly Lookup[])[]): Promise<TurnRecord | undefined> => {
-    const started: Promise<TurnRecord | undefined>[] = [];
-    for (const stage of stages) {
-        started.push(...stage.map(lookup => lookup()));
-        const all = firstFound(started);
-        const found = await (stage === stages.at(-1) ? all : Promise.race([
-            all.catch(() => undefined),
-            delay(lookupStageMs),
-        ]));
-        if (found !== undefined) {
-            return found;
-        }
-    }
-    return undefined;
-};
-
-/** Resolves to the first record found, or to undefined if there is none. Rejects if one failed and none was found. */
-const firstFound = async (lookups: readonly Promise<TurnRecord | undefined>[]): Promise<TurnRecord | undefined> => {
-    const found = await Promise.any(lookups.map(async lookup => {
-        const value = await lookup;
-        if (value === undefined) {
-            throw new Error("not found");
-        }
-        return value;
-    })).catch(() => undefined);
-    // No record was found: rejects if a lookup failed, since the record may exist there.
-    return found ?? (await Promise.all(lookups)).find(value => value !== undefined);
-};
-
 const inconclusiveError = (): ProblemError =>
     new ProblemError(
         "not_durable",
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -4,12 +4,14 @@
 import type { VersionedStore } from "@marigolddrift/store";
 
 import type { JournalRequest, PeerAddress, PeerRequest } from "../peers/peerMessages.js";
+import { peerName } from "../peers/peerMessages.js";
 import { Peers } from "../peers/peers.js";
 import { PeerServer } from "../peers/peerServer.js";
 import { handleStoreRequest, RelayStore } from "../peers/relayStore.js";
 import type { TrafficRecorder } from "../trafficMeter.js";
 import { RecordRemover } from "../turns/recordRemover.js";
 import { DiskLog } from "./diskLog.js";
+import { FlushOrder } from "./flushOrder.js";
 import { TurnJournal } from "./turnJournal.js";
 
 /** Time for which a new disk counts as incomplete: longer than the retention of turns. */
@@ -58,8 +60,17 @@
             log,
         );
         this.remover = new RecordRemover(store, log);
-        const notifyFlushed = (holder: string, ids: readonly string[]): void => this.notifyFlushed(holder, ids);
-        this.journal = new TurnJournal(new DiskLog(options.dir, log), store, this.remover, notifyFlushed, log);
+        const localName = (): string => peerName(localAddress());
+        const notifyFlushed = (holder: string, ids: readonly string[]): void => {
+            if (holder !== localName()) {
+                void this.notifyFlushed(holder, ids);
+            }
+        };
+        const regionOf = (holder: string): string | undefined =>
+            holder === localName() ? peerAddress.region : this.peers.getByName(holder)?.address.region;
+        const flushOrder = new FlushOrder(peerAddress.region, regionOf, () => store.fastestMs);
+        const disk = new DiskLog(options.dir, log);
+        this.journal = new TurnJournal(disk, store, this.remover, notifyFlushed, flushOrder, log);
     }
 
     /** Resolves once the journal accepts turns, which it does only after peers can discover the server. */
@@ -122,14 +133,17 @@
     }
 
     /** Notifies another holder of the turns. If the notification is lost, the holder only writes the turns again. */
-    private notifyFlushed(holder: string, ids: readonly string[]): void {
-        const peer = this.peers.getByName(holder);
-        peer?.notify({ kind: "turnsFlushed", ids }, notifyTimeoutMs).catch((err: unknown) =>
+    private async notifyFlushed(holder: string, ids: readonly string[]): Promise<void> {
+        try {
+            const peer = await this.peers.findByName(holder);
+            await peer?.notify({ kind: "turnsFlushed", ids }, notifyTimeoutMs);
+        }
+        catch (err) {
             this.options.log.info("failed to notify holder of flushed turns", {
                 holder,
                 turns: ids.length,
                 error: asError(err).message,
-            })
-        );
+            });
+        }
     }
 }
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -11,12 +11,13 @@
 import type { RecordRemover } from "../turns/recordRemover.js";
 import { turnKey } from "../turns/storeArchive.js";
 import type { DiskLog, SegmentId } from "./diskLog.js";
+import type { FlushOrder } from "./flushOrder.js";
 
-/** Delay after which the first copy of a turn is flushed to the store. */
-const firstCopyFlushDelayMs = 1_000;
+/** Delay after which the first holder of a turn flushes it to the store. */
+const firstFlushDelayMs = 1_000;
 
-/** Additional delay per further copy, so that it is flushed only if the earlier copies were not. */
-const laterCopyFlushDelayMs = 1_500;
+/** Additional delay per further holder, which flushes the turn only if the earlier holders have not. */
+const laterFlushDelayMs = 1_500;
 
 /** Interval at which the journal checks for turns that are due. */
 const flushPollMs = 100;
@@ -29,7 +30,7 @@
 
 /** Limits of one store call; the store accepts up to 32 entries. */
 const maxBatchTurns = 32;
-const maxBatchBytes = 512 * 1024;
+const maxBatchBytes = 256 * 1024;
 
 /** Size of the unflushed turns above which the journal rejects further turns. */
 const maxUnflushedBytes = 48 * 1024 * 1024;
@@ -39,6 +40,8 @@
 
 interface UnflushedTurn extends JournaledTurn {
     readonly segment: SegmentId;
+    /** Position among the holders that flush the turn. */
+    readonly position: number;
     readonly dueAt: number;
 }
 
@@ -68,6 +71,7 @@
         private readonly store: Pick<VersionedStore, "txn">,
         private readonly remover: RecordRemover,
         private readonly notifyFlushed: (holder: string, ids: readonly string[]) => void,
+        private readonly flushOrder: FlushOrder,
         private readonly log: Logger,
     ) {}
 
@@ -150,8 +154,9 @@
         if (this.unflushed.has(turn.id) || this.flushedCache.has(turn.id)) {
             return;
         }
-        const dueAt = performance.now() + firstCopyFlushDelayMs + turn.copy * laterCopyFlushDelayMs;
-        this.unflushed.set(turn.id, { ...turn, segment, dueAt });
+        const position = this.flushOrder.positionOf(turn);
+        const dueAt = performance.now() + firstFlushDelayMs + position * laterFlushDelayMs;
+        this.unflushed.set(turn.id, { ...turn, segment, position, dueAt });
         this.unflushedBytes += turn.record.length;
         this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + 1);
     }
@@ -165,8 +170,8 @@
         if (!all.some(({ dueAt }) => dueAt <= now)) {
             return;
         }
-        // Includes all other first copies in the call; they become due within `firstCopyFlushDelayMs` anyway.
-        await this.flush(all.filter(({ dueAt, copy }) => dueAt <= now || copy === 0));
+        // Includes all others that this machine flushes first; they become due within `firstFlushDelayMs` anyway.
+        await this.flush(all.filter(({ dueAt, position }) => dueAt <= now || position === 0));
     }
 
     private async flush(due: readonly UnflushedTurn[]): Promise<void> {
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -1,5 +1,6 @@
 /** Requests to one peer over a WebSocket connection, which is opened on first use. */
 import { isDeadlineExceeded, Progress } from "@marigolddrift/common";
+import { LatencyEstimate } from "@marigolddrift/policy";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 import { WebSocket } from "ws";
@@ -39,6 +40,7 @@
 export class PeerClient {
     private readonly packr = new Packr({ useRecords: false });
     private readonly pending = new Map<number, PendingRequest>();
+    private readonly latencies = new Map<AnyRequest["kind"], LatencyEstimate>();
     private socket: WebSocket | undefined;
     private connecting: Promise<WebSocket> | undefined;
     private nextId = 1;
@@ -90,6 +92,11 @@
         return this.connecting !== undefined;
     }
 
+    /** Time after which a response to a request of this kind is later than usual; at least `minMs`. */
+    hedgeDelayMs(kind: AnyRequest["kind"], minMs: number): number {
+        return this.latencies.get(kind)?.hedgeDelayMs(minMs) ?? minMs;
+    }
+
     /** Sends a notification with its own timeout, for callers that do not wait for the response. */
     async notify(request: AnyRequest, timeoutMs: number): Promise<void> {
         const progress = new Progress(timeoutMs);
@@ -135,12 +142,24 @@
         }
         finally {
             const receivedBytes = this.pending.get(id)?.receivedBytes ?? 0;
-            const ms = isAnswered ? performance.now() - startedAt : undefined;
-            this.recordTraffic({ kind: request.kind, sentBytes, receivedBytes, ms });
+            this.recordExchange(request.kind, {
+                sentBytes,
+                receivedBytes,
+                ms: isAnswered ? performance.now() - startedAt : undefined,
+            });
             this.pending.delete(id);
         }
     }
 
+    private recordExchange(kind: AnyRequest["kind"], exchange: Omit<Exchange, "link" | "kind">): void {
+        this.recordTraffic({ ...exchange, kind });
+        if (exchange.ms !== undefined) {
+            const latency = this.latencies.get(kind) ?? new LatencyEstimate();
+            this.latencies.set(kind, latency);
+            latency.record(exchange.ms);
+        }
+    }
+
     close(): void {
         this.socket?.terminate();
     }
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -19,6 +19,9 @@
 /** Refresh interval until the instance is registered. */
 const registrationRetryMs = 500;
 
+/** Minimum time between reads of the member list for peers that are not known. */
+const newPeerRefreshMs = 1_000;
+
 const callTimeoutMs = 1_000;
 
 /** Interval at which connections are checked while all needed ones are open. */
@@ -51,6 +54,7 @@
     private sharedKey: string | undefined;
     private registered = false;
     private stopped = false;
+    private refreshedAt = -Infinity;
     private refreshTimer: NodeJS.Timeout | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
 
@@ -121,6 +125,14 @@
         return [...this.clients.values()].find(client => client.name === name);
     }
 
+    /** Returns the peer with a name. If it is not known, it may be new, so that the member list is read again first. */
+    async findByName(name: string): Promise<PeerClient | undefined> {
+        if (this.getByName(name) === undefined && performance.now() - this.refreshedAt > newPeerRefreshMs) {
+            await this.refresh();
+        }
+        return this.getByName(name);
+    }
+
     /** Reads the current member list: adds all registered peers and removes those that are no longer registered. */
     async reload(progress: Progress): Promise<void> {
         const { values } = await progress.race(this.store.range(membersPrefix, progress));
@@ -150,6 +162,7 @@
     /** Registers this instance if necessary, and refreshes the member list; the result may be stale. */
     async refresh(): Promise<void> {
         clearTimeout(this.refreshTimer);
+        this.refreshedAt = performance.now();
         const progress = new Progress(callTimeoutMs);
         try {
             this.sharedKey ??= await progress.race(this.loadSharedKey(progress));
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -1,5 +1,6 @@
 /** Access to the platform's store, either directly or relayed through a peer that can still reach it. */
 import type { Logger, Progress } from "@marigolddrift/common";
+import { LatencyEstimate, RetryBudget } from "@marigolddrift/policy";
 import { HistoryGoneError, StoreRefusalError } from "@marigolddrift/store";
 import type {
     ChangeBatch,
@@ -16,8 +17,20 @@
 import type { PeerClient } from "./peerClient.js";
 import type { PeerRequest } from "./peerMessages.js";
 
-/** Delay without a response before another attempt is started. */
-const hedgeMs = 180;
+/** Minimum delay without a response before another attempt is started. */
+const minHedgeMs = 180;
+
+/** Maximum delay of that kind, although responses are usually later. */
+const maxHedgeMs = 500;
+
+/** Rate at which a write is expected to cross a busy link between regions; a long write is not late before it has arrived. */
+const minUploadBytesPerMs = 250;
+
+/**
+ * Hedges per call, over many calls. Above the share of responses that a faulty store loses; if nearly all calls are late,
+ * the link is slow, and further attempts make it slower.
+ */
+const hedgeShare = 0.5;
 
 /** Hedge delay of `range`, whose responses may be long: measured from the last byte received. */
 const rangeHedgeMs = 900;
@@ -25,9 +38,12 @@
 /** Hedge delay of `changes`, in addition to the time for which the call itself waits for changes. */
 const changesHedgeMs = 500;
 
-/** Time after a failed direct call for which peers are tried first; then a direct call probes the store again. */
+/** Time after a failed direct call for which peers are tried first; then one direct call at a time probes the store. */
 const directSuspicionMs = 1_000;
 
+/** Number of direct calls of which the fastest counts. */
+const recentCalls = 16;
+
 /** Maximum number of peers per call. More than one, because the store may reject calls of many peers, too. */
 const maxRelayPeers = 3;
 
@@ -40,7 +56,12 @@
  * writes are conditional and their values unique.
  */
 export class RelayStore implements VersionedStore {
-    private directFailedAt = -Infinity;
+    /** Monotonic time of the last failure of a direct call; undefined since a direct call succeeded. */
+    private directFailedAt: number | undefined;
+    private nextProbeAt = -Infinity;
+    private readonly latency = new LatencyEstimate();
+    private readonly recentMs: number[] = [];
+    private readonly hedgeBudget = new RetryBudget(hedgeShare);
 
     constructor(
         private readonly direct: VersionedStore,
@@ -50,9 +71,9 @@
 
     get(key: string, progress: Progress): Promise<StoredValue | undefined> {
         return this.call(
-            callProgress => this.direct.get(key, callProgress),
+            callProgress => this.measure(this.direct.get(key, callProgress)),
             askPeer({ kind: "get", key }),
-            hedgeMs,
+            this.hedgeDelayMs(0),
             progress,
         );
     }
@@ -87,12 +108,42 @@
     ): Promise<TxnResult> {
         const request = { kind: "txn" as const, compares, puts, removals };
         const direct = (callProgress: Progress): Promise<TxnResult> =>
-            this.direct.txn(compares, puts, callProgress, removals);
-        return this.call(direct, askPeer(request), hedgeMs, progress);
+            this.measure(this.direct.txn(compares, puts, callProgress, removals));
+        const bytes = puts.reduce((sum, { value }) => sum + value.length, 0);
+        return this.call(direct, askPeer(request), this.hedgeDelayMs(bytes), progress);
+    }
+
+    /** Time of the fastest recent direct call, which tells how far the store is; undefined before the first one. */
+    get fastestMs(): number | undefined {
+        return this.recentMs.length === 0 ? undefined : Math.min(...this.recentMs);
+    }
+
+    /** Time after which a response to a call with a body of this size is later than usual. */
+    private hedgeDelayMs(bytes: number): number {
+        return Math.min(maxHedgeMs, this.latency.hedgeDelayMs(minHedgeMs)) + bytes / minUploadBytesPerMs;
     }
 
-    private get isDirectSuspect(): boolean {
-        return performance.now() - this.directFailedAt < directSuspicionMs;
+    private async measure<T>(response: Promise<T>): Promise<T> {
+        const startedAt = performance.now();
+        const value = await response;
+        const ms = performance.now() - startedAt;
+        this.latency.record(ms);
+        this.recentMs.push(ms);
+        this.recentMs.splice(0, this.recentMs.length - recentCalls);
+        return value;
+    }
+
+    /** Whether to try peers first. After a while, one call is let through to find out whether the store responds again. */
+    private isDirectSuspect(hedgeAfterMs: number): boolean {
+        const now = performance.now();
+        if (this.directFailedAt === undefined) {
+            return false;
+        }
+        if (now - this.directFailedAt < directSuspicionMs || now < this.nextProbeAt) {
+            return true;
+        }
+        this.nextProbeAt = now + hedgeAfterMs;
+        return false;
     }
 
     private call<T>(
@@ -109,34 +160,45 @@
                 return undefined;
             }
             askedPeers.add(peer);
-            return callPeer(peer, callProgress).then(value => value as T, (err: unknown) => {
+            return callPeer(peer, callProgress).then(value => {
+                if (isDirectOpen) {
+                    this.onDirectFailure(new Error("no response before that of a peer"));
+                }
+                return value as T;
+            }, (err: unknown) => {
                 if (!callProgress.signal.aborted) {
                     peer.onRelayFailed();
                 }
                 throw err;
             });
         };
+        this.hedgeBudget.onRequest();
         let isDirectUntried = true;
+        let isDirectOpen = false;
         const startDirectCall = (callProgress: Progress): Promise<T> | undefined => {
             if (!isDirectUntried) {
                 return undefined;
             }
             isDirectUntried = false;
-            return direct(callProgress).catch((err: unknown) => {
+            isDirectOpen = true;
+            return direct(callProgress).then(value => {
+                this.directFailedAt = undefined;
+                return value;
+            }, (err: unknown) => {
                 if (!isDefinitive(err) && !callProgress.signal.aborted) {
                     this.onDirectFailure(err);
                 }
                 throw err;
-            });
+            }).finally(() => isDirectOpen = false);
         };
-        const startNext = this.isDirectSuspect ?
+        const startNext = this.isDirectSuspect(hedgeAfterMs) ?
             (callProgress: Progress) => startPeerCall(callProgress) ?? startDirectCall(callProgress) :
             (callProgress: Progress) => startDirectCall(callProgress) ?? startPeerCall(callProgress);
-        return hedgedCall(startNext, hedgeAfterMs, progress, transfer);
+        return hedgedCall(startNext, () => this.hedgeBudget.tryAcquire(), hedgeAfterMs, progress, transfer);
     }
 
     private onDirectFailure(err: unknown): void {
-        if (!this.isDirectSuspect) {
+        if (this.directFailedAt === undefined) {
             this.log.info("store call relayed", {
                 error: String(err),
                 reason: "direct store call failed",
@@ -165,6 +227,7 @@
 /** Starts one attempt after another until one succeeds or none is left. */
 const hedgedCall = <T>(
     startNext: (callProgress: Progress) => Promise<T> | undefined,
+    mayHedge: () => boolean,
     hedgeAfterMs: number,
     progress: Progress,
     transfer: Transfer,
@@ -194,9 +257,13 @@
             const silentMs = performance.now() - transfer.lastByteAt;
             if (silentMs < hedgeAfterMs) {
                 timer = setTimeout(onHedgeTimer, hedgeAfterMs - silentMs);
-                return;
             }
-            start();
+            else if (mayHedge()) {
+                start();
+            }
+            else {
+                timer = setTimeout(onHedgeTimer, hedgeAfterMs);
+            }
         };
         const onError = (err: unknown): void => {
             openAttempts -= 1;
--- a/packages/gateway/src/turns/turnRecord.ts
+++ b/packages/gateway/src/turns/turnRecord.ts
@@ -14,8 +14,11 @@
     readonly tail: Buffer;
 }
 
-/** Tail size from which the next turn starts a new tail. */
-const tailRolloverBytes = 32 * 1024;
+/**
+ * Tail size from which the next turn starts a new tail. Each turn sends its whole tail to other machines, one of which may
+ * be in another region, so that a long first prompt must not be sent again with each turn after it.
+ */
+const tailRolloverBytes = 8 * 1024;
 
 const packr = new Packr({ useRecords: false });
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./costModel.js";
 export * from "./crashRecords.js";
 export * from "./distance.js";
+export * from "./latencyEstimate.js";
 export * from "./loadAggregator.js";
 export * from "./loopDetection.js";
 export * from "./namedLimits.js";
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -1,63 +1,28 @@
 import { ProblemError, Progress, silentLogger } from "@marigolddrift/common";
-import { createTurn, DiskLog, JournalArchive, packTurn, RecordRemover, TurnJournal } from "@marigolddrift/gateway";
+import {
+    createTurn,
+    DiskLog,
+    FlushOrder,
+    JournalArchive,
+    packTurn,
+    RecordRemover,
+    TurnJournal,
+} from "@marigolddrift/gateway";
 import type { JournalRequest, TurnArchive, TurnRecord, TurnToSave } from "@marigolddrift/gateway";
 import { expect } from "earl";
-import { mkdtemp, readdir, readFile, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
+import { readdir } from "node:fs/promises";
 import { describe, it } from "node:test";
 
 import { FakeStore } from "../fakeStore.js";
 import { waitUntil } from "../platform/deployment.js";
-
-const withDir = async (test: (dir: string) => Promise<void>): Promise<void> => {
-    const dir = await mkdtemp(join(tmpdir(), "journal-"));
-    try {
-        await test(dir);
-    }
-    finally {
-        await rm(dir, { recursive: true });
-    }
-};
-
-const payloadTexts = (payloads: readonly { payload: Buffer; }[]): string[] =>
-    payloads.map(({ payload }) => payload.toString());
-
-describe("disk log", () => {
-    it("should read payloads that several processes have appended", () =>
-        withDir(async dir => {
-            const first = new DiskLog(dir, silentLogger);
-            expect((await first.open()).isNew).toEqual(true);
-            await Promise.all(["a", "b"].map(payload => first.append(Buffer.from(payload))));
-            await first.close();
-            const second = new DiskLog(dir, silentLogger);
-            expect((await second.open()).isNew).toEqual(false);
-            await second.append(Buffer.from("c"));
-            await second.close();
-            expect(payloadTexts((await new DiskLog(dir, silentLogger).open()).payloads)).toEqual(["a", "b", "c"]);
-        }));
-
-    it("should leave out a truncated or corrupted end of the log", () =>
-        withDir(async dir => {
-            const log = new DiskLog(dir, silentLogger);
-            await log.open();
-            await log.append(Buffer.from("whole"));
-            await log.append(Buffer.from("torn later"));
-            await log.close();
-            const path = join(dir, (await readdir(dir)).find(name => name.endsWith(".log"))!);
-            const bytes = await readFile(path);
-            for (const torn of [bytes.subarray(0, -3), Buffer.concat([bytes.subarray(0, -3), Buffer.alloc(3)])]) {
-                await writeFile(path, torn);
-                expect(payloadTexts((await new DiskLog(dir, silentLogger).open()).payloads)).toEqual(["whole"]);
-            }
-        }));
-});
+import { withDir } from "./withDir.js";
 
 const turnOf = (id: string): TurnRecord => createTurn(id, undefined, Buffer.from(`${id} in `), Buffer.from("out\n"));
 const toSave = (id: string): TurnToSave => ({ turn: turnOf(id), program: "p", keepMs: 60_000 });
 
 class JournalNode {
     readonly notifiedIds: string[][] = [];
+    readonly flushOrder = new FlushOrder("r", () => "r", () => undefined);
     private readonly remover: RecordRemover;
     readonly journal: TurnJournal;
 
@@ -69,6 +34,7 @@
             store,
             this.remover,
             notifyFlushed,
+            this.flushOrder,
             silentLogger,
         );
     }
@@ -177,6 +143,8 @@
     readonly incomplete = new Set<string>();
     readonly stored = new Map<string, TurnRecord>();
     isStoreDown = false;
+    responseMs = 0;
+    refusesTurns = false;
     requestCount = 0;
     onRequest: () => void = () => {};
     onStoreRead: () => void = () => {};
@@ -216,6 +184,7 @@
             isUsable: true,
             isConnected: true,
             address: { zone: "z" },
+            hedgeDelayMs: (_: string, minMs: number) => minMs,
             ask: (request: JournalRequest, progress: Progress) => this.handleRequest(name, request, progress),
         };
     }
@@ -226,8 +195,14 @@
         if (this.silent.has(name)) {
             await progress.sleep(60_000);
         }
+        if (this.responseMs > 0) {
+            await progress.sleep(this.responseMs);
+        }
         const records = this.records.get(name) ?? new Map<string, Buffer>();
         this.records.set(name, records);
+        if (request.kind === "keepTurn" && this.refusesTurns) {
+            return false;
+        }
         if (request.kind === "keepTurn") {
             records.set(request.turn.id, request.turn.record);
             return true;
@@ -267,6 +242,24 @@
         expect((await load(fleet, "t1"))?.id).toEqual("t1");
     });
 
+    it("should not add copies while all machines are late, as behind a full link", async () => {
+        const fleet = new FakeFleet();
+        const archive = fleet.archive();
+        fleet.responseMs = 320;
+        const ids = Array.from({ length: 100 }, (_, index) => `t${index}`);
+        await Promise.all(ids.map(id => archive.save(toSave(id), new Progress(3_000))));
+        expect(fleet.requestCount).toSatisfy(count => count <= 2.2 * ids.length);
+        expect(fleet.stored.size).toSatisfy(count => count <= 0.1 * ids.length);
+    });
+
+    it("should save in the store at once when no machine takes the turn", async () => {
+        const fleet = new FakeFleet();
+        fleet.refusesTurns = true;
+        const startedAt = performance.now();
+        await fleet.archive().save(toSave("t1"), new Progress(3_000));
+        expect([fleet.stored.has("t1"), performance.now() - startedAt < 80]).toEqual([true, true]);
+    });
+
     it("should find a turn with one remaining copy", async () => {
         const fleet = new FakeFleet();
         await fleet.archive().save(toSave("t1"), new Progress(300));
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -62,6 +62,43 @@
         expect([await get({ get: unresponsive }), ended]).toEqual(["via peer", true]);
     });
 
+    it("should ask peers first after one has answered sooner, and try the store with one call at a time", async () => {
+        let directCalls = 0;
+        const silent = {
+            get: () => {
+                directCalls += 1;
+                return new Promise(() => {});
+            },
+        } as never;
+        const relay = new RelayStore(silent, () => answeringPeer, silentLogger);
+        const read = async () => (await relay.get("k", new Progress(1_000)))?.value.toString();
+        expect([await read(), directCalls]).toEqual(["via peer", 1]);
+        await Promise.all(Array.from({ length: 20 }, read));
+        expect(directCalls).toEqual(1);
+        await new Progress(2_000).sleep(1_050);
+        await Promise.all(Array.from({ length: 20 }, read));
+        expect(directCalls).toEqual(2);
+    });
+
+    it("should not repeat calls while all responses are late, as over a full link", async () => {
+        let calls = 0;
+        const late = {
+            get: async (_: string, progress: Progress) => {
+                calls += 1;
+                await progress.sleep(300);
+                return undefined;
+            },
+        };
+        const peer = { ask: (_: unknown, progress: Progress) => late.get("", progress), onRelayFailed: () => {} };
+        const relay = new RelayStore(late as never, () => peer as never, silentLogger);
+        for (let round = 0; round < 4; round++) {
+            await relay.get("k", new Progress(2_000));
+        }
+        calls = 0;
+        await Promise.all(Array.from({ length: 40 }, () => relay.get("k", new Progress(2_000))));
+        expect(calls).toSatisfy(count => count <= 44);
+    });
+
     it("should not ask a peer when the store has answered", async () => {
         expect(await get({ get: async () => undefined })).toEqual(undefined);
     });
@@ -91,15 +128,28 @@
         const progress = new Progress(3_000);
         const turns = createTurns(store);
         let last: TurnRecord | undefined;
+        let writtenBytes = 0;
         for (const id of ["t1", "t2", "t3", "t4"]) {
-            last = turn(id, last, 20_000);
+            last = turn(id, last, 5_000);
+            writtenBytes += last.tail.length;
             await turns.save(toSave(last), progress);
         }
-        expect([last!.base, last!.tail.length < 45_000]).toEqual(["t2", true]);
+        expect([last!.base, last!.tail.length < 11_000]).toEqual(["t2", true]);
+        expect(writtenBytes).toSatisfy(bytes => bytes < 31_000);
         const { history } = await createTurns(store).loadConversation({ id: "t4", program: "p" }, progress);
         expect(history.toString().match(/t\d in/g)).toEqual(["t1 in", "t2 in", "t3 in", "t4 in"]);
     });
 
+    it("should not send a long first prompt again with the turns after it", async () => {
+        const first = turn("t1", undefined, 16_000);
+        const later = [turn("t2", first, 1_000)];
+        for (const id of ["t3", "t4", "t5", "t6"]) {
+            later.push(turn(id, later.at(-1), 1_000));
+        }
+        expect(later[0]!.base).toEqual("t1");
+        expect(later.reduce((sum, { tail }) => sum + tail.length, 0)).toSatisfy(bytes => bytes < first.tail.length);
+    });
+
     it("should retry while the store is unavailable, and report an unknown result when time runs out", async () => {
         const store = new FakeStore();
         await createTurns(store).save(toSave(turn("t1")), new Progress(1_000));
