Take replies that end with their connection as whole, and send nothing more to upstreams that say they leave

Nothing read 'Server-Leaving', so that a worker got calls until the store said that it drains. Change: an orderly end completes a reply without length and chunks, a reset does not; a stream that ends inside an event is broken off, however it is framed. 'Server-Leaving' in any answer of the expected process ends new calls to it from this instance, for as long as that process lives, also when its entry is removed and comes back; the header does not reach callers. Spreading it to other instances was weighed and left: they learn it from the store within the bound of a drain, and the rule binds the machine that has passed the answer on.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -125,6 +125,9 @@
         if (upstream === undefined) {
             return { kind: "notRun", detail: "the upstream has just left", unreachable: true };
         }
+        if (upstream.isLeaving) {
+            return { kind: "notRun", detail: "the upstream has just said that it is leaving", unreachable: false };
+        }
         const response = ctx.route.isStreaming ? new StreamedResponse(ctx.res) : new BufferedResponse();
         const { prompt } = ctx.head;
         const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
@@ -137,6 +140,7 @@
         const call = { method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
+        response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
         const result = await attemptCall(upstream, call, ctx.id, this.options.protocol, response, ctx.progress);
         this.options.recordTraffic(upstream, {
             kind: "call",
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -7,7 +7,9 @@
 
 /** Buffers a response, which is sent only once it is complete. */
 export class BufferedResponse implements ResponseSink {
+    readonly isWhole = true;
     onLimit: ResponseSink["onLimit"] = () => {};
+    onLeaving: ResponseSink["onLeaving"] = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
@@ -46,6 +48,7 @@
 /** Forwards a stream as it arrives. `end` must be called once the stream is known to be complete. */
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
+    onLeaving: ResponseSink["onLeaving"] = () => {};
     readonly events = new EventCollector();
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
@@ -63,6 +66,11 @@
         return this.firstDataAt !== undefined;
     }
 
+    /** An error that is answered in place of the stream has no events. */
+    get isWhole(): boolean {
+        return !this.isSuccess || !this.events.isInsideEvent;
+    }
+
     get isSuccess(): boolean {
         return this.head !== undefined && this.head.status < 300;
     }
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -24,6 +24,8 @@
     readonly notRun: boolean;
     /** Whether the status alone promises a caller that the call has not run. */
     readonly promisesNotRun: boolean;
+    /** Whether the upstream says that it is about to stop. */
+    readonly isLeaving: boolean;
     /** Requests a second that the upstream takes from all instances together; missing if it does not limit them. */
     readonly requestsPerSecond: number | undefined;
     /** Headers for the caller, as alternating names and values. */
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -18,8 +18,12 @@
 export interface ResponseSink {
     /** Called for each reply to the call, also a refusal, with the limit that the upstream names in it, if any. */
     onLimit(requestsPerSecond: number | undefined): void;
+    /** Called for a reply, also a refusal, in which the upstream says that it is about to stop. */
+    onLeaving(): void;
     onHead(head: ReplyHead): void;
     onData(chunk: Buffer): void;
+    /** Whether the body that has arrived can be the whole one. */
+    readonly isWhole: boolean;
 }
 
 /** Size from which the body of a reply is taken for endless: faulty upstreams may send bytes until the caller closes. */
@@ -29,6 +33,9 @@
 const maxRefusalBytes = 64 * 1024;
 const refusalBodyTimeoutMs = 500;
 
+/** Status by which another process than the expected one refuses a call, after it has taken over the address. */
+const misdirectedStatus = 421;
+
 /** Sends a call to an upstream and writes the reply to a sink. */
 export const attemptCall = (
     upstream: Upstream,
@@ -75,6 +82,10 @@
         if (head.callId === this.callId && tellsLimit) {
             this.sink.onLimit(head.requestsPerSecond);
         }
+        const isOfUpstream = status !== misdirectedStatus && (head.callId === this.callId || replyKind === "notRun");
+        if (head.isLeaving && isOfUpstream) {
+            this.sink.onLeaving();
+        }
         if (replyKind === "answer") {
             this.sink.onHead(head);
             return true;
@@ -101,7 +112,11 @@
     }
 
     onEnd(): void {
-        this.end({ kind: "complete" });
+        this.end(
+            this.result !== undefined || this.sink.isWhole ?
+                { kind: "complete" } :
+                { kind: "broken", detail: "the stream ended inside an event" },
+        );
     }
 
     onError(err: Error, sent: boolean): void {
@@ -117,7 +132,7 @@
         this.result = {
             kind: "notRun",
             detail: `the upstream refused with ${status}`,
-            unreachable: status === 421,
+            unreachable: status === misdirectedStatus,
         };
         this.refusalTimer = setTimeout(
             () => this.abort(new Error("the body of the refusal did not end")),
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -34,39 +34,48 @@
     abort(reason: Error): void;
 }
 
+/** How a connection ends: the upstream has closed it in order, or it failed. */
+type SocketEnd = "closed" | "failed";
+
 /** Set while the listeners of a socket's end or error event run. */
-interface SocketEnd {
-    isEnding: boolean;
+interface SocketEnding {
+    now: SocketEnd | undefined;
 }
 
 /**
- * Creates a connector that records the end of a connection before the HTTP client handles it. If a reply is delimited
- * by the end of its connection, the client treats whatever has arrived as complete, also after the upstream crashed.
+ * Creates a connector that records the end of a connection before the HTTP client handles it: the client treats what has
+ * arrived as complete, also if the connection was reset, or closed before the announced length.
  */
-const trackSocketEnds = (end: SocketEnd): buildConnector.connector => {
+const trackSocketEnds = (ending: SocketEnding): buildConnector.connector => {
     const connect = buildConnector({ timeout: connectTimeoutMs });
-    const markEnding = (): void => {
-        end.isEnding = true;
-        queueMicrotask(() => end.isEnding = false);
+    const mark = (end: SocketEnd) => (): void => {
+        ending.now = end;
+        queueMicrotask(() => ending.now = undefined);
     };
     return (options, callback) =>
         connect(options, (...args) => {
-            args[1]?.on("end", markEnding);
-            args[1]?.on("error", markEnding);
+            args[1]?.on("end", mark("closed"));
+            args[1]?.on("error", mark("failed"));
             callback(...args);
         });
 };
 
+/** Whether a reply has neither a length nor chunks, so that the end of its connection ends it. */
+const endsWithConnection = (headers: readonly string[]): boolean =>
+    !headers.some((text, index) => index % 2 === 0 && framingHeaders.has(text.toLowerCase()));
+
+const framingHeaders = new Set(["content-length", "transfer-encoding"]);
+
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
     private readonly pool: Pool;
-    private readonly socketEnd: SocketEnd = { isEnding: false };
+    private readonly socketEnding: SocketEnding = { now: undefined };
 
     constructor(readonly address: string, connections: number) {
         this.pool = new Pool(`http://${address}`, {
             connections,
             pipelining: 1,
-            connect: trackSocketEnds(this.socketEnd),
+            connect: trackSocketEnds(this.socketEnding),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: defaultKeepAliveMs,
@@ -75,7 +84,7 @@
     }
 
     send(call: OutgoingCall, listener: ReplyListener): RunningCall {
-        const handler = new ReplyHandler(listener, this.socketEnd);
+        const handler = new ReplyHandler(listener, this.socketEnding);
         this.pool.dispatch({
             method: call.method,
             path: call.path,
@@ -104,8 +113,9 @@
     private controller: HttpDispatcher.DispatchController | undefined;
     private abortReason: Error | undefined;
     private ended = false;
+    private endsWithConnection = false;
 
-    constructor(private readonly listener: ReplyListener, private readonly socketEnd: Readonly<SocketEnd>) {}
+    constructor(private readonly listener: ReplyListener, private readonly socketEnding: Readonly<SocketEnding>) {}
 
     abort(reason: Error): void {
         this.abortReason ??= reason;
@@ -129,6 +139,7 @@
         }
         const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
         const headers = raw.map(value => typeof value === "string" ? value : value.toString("latin1"));
+        this.endsWithConnection = endsWithConnection(headers);
         if (!this.listener.onHead(status, headers)) {
             this.abort(new Error("the reply was refused by its listener"));
         }
@@ -140,9 +151,10 @@
         }
     }
 
-    /** A reply delimited by the end of its connection cannot be distinguished from one that a crash truncated. */
     onResponseEnd(): void {
-        if (this.socketEnd.isEnding) {
+        const end = this.socketEnding.now;
+        const isTruncated = end === "failed" || (end === "closed" && !this.endsWithConnection);
+        if (isTruncated) {
             this.endOnce(() => this.listener.onError(new Error("the connection ended before the reply did"), true));
             return;
         }
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -11,6 +11,9 @@
 /** Time within which an upstream whose entry expired during a store outage may register again. */
 const missingGraceMs = 2_200;
 
+/** Number of processes that are remembered as leaving. */
+const maxLeavingKeys = 1_000;
+
 /** Weight of a new measurement in the moving average of the duration of calls. */
 const durationSmoothing = 0.1;
 
@@ -23,6 +26,8 @@
     missingSince: number | undefined;
     /** Moving average of the duration of calls, which run concurrently with others; undefined before the first one. */
     meanCallMs: number | undefined;
+    /** Whether the process has said in a reply that it is about to stop. It does not take that back. */
+    isLeaving = false;
 
     /** Identifies the process: a restart may keep the id. */
     readonly key: string;
@@ -32,7 +37,7 @@
     }
 
     isAvailable(now: number): boolean {
-        return !this.entry.draining && this.missingSince === undefined && now >= this.ejectedUntil;
+        return !this.entry.draining && !this.isLeaving && this.missingSince === undefined && now >= this.ejectedUntil;
     }
 
     /** Adds the duration of a call to the moving average. */
@@ -51,6 +56,8 @@
 /** All known upstreams by id, with a connection pool for each process. */
 export class Upstreams {
     private readonly byId = new Map<string, Upstream>();
+    /** Keys of processes that have said that they are leaving, since an entry may be removed and come back. */
+    private readonly leavingKeys = new Set<string>();
 
     constructor(
         private readonly onRemoved: (upstream: Upstream) => void,
@@ -80,7 +87,7 @@
         const usable = all.filter(upstream => upstream.isAvailable(now));
         return usable.length > 0 ?
             usable :
-            all.filter(({ entry, missingSince }) => isRecentlyMissing(entry, missingSince, now));
+            all.filter(upstream => isRecentlyMissing(upstream, now));
     }
 
     /** Replaces all entries by those of a snapshot of the store. */
@@ -104,7 +111,9 @@
         }
         const maxConnections = this.routes()?.service(entry.service)?.maxConnections ?? entry.slots * 8;
         const connections = new UpstreamConnections(entry.address, Math.max(2, this.connectionLimit(maxConnections)));
-        this.byId.set(entry.id, new Upstream(entry, connections));
+        const upstream = new Upstream(entry, connections);
+        upstream.isLeaving = this.leavingKeys.has(upstream.key);
+        this.byId.set(entry.id, upstream);
         const { id, service, address, zone, draining } = entry;
         this.log.info("upstream added", { upstream: id, service, address, zone, draining });
     }
@@ -132,6 +141,19 @@
         }, missingGraceMs).unref();
     }
 
+    /** Sends no further calls to a process that has said in a reply that it is leaving, whatever its entry says. */
+    onLeaving(upstream: Upstream): void {
+        if (upstream.isLeaving) {
+            return;
+        }
+        upstream.isLeaving = true;
+        this.leavingKeys.add(upstream.key);
+        if (this.leavingKeys.size > maxLeavingKeys) {
+            this.leavingKeys.delete(this.leavingKeys.values().next().value!);
+        }
+        this.log.info("upstream leaving", { upstream: upstream.entry.id, inFlight: upstream.inFlight });
+    }
+
     close(): void {
         this.byId.forEach(upstream => upstream.connections.close());
     }
@@ -154,5 +176,5 @@
 }
 
 /** Whether the entry has only just gone missing, so that the upstream is still used if no other is available. */
-const isRecentlyMissing = (entry: UpstreamEntry, missingSince: number | undefined, now: number): boolean =>
-    !entry.draining && missingSince !== undefined && now - missingSince < missingGraceMs;
+const isRecentlyMissing = ({ entry, isLeaving, missingSince }: Upstream, now: number): boolean =>
+    !entry.draining && !isLeaving && missingSince !== undefined && now - missingSince < missingGraceMs;
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -56,6 +56,7 @@
         signed: true,
         notRun: false,
         promisesNotRun: false,
+        isLeaving: false,
         requestsPerSecond: undefined,
         headers: [],
         ...changes,
