Take an upstream that was back at once for crashed when its entry names another process

Now an upstream whose calls broke off and whose entry names another process within 1.5 s, without having drained, has crashed, too.

--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -1,4 +1,5 @@
 /** Finds out whether an upstream has ended when the connections of calls to it end. */
+import { delay } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { connect } from "node:net";
 
@@ -8,12 +9,16 @@
 /** Timeout of the connection by which an upstream is checked. */
 const checkTimeoutMs = 500;
 
+/** Time within which the entry of an upstream that has restarted at once names the new process. */
+const restartNoticeMs = 1_500;
+
 /** Handles the end of an upstream with the calls that it had not answered at all. */
 export type CrashListener = (upstream: Upstream, calls: readonly Fingerprints[]) => void;
 
 /**
- * Takes an upstream for crashed if calls to it broke off and its address refuses connections, although it has not said that
- * it leaves. A reset connection, a cut network, a lost answer and a planned end leave other traces.
+ * Takes an upstream for crashed if calls to it broke off and its address refuses connections, or its entry soon names another
+ * process, although it has not said that it leaves. A reset connection, a cut network, a lost answer and a planned end leave
+ * other traces.
  */
 export class CrashDetector {
     /** The calls that broke off, by upstreams that are being checked. */
@@ -39,11 +44,23 @@
     private async check(upstream: Upstream): Promise<void> {
         const { id, address } = upstream.entry;
         const refused = await refusesConnections(address);
+        if (!refused) {
+            await delay(restartNoticeMs);
+        }
         const calls = this.checked.get(upstream) ?? [];
         this.checked.delete(upstream);
-        const isLeaving = upstream.entry.draining || this.upstreams.get(id) !== upstream;
-        const crashed = refused && !isLeaving;
-        this.log.info("upstream checked", { upstream: id, refused, isLeaving, crashed, calls: calls.length });
+        const present = this.upstreams.get(id);
+        const restarted = present !== undefined && present !== upstream;
+        const isLeaving = upstream.entry.draining || upstream.isLeaving || present === undefined;
+        const crashed = (refused || restarted) && !isLeaving;
+        this.log.info("upstream checked", {
+            upstream: id,
+            refused,
+            restarted,
+            isLeaving,
+            crashed,
+            calls: calls.length,
+        });
         if (crashed) {
             calls.forEach(({ whole }) => this.log.info("call ended with its upstream", { upstream: id, call: whole }));
             this.onCrash(upstream, calls);
