--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { BudgetFilter } from "./filters/budgetFilter.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
+import { PromptSizeFilter } from "./filters/promptSizeFilter.js";
 import { addGauges } from "./gatewayGauges.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
@@ -297,6 +298,7 @@
             filters: [
                 new BodyFilter(maxBytes),
                 new BlockFilter(this.blocker),
+                new PromptSizeFilter(),
                 new HistoryFilter(turns),
                 new BudgetFilter(this.regionBudgets),
                 forward,
