Settle reservations of callers that left, and settle again when a settlement is lost

Two tests that failed first. Same class: a settlement that was lost counted the whole turn as spent for ever; it is sent again up to three times, and settles once.

--- a/packages/gateway/src/budgets/regionBudgets.ts
+++ b/packages/gateway/src/budgets/regionBudgets.ts
@@ -3,7 +3,7 @@
  * at several instances and availability zones of a region, and without a coordinator each instance would make its own
  * allocation from the stored record.
  */
-import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, delay, ProblemError, rendezvous } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 
 import type { PeerClient } from "../peers/peerClient.js";
@@ -18,6 +18,9 @@
 /** Timeout of the notification that settles a reservation. */
 const settleTimeoutMs = 500;
 
+/** Delays before a settlement is sent again to a coordinator that did not respond. */
+const settleRetryDelaysMs = [100, 500, 2_000];
+
 /** Time after which an unsettled reservation is dropped; its tokens remain spent. */
 const reservationTtlMs = 600_000;
 
@@ -128,6 +131,8 @@
             );
         }
         catch (err) {
+            // The coordinator may reserve the tokens all the same, also for a caller that has left in the meantime.
+            void this.settleRemotely(coordinator, reservation, 0);
             progress.throwIfAborted();
             const { instance } = coordinator.address;
             this.log.info("budget coordinator did not respond", {
@@ -135,14 +140,13 @@
                 keeper: instance,
                 error: asError(err).message,
             });
-            this.settleRemotely(coordinator, reservation, 0);
         }
         finally {
             askProgress.dispose();
         }
         switch (outcome) {
             case "reserved":
-                return { settle: once(spent => this.settleRemotely(coordinator, reservation, spent)) };
+                return { settle: once(spent => void this.settleRemotely(coordinator, reservation, spent)) };
             case "spent":
                 throw new ProblemError("budget_exhausted", "notRun", "The program's token budget is spent.");
             case "storeAway":
@@ -152,17 +156,29 @@
         }
     }
 
-    /** Notifies the coordinator; until it is notified, it counts the whole reservation as spent. */
-    private settleRemotely(coordinator: PeerClient, reservation: string, spent: number): void {
-        void coordinator.notify({ kind: "settleTokens", reservation, spent }, settleTimeoutMs).catch((err: unknown) => {
-            const error = asError(err).message;
-            this.log.info("failed to settle reservation", {
-                reservation,
-                spent,
-                error,
-                outcome: "the whole reservation counts as spent",
-            });
-        });
+    /**
+     * Notifies the coordinator; until it is notified, it counts the whole reservation as spent. It settles a reservation
+     * once, so that the notification may be repeated.
+     */
+    private async settleRemotely(coordinator: PeerClient, reservation: string, spent: number): Promise<void> {
+        for (const delayMs of [...settleRetryDelaysMs, undefined]) {
+            try {
+                await coordinator.notify({ kind: "settleTokens", reservation, spent }, settleTimeoutMs);
+                return;
+            }
+            catch (err) {
+                if (delayMs === undefined) {
+                    this.log.info("failed to settle reservation", {
+                        reservation,
+                        spent,
+                        error: asError(err).message,
+                        outcome: "the whole reservation counts as spent",
+                    });
+                    return;
+                }
+                await delay(delayMs);
+            }
+        }
     }
 }
 
--- a/tests/gateway/regionBudgets.test.ts
+++ b/tests/gateway/regionBudgets.test.ts
@@ -10,6 +10,10 @@
     readonly region: RegionBudgets;
     /** Whether peers can reach the instance. */
     isReachable: boolean;
+    /** Delay of the responses to reservations. */
+    responseMs: number;
+    /** Number of settlements that are lost. */
+    lostSettlements: number;
 }
 
 interface PeerRequest {
@@ -17,6 +21,8 @@
     readonly program: string;
 }
 
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
 /** Creates instances of one region that call each other directly. */
 const createRegion = (store: FakeStore, names: readonly string[]): Map<string, Member> => {
     const members = new Map<string, Member>();
@@ -28,9 +34,17 @@
         switch (request.kind) {
             case "returnBudget":
                 return await member.budgets.returnUnspent(request.program, progress);
-            case "reserveTokens":
-                return await member.region.reserveForPeer(request as never, progress);
+            case "reserveTokens": {
+                const outcome = await member.region.reserveForPeer(request as never, progress);
+                await sleep(member.responseMs);
+                progress.throwIfAborted();
+                return outcome;
+            }
             default:
+                if (member.lostSettlements > 0) {
+                    member.lostSettlements -= 1;
+                    throw new Error("the settlement was lost");
+                }
                 return await member.region.settleForPeer(request as never);
         }
     };
@@ -52,6 +66,8 @@
             budgets,
             region: new RegionBudgets(localInstance, budgets, peers, silentLogger),
             isReachable: true,
+            responseMs: 0,
+            lostSettlements: 0,
         });
     }
     return members;
@@ -101,6 +117,38 @@
         close(region);
     });
 
+    it("should not count a turn as spent whose caller left before its tokens were reserved", async () => {
+        const region = createRegion(new FakeStore(), names);
+        const coordinator = region.get(rendezvous("p", names)[0]!)!;
+        const other = region.get(names.find(name => region.get(name) !== coordinator)!)!;
+        coordinator.responseMs = 50;
+        for (let turns = 0; turns < total / needed; turns++) {
+            const progress = new Progress(5_000);
+            setTimeout(() => progress.abort(new Error("the caller left")), 20);
+            await expect(other.region.reserve("p", total, needed, progress)).toBeRejectedWith("the caller left");
+        }
+        await sleep(100);
+        coordinator.responseMs = 0;
+        await turn(other, needed);
+        close(region);
+    });
+
+    it("should settle a turn again when the settlement is lost", async () => {
+        const region = createRegion(new FakeStore(), names);
+        const coordinator = region.get(rendezvous("p", names)[0]!)!;
+        const other = region.get(names.find(name => region.get(name) !== coordinator)!)!;
+        coordinator.lostSettlements = 2;
+        for (let turns = 0; turns < total / needed; turns++) {
+            await turn(other, 0);
+        }
+        await sleep(300);
+        for (let spent = 0; spent + needed <= total; spent += needed) {
+            await turn(other, needed);
+        }
+        await expect(turn(other, 1)).toBeRejectedWith("spent");
+        close(region);
+    });
+
     it("should let other instances keep their own tokens once it has stopped, and return the tokens it holds", async () => {
         const store = new FakeStore();
         const region = createRegion(store, names);
