Look up what became of a write whose caller left before an instance says that it has no tokens to return

The write was applied; the instance did not know, and said that it had nothing to return, so that the program got 402 in 25 tries. A test that failed first.

--- a/packages/gateway/src/budgets/budgetAccount.ts
+++ b/packages/gateway/src/budgets/budgetAccount.ts
@@ -15,6 +15,8 @@
     /** Number of turns in progress. */
     running = 0;
     lastUsedAt = performance.now();
+    /** Whether a write may have been applied whose reply was not received. */
+    hasUnknownWrite = false;
     /** Settles when the latest queued update of the record has finished; updates run one at a time. */
     lastUpdate: Promise<unknown> = Promise.resolve();
     /** Tokens that turns have used or reserved. */
@@ -70,6 +72,7 @@
     applyRecord(record: BudgetRecord, revision: number): void {
         if (revision !== this.revision) {
             this.returningTokens = 0;
+            this.hasUnknownWrite = false;
         }
         this.record = record;
         this.revision = revision;
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -80,6 +80,9 @@
     /** Returns the unspent tokens of a program on request of another instance. Resolves to false if there were none. */
     async returnUnspent(program: string, progress: Progress): Promise<boolean> {
         const account = this.accounts.get(program);
+        if (account?.hasUnknownWrite === true) {
+            await this.runExclusive(account, async () => account.applyStored(await this.readRecord(program, progress)));
+        }
         const unspent = account?.available ?? 0;
         if (account === undefined || unspent <= 0) {
             return false;
@@ -167,7 +170,9 @@
     private async updateRecord(account: BudgetAccount, delta: number, progress: Progress): Promise<boolean> {
         const next = account.withAllocationDelta(delta, `${this.instance}/${this.nextNonce++}`);
         const put = { key: budgetKey(account.program), expected: account.revision, value: packBudget(next) };
+        account.hasUnknownWrite = true;
         const result = delta > 0 ? await this.writer.putFailFast(put, progress) : await this.writer.put(put, progress);
+        account.hasUnknownWrite = false;
         if (result.kind === "conflict") {
             account.applyStored(result.current);
             return false;
--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -108,6 +108,22 @@
         budgets.close();
     });
 
+    it("should return tokens of a write whose caller left before its reply, when another instance needs them", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>() };
+        const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+        store.fault = "loseReply";
+        store.faultsLeft = 1;
+        const progress = new Progress(5_000);
+        setTimeout(() => progress.abort(new Error("the caller left")), 50);
+        await expect(a.reserve("p", 200, 100, progress)).toBeRejectedWith("the caller left");
+        for (let turn = 0; turn < 2; turn++) {
+            await b.reserve("p", 200, 100, new Progress(5_000));
+        }
+        await expect(b.reserve("p", 200, 100, new Progress(5_000))).toBeRejectedWith("spent");
+        [a, b].forEach(budgets => budgets.close());
+    });
+
     it("should not spend tokens twice when the reply to their return was lost", async () => {
         const store = new FakeStore();
         const fleet = { instances: new Map<string, Budgets>() };
