Give the duties of a region to a bounded set of instances, computed once per version of the members

Connections to all peers are opened one each 150 ms, in any order, so that for most of the start each of 171 instances polls the store itself, since it does not reach those that follow it; the member list is read again only after 8 s. The member list is read again 0.7, 1.5 and 3 s after the registration. Load sums are kept running. Tests: at most 32 partners at 7, 67, 171 and 370 instances; all name the same; a lost one moves only its own keys.

--- a/packages/common/src/digest.ts
+++ b/packages/common/src/digest.ts
@@ -1,4 +1,4 @@
-/** Hash functions for digests, slot assignment and rendezvous hashing. */
+/** Hash functions for digests and slot assignment. */
 import { createHash } from "node:crypto";
 
 const digestBytes = 16;
@@ -19,15 +19,3 @@
 
 /** Maps a key to a slot; `slotCount` must be a power of two. */
 export const slotOf = (key: string, slotCount: number): number => hash32("slot", key) % slotCount;
-
-/**
- * Orders candidates by rendezvous hashing: the order depends on the key, and removing a candidate reassigns only its own keys.
- *
- * @example
- * const [owner] = rendezvous("slot-17", ["a", "b", "c"]);
- */
-export const rendezvous = (key: string, candidates: readonly string[]): string[] =>
-    candidates
-        .map(name => ({ name, rank: hash32(key, name) }))
-        .sort((a, b) => b.rank - a.rank || a.name.localeCompare(b.name))
-        .map(entry => entry.name);
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -12,4 +12,5 @@
 export * from "./metrics.js";
 export * from "./programId.js";
 export * from "./progress.js";
+export * from "./rendezvous.js";
 export * from "./verdict.js";
--- a/packages/gateway/src/budgets/regionBudgets.ts
+++ b/packages/gateway/src/budgets/regionBudgets.ts
@@ -3,12 +3,12 @@
  * at several instances and availability zones of a region, and without a coordinator each instance would make its own
  * allocation from the stored record.
  */
-import { asError, delay, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, delay, ProblemError } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 
+import type { Duties } from "../fleet/duties.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import type { LocalInstance, PeerRequest, PeerResponses } from "../peers/peerMessages.js";
-import type { Peers } from "../peers/peers.js";
 import { notDurableError } from "../state/batchWriter.js";
 import type { Budgets, Reservation } from "./budgets.js";
 
@@ -48,12 +48,12 @@
     constructor(
         private readonly localInstance: LocalInstance,
         private readonly localBudgets: Budgets,
-        private readonly peers: Pick<Peers, "usableInRegion">,
+        private readonly duties: Pick<Duties, "coordinatorOf">,
         private readonly log: Logger,
     ) {}
 
     async reserve(program: string, total: number, needed: number, progress: Progress): Promise<Reservation> {
-        const coordinator = this.remoteCoordinatorOf(program);
+        const coordinator = this.duties.coordinatorOf(program);
         return coordinator === undefined ?
             await this.localBudgets.reserve(program, total, needed, progress) :
             await this.reserveRemotely(coordinator, program, total, needed, progress);
@@ -106,14 +106,6 @@
         }
     }
 
-    /** The program's coordinator in this region; undefined if it is this instance. */
-    private remoteCoordinatorOf(program: string): PeerClient | undefined {
-        const localAddress = this.localInstance.address();
-        const peers = new Map(this.peers.usableInRegion(this.localInstance.region).map(peer => [peer.name, peer]));
-        const [first] = rendezvous(program, [localAddress, ...peers.keys()]);
-        return peers.get(first!);
-    }
-
     private async reserveRemotely(
         coordinator: PeerClient,
         program: string,
--- a/packages/gateway/src/facts/factExchange.ts
+++ b/packages/gateway/src/facts/factExchange.ts
@@ -2,9 +2,11 @@
  * Spreads facts between the instances of all regions without messages between all of them: each instance exchanges with
  * two relays of its region, and these with the relays of the other regions.
  */
-import { asError, delay, Progress, rendezvous } from "@marigolddrift/common";
+import { asError, delay, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 
+import { duties } from "../fleet/duties.js";
+import type { Duties } from "../fleet/duties.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import type { LocalInstance, PeerRequest, PeerResponses } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
@@ -13,9 +15,6 @@
 /** Number of relays of a region: one may be silent before it is known to be. */
 const relaysPerRegion = 2;
 
-/** Key for the rendezvous hash by which the instances of a region agree on their relays. */
-const relayKey = "fact relay";
-
 /** Time for which a relay holds a request until there are new facts. */
 const waitMs = 2_000;
 
@@ -50,7 +49,8 @@
 
     constructor(
         private readonly localInstance: LocalInstance,
-        private readonly peers: Pick<Peers, "usableInRegion" | "namesInRegion" | "regions">,
+        private readonly duties: Pick<Duties, "carriers">,
+        private readonly peers: Pick<Peers, "getByName" | "namesInRegion" | "regions">,
         private readonly clock: FactClock,
         private readonly sources: Readonly<Record<string, FactSource>>,
         private readonly log: Logger,
@@ -177,16 +177,17 @@
     private relays(): PeerClient[] {
         const { region } = this.localInstance;
         const localName = this.localInstance.address();
-        const { names, clients } = this.relaysOf(region, [localName]);
+        const { names, clients } = this.relaysOf(region);
         const others = this.peers.regions().filter(other => other !== region);
-        const remote = names.includes(localName) ? others.flatMap(other => this.relaysOf(other, []).clients) : [];
+        const remote = names.includes(localName) ? others.flatMap(other => this.relaysOf(other).clients) : [];
         return [...clients, ...remote];
     }
 
-    private relaysOf(region: string, local: readonly string[]): { names: string[]; clients: PeerClient[]; } {
-        const peers = new Map(this.peers.usableInRegion(region).map(peer => [peer.name, peer]));
-        const names = rendezvous(relayKey, [...local, ...peers.keys()]).slice(0, relaysPerRegion);
-        return { names, clients: names.map(name => peers.get(name)).filter(peer => peer !== undefined) };
+    private relaysOf(region: string): { names: string[]; clients: PeerClient[]; } {
+        const localName = this.localInstance.address();
+        const isUsable = (name: string): boolean => name === localName || this.peers.getByName(name)?.isUsable === true;
+        const names = this.duties.carriers(duties.factRelay, relaysPerRegion, isUsable, region);
+        return { names, clients: names.map(name => this.peers.getByName(name)).filter(peer => peer !== undefined) };
     }
 
     private forgetGonePeers(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { PromptSizeFilter } from "./filters/promptSizeFilter.js";
+import { Duties } from "./fleet/duties.js";
 import { addGauges } from "./gatewayGauges.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
@@ -98,6 +99,7 @@
     private readonly upstreamFollower: UpstreamFollower;
     private readonly dispatcher: Dispatcher<QueuedCall>;
     private readonly peers: Peers;
+    private readonly duties: Duties;
     private readonly peerServer: PeerServer;
     /** The platform's store; calls that fail directly are relayed through peers. */
     private readonly store: VersionedStore;
@@ -130,14 +132,21 @@
         );
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
         this.localInstance = { instance: options.instance, region: topology.region, address };
-        this.loadExchange = new LoadExchange(this.localInstance, this.peers, () => this.upstreams.localLoad(), log);
+        this.duties = new Duties(this.localInstance, this.peers);
+        this.loadExchange = new LoadExchange(
+            this.localInstance,
+            this.duties,
+            this.peers,
+            () => this.upstreams.localLoad(),
+            log,
+        );
         this.permitGranter = new PermitGranter(random);
-        this.permits = new Permits(this.localInstance, this.peers, this.permitGranter, this.metrics, log);
+        this.permits = new Permits(this.localInstance, this.duties, this.peers, this.permitGranter, this.metrics, log);
         const factClock = new FactClock();
         this.limits = new UpstreamLimits(factClock, this.permits, options.regionOf, log);
         this.blocker = new CallBlocker(factClock, this.metrics, log);
         const sources = { limits: this.limits, crashes: this.blocker };
-        this.facts = new FactExchange(this.localInstance, this.peers, factClock, sources, log);
+        this.facts = new FactExchange(this.localInstance, this.duties, this.peers, factClock, sources, log);
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
         const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits);
         this.writer = new BatchWriter(store, batchDelayMs, log);
@@ -145,13 +154,14 @@
         this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
-        this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.peers, log);
+        this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
         this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
         this.entry = this.createEntry(pool, random);
-        const watchOptions = { ...options, store, localInstance: this.localInstance, peers: this.peers };
+        const { duties, localInstance, peers } = this;
+        const watchOptions = { ...options, store, localInstance, duties, peers };
         const outages = {
             onDisconnected: () => this.upstreamFollower.onStoreLost(),
             onReconnected: () => this.upstreamFollower.onStoreRegained(),
@@ -239,7 +249,14 @@
         const { instance, zone, regionOf, host, machine } = this.options;
         const region = regionOf(zone);
         const localAddress = () => ({ instance, host, zone, region, port: this.peerPort, keepsTurns: false });
-        return new Peers(machine, localAddress, this.store, this.log, this.options.recordTraffic);
+        const { layout, recordTraffic } = this.options;
+        // Until an instance reaches those that follow the store for its region, it has to read the store itself.
+        const neededFronts = () =>
+            [
+                this.duties.likelyCarriers([layout.configKey, layout.upstreamsPrefix]),
+                this.duties.partners(),
+            ] as const;
+        return new Peers(machine, localAddress, this.store, this.log, recordTraffic, neededFronts);
     }
 
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./entry/statusServer.js";
 export * from "./facts/factExchange.js";
 export * from "./facts/factTable.js";
+export * from "./fleet/duties.js";
 export * from "./gateway.js";
 export * from "./gatewayMetrics.js";
 export * from "./gatewayOptions.js";
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -3,7 +3,7 @@
  * when too few of them respond. Load pattern: turns that end while the store is unavailable, or at a rate at which one
  * store call per turn would be too expensive.
  */
-import { asError, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, ProblemError, RendezvousTable } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 import { RetryBudget } from "@marigolddrift/policy";
 
@@ -33,12 +33,19 @@
     readonly toleratedLosses: number;
 }
 
+interface JournalServers {
+    readonly version: number;
+    readonly servers: ReadonlyMap<string, PeerClient>;
+    readonly table: RendezvousTable;
+}
+
 /** Saves turns on journal servers, with the store as the fallback. */
 export class JournalArchive implements TurnArchive {
     private readonly hedgeBudget = new RetryBudget(hedgeShare);
+    private servers: JournalServers | undefined;
 
     constructor(
-        private readonly peers: Pick<Peers, "journals" | "reload" | "pickFront">,
+        private readonly peers: Pick<Peers, "version" | "journals" | "reload" | "pickFront">,
         private readonly store: TurnArchive,
         private readonly placement: JournalPlacement,
         private readonly log: Logger,
@@ -179,11 +186,21 @@
         }
     }
 
+    /** The journal servers, prepared once per version of the member list. */
+    private journalServers(): JournalServers {
+        const { version, journals } = this.peers;
+        if (this.servers?.version !== version) {
+            const servers = new Map(journals.map(server => [server.name, server]));
+            this.servers = { version, servers, table: new RendezvousTable([...servers.keys()]) };
+        }
+        return this.servers;
+    }
+
     /** Ranks servers: own region first. All instances of a region get the same order for a program. */
     private rankServers(program: string): PeerClient[] {
         const { zone, regionOf } = this.placement;
-        const byName = new Map(this.peers.journals.map(server => [server.name, server]));
-        const rankedServers = rendezvous(program, [...byName.keys()]).map(name => byName.get(name)!);
+        const { servers, table } = this.journalServers();
+        const rankedServers = table.rank(program).map(name => servers.get(name)!);
         const isNear = (server: PeerClient): boolean => regionOf(server.address.zone) === regionOf(zone);
         return [...rankedServers.filter(isNear), ...rankedServers.filter(server => !isNear(server))];
     }
--- a/packages/gateway/src/limits/permits.ts
+++ b/packages/gateway/src/limits/permits.ts
@@ -1,9 +1,10 @@
 /** Takes permits for calls to limited upstreams from the instance that grants them for all. */
-import { asError, Progress, rendezvous } from "@marigolddrift/common";
+import { asError, Progress } from "@marigolddrift/common";
 import type { Logger, Metrics } from "@marigolddrift/common";
 import { takePermits, unreachableRate } from "@marigolddrift/policy";
 import type { PermitBucket } from "@marigolddrift/policy";
 
+import type { Duties } from "../fleet/duties.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import type { LocalInstance, PeerRequest, PermitResponse } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
@@ -55,7 +56,8 @@
 
     constructor(
         private readonly localInstance: LocalInstance,
-        private readonly peers: Pick<Peers, "usableInRegion" | "namesInRegion" | "regions">,
+        private readonly duties: Pick<Duties, "firstCoordinator">,
+        private readonly peers: Pick<Peers, "getByName" | "namesInRegion" | "regions">,
         private readonly granter: PermitGranter,
         private readonly metrics: Metrics,
         private readonly log: Logger,
@@ -164,20 +166,14 @@
 
     /** Whether no known instance, also if it does not respond now, precedes this one. */
     private isFirstChoice(key: string, region: string): boolean {
-        const localName = this.localInstance.address();
-        const names = [...this.peers.namesInRegion(region), ...(this.isLocal(region) ? [localName] : [])];
-        return rendezvous(key, names)[0] === localName;
+        return this.duties.firstCoordinator(key, region) === this.localInstance.address();
     }
 
     private findGranter(key: string, region: string): PeerClient | "self" | "none" {
-        const peers = new Map(this.peers.usableInRegion(region).map(peer => [peer.name, peer]));
-        const names = [...peers.keys(), ...(this.isLocal(region) ? [this.localInstance.address()] : [])];
-        const [first] = rendezvous(key, names);
-        return first === undefined ? "none" : peers.get(first) ?? "self";
-    }
-
-    private isLocal(region: string): boolean {
-        return region === this.localInstance.region;
+        const localName = this.localInstance.address();
+        const isUsable = (name: string): boolean => name === localName || this.peers.getByName(name)?.isUsable === true;
+        const first = this.duties.firstCoordinator(key, region, isUsable);
+        return first === undefined ? "none" : this.peers.getByName(first) ?? "self";
     }
 
     private takeUnreachableShare(
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -19,6 +19,9 @@
 /** Refresh interval until the instance is registered. */
 const registrationRetryMs = 500;
 
+/** Times of the refreshes after the registration: others of a fleet that starts at once register a little later. */
+const firstRefreshesMs = [700, 1_500, 3_000];
+
 /** Minimum time between reads of the member list for peers that are not known. */
 const newPeerRefreshMs = 1_000;
 
@@ -50,7 +53,13 @@
 
 /** Registers this instance, and maintains connections to its peers. */
 export class Peers {
+    /** Incremented when members are added, replaced or removed. */
+    version = 0;
     private readonly clients = new Map<string, PeerClient>();
+    private readonly clientsByName = new Map<string, PeerClient>();
+    private readonly firstRefreshesMs = [...firstRefreshesMs];
+    private connectOrderVersion = -1;
+    private connectOrderCache: readonly PeerClient[] = [];
     private sharedKey: string | undefined;
     private registered = false;
     private stopped = false;
@@ -64,6 +73,8 @@
         private readonly store: VersionedStore,
         private readonly log: Logger,
         private readonly recordTraffic: TrafficRecorder = () => {},
+        /** Returns the names of the front instances that are connected in advance: urgent ones, then the others. */
+        private readonly neededFronts: () => readonly [readonly string[], readonly string[]] = () => [[], []],
         private readonly random: () => number = Math.random,
     ) {}
 
@@ -101,6 +112,12 @@
         );
     }
 
+    /** Whether a request can be sent to a peer at once, over an open connection. */
+    isReachable(name: string): boolean {
+        const client = this.getByName(name);
+        return client !== undefined && client.isUsable && client.isConnected;
+    }
+
     /** Names of the front instances of a region that are known, whether or not they respond. */
     namesInRegion(region: string): string[] {
         const known = [...this.clients.values()].filter(({ address }) =>
@@ -122,7 +139,7 @@
 
     /** Returns the peer with a name, that is, its host and port. */
     getByName(name: string): PeerClient | undefined {
-        return [...this.clients.values()].find(client => client.name === name);
+        return this.clientsByName.get(name);
     }
 
     /** Returns the peer with a name. If it is not known, it may be new, so that the member list is read again first. */
@@ -179,18 +196,14 @@
         if (!this.stopped) {
             this.refreshTimer = setTimeout(
                 () => void this.refresh(),
-                this.registered ? refreshIntervalMs : registrationRetryMs,
+                this.registered ? this.firstRefreshesMs.shift() ?? refreshIntervalMs : registrationRetryMs,
             );
         }
     }
 
     /** Opens one missing connection in advance, so that no call has to wait for it. */
     private connectNext(): void {
-        const unconnected = [...this.clients.values()].filter(client =>
-            this.shouldConnect(client.address) && client.isUsable && !client.isConnected && !client.isConnecting
-        );
-        // Journal servers come first, because turns wait for them.
-        const next = unconnected.find(({ address }) => address.keepsTurns) ?? unconnected[0];
+        const next = this.connectOrder().find(client => client.isUsable && !client.isConnected && !client.isConnecting);
         void next?.preconnect();
         this.connectTimer = setTimeout(
             () => this.connectNext(),
@@ -198,10 +211,24 @@
         );
     }
 
-    /** Whether most calls need the peer: journal servers, and front instances that may coordinate budgets. */
-    private shouldConnect({ keepsTurns, region }: PeerAddress): boolean {
-        const local = this.localAddress();
-        return keepsTurns || (!local.keepsTurns && region === local.region);
+    /** Peers that are connected in advance, most urgent first. Computed once per version of the member list. */
+    private connectOrder(): readonly PeerClient[] {
+        if (this.connectOrderVersion !== this.version) {
+            this.connectOrderVersion = this.version;
+            this.connectOrderCache = this.listNeeded();
+        }
+        return this.connectOrderCache;
+    }
+
+    private listNeeded(): PeerClient[] {
+        const { region } = this.localAddress();
+        const [urgent, others] = this.neededFronts();
+        const find = (names: readonly string[]): PeerClient[] =>
+            names.map(name => this.getByName(name)).filter(client => client !== undefined);
+        // Turns wait for the journal servers of the region; those of other regions are rarely asked.
+        const near = this.journals.filter(({ address }) => address.region === region);
+        const far = this.journals.filter(({ address }) => address.region !== region);
+        return [...new Set([...find(urgent), ...near, ...find(others), ...far])];
     }
 
     /** Reads the shared key, or creates it. If several instances create it concurrently, the first write wins. */
@@ -236,12 +263,24 @@
         for (const [key, client] of this.clients) {
             if (!listed.has(key)) {
                 this.clients.delete(key);
+                this.clientsByName.delete(client.name);
+                this.version += 1;
                 client.close();
                 this.log.info("peer removed", { peer: client.address.instance });
             }
         }
     }
 
+    private replaceClient(key: string, known: PeerClient | undefined, client: PeerClient): void {
+        if (known !== undefined) {
+            known.close();
+            this.clientsByName.delete(known.name);
+        }
+        this.clients.set(key, client);
+        this.clientsByName.set(client.name, client);
+        this.version += 1;
+    }
+
     private createClient(address: PeerAddress): PeerClient {
         const link = address.region === this.localAddress().region ? "region" : "otherRegion";
         return new PeerClient(address, () => this.sharedKey, exchange => this.recordTraffic({ ...exchange, link }));
@@ -256,8 +295,7 @@
                 this.log.warn("peer entry ignored", { key, reason: "invalid address" });
             }
             else if (address.instance !== localInstance && known?.address.instance !== address.instance) {
-                known?.close();
-                this.clients.set(key, this.createClient(address));
+                this.replaceClient(key, known, this.createClient(address));
                 this.log.info("peer found", { peer: address.instance, zone: address.zone });
             }
         }
--- a/packages/gateway/src/state/regionalStoreReader.ts
+++ b/packages/gateway/src/state/regionalStoreReader.ts
@@ -3,7 +3,7 @@
  * wait for, such as a configuration with many routes, which each of them would otherwise read over the narrow link
  * between regions.
  */
-import { asError, isDeadlineExceeded, ProblemError, rendezvous } from "@marigolddrift/common";
+import { asError, isDeadlineExceeded, ProblemError } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 import type {
     ChangeBatch,
@@ -15,6 +15,7 @@
 } from "@marigolddrift/store";
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 
+import type { Duties } from "../fleet/duties.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import { packChanges, unpackChanges } from "../peers/peerMessages.js";
 import type { LocalInstance, PackedChangeBatch, PeerRequest } from "../peers/peerMessages.js";
@@ -76,7 +77,8 @@
     constructor(
         private readonly localInstance: LocalInstance,
         private readonly store: Pick<VersionedStore, "range" | "changes">,
-        private readonly peers: Pick<Peers, "usableInRegion">,
+        private readonly duties: Pick<Duties, "carriers" | "order">,
+        private readonly peers: Pick<Peers, "isReachable" | "getByName">,
         private readonly feed: ChangeFeed,
         changeDelayLimitMs: number,
         private readonly log: Logger,
@@ -235,16 +237,16 @@
     }
 
     private findRole(prefix: string): ReadingRole {
-        const connected = this.peers.usableInRegion(this.localInstance.region).filter(({ isConnected }) => isConnected);
-        if (connected.length < maxIndependentInstances) {
+        if (this.duties.order(prefix).length <= maxIndependentInstances) {
             return { kind: "independent" };
         }
-        const byName = new Map(connected.map(peer => [peer.name, peer]));
-        const names = rendezvous(prefix, [this.localInstance.address(), ...byName.keys()]).slice(0, leaderCount);
+        const localName = this.localInstance.address();
+        const isReachable = (name: string): boolean => name === localName || this.peers.isReachable(name);
+        const names = this.duties.carriers(prefix, leaderCount, isReachable);
         this.logLeaders(prefix, names.join());
-        return names.includes(this.localInstance.address()) ?
+        return names.includes(localName) ?
             { kind: "leader" } :
-            { kind: "follower", leaders: names.map(name => byName.get(name)!) };
+            { kind: "follower", leaders: names.map(name => this.peers.getByName(name)!) };
     }
 
     private logLeaders(prefix: string, names: string): void {
--- a/packages/gateway/src/state/watchedPrefix.ts
+++ b/packages/gateway/src/state/watchedPrefix.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
+import type { Duties } from "../fleet/duties.js";
 import type { LocalInstance } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import { ChangeFeed } from "./changeFeed.js";
@@ -19,6 +20,7 @@
 export interface WatchOptions {
     readonly localInstance: LocalInstance;
     readonly store: VersionedStore;
+    readonly duties: Duties;
     readonly peers: Peers;
     /** Longest time within which an unresponsive connection to the store must be detected. */
     readonly storeSilenceMs: number;
@@ -29,9 +31,9 @@
 
 /** Creates the watcher of a prefix; it must be started. */
 export const watchPrefix = (options: WatchOptions, prefix: string, events: PrefixWatcherEvents): WatchedPrefix => {
-    const { localInstance, store, peers, storeSilenceMs, changeDelayLimitMs, log } = options;
+    const { localInstance, store, duties, peers, storeSilenceMs, changeDelayLimitMs, log } = options;
     const feed = new ChangeFeed();
-    const reader = new RegionalStoreReader(localInstance, store, peers, feed, changeDelayLimitMs, log);
+    const reader = new RegionalStoreReader(localInstance, store, duties, peers, feed, changeDelayLimitMs, log);
     const watcher = new PrefixWatcher(reader, prefix, events, storeSilenceMs, log, feed);
     return { watcher, reader };
 };
--- a/packages/gateway/src/upstreams/loadExchange.ts
+++ b/packages/gateway/src/upstreams/loadExchange.ts
@@ -1,9 +1,11 @@
 /** Exchanges the number of calls in flight on each upstream with the other instances of the region. */
-import { asError, Progress, rendezvous } from "@marigolddrift/common";
+import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { LoadAggregator } from "@marigolddrift/policy";
 import type { WorkerLoad } from "@marigolddrift/policy";
 
+import { duties } from "../fleet/duties.js";
+import type { Duties } from "../fleet/duties.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import type { LocalInstance } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
@@ -17,9 +19,6 @@
 /** Timeout for a report to the aggregator. */
 const reportTimeoutMs = 400;
 
-/** Key for the rendezvous hash by which the instances of a region agree on the aggregator. */
-const aggregatorKey = "load board";
-
 /** Calls of the other instances on an upstream. */
 export interface PeerLoad {
     readonly calls: number;
@@ -41,7 +40,8 @@
 
     constructor(
         private readonly localInstance: LocalInstance,
-        private readonly peers: Pick<Peers, "usableInRegion">,
+        private readonly duties: Pick<Duties, "carriers">,
+        private readonly peers: Pick<Peers, "isReachable" | "getByName">,
         private readonly localLoad: () => WorkerLoad,
         private readonly log: Logger,
     ) {
@@ -105,13 +105,13 @@
 
     /** Returns the peer that aggregates the region's load; undefined if this instance does. */
     private findAggregator(): PeerClient | undefined {
-        const connected = this.peers.usableInRegion(this.localInstance.region).filter(({ isConnected }) => isConnected);
-        const peers = new Map(connected.map(peer => [peer.name, peer]));
-        const [name] = rendezvous(aggregatorKey, [this.localInstance.address(), ...peers.keys()]);
+        const localName = this.localInstance.address();
+        const isReachable = (name: string): boolean => name === localName || this.peers.isReachable(name);
+        const [name] = this.duties.carriers(duties.loadAggregator, 1, isReachable);
         if (name !== this.aggregatorName) {
             this.aggregatorName = name;
-            this.log.info("load board", { at: name, peers: peers.size });
+            this.log.info("load board", { at: name });
         }
-        return peers.get(name!);
+        return name === undefined || name === localName ? undefined : this.peers.getByName(name);
     }
 }
--- a/packages/policy/src/loadAggregator.ts
+++ b/packages/policy/src/loadAggregator.ts
@@ -15,7 +15,8 @@
 }
 
 /**
- * Keeps the latest load report of each instance.
+ * Keeps the latest load report of each instance, and their sum, so that a report costs as much in a large fleet as in a
+ * small one.
  *
  * @example
  * aggregator.report("front-1", { "worker-7": 2 }, performance.now());
@@ -23,6 +24,7 @@
  */
 export class LoadAggregator {
     private readonly reports = new Map<string, Report>();
+    private readonly sums = new Map<string, number>();
 
     /**
      * Replaces the instance's previous report.
@@ -30,26 +32,50 @@
      * @param now Monotonic time in milliseconds.
      */
     report(instance: string, load: WorkerLoad, now: number): void {
+        this.remove(instance);
         this.reports.set(instance, { at: now, load });
+        this.add(load, 1);
     }
 
-    /** Sums the unexpired reports of all other instances by worker, and removes expired ones. */
+    /** Returns the sum of the unexpired reports of all other instances by worker, and removes expired ones. */
     loadOfOthers(instance: string, now: number): Record<string, number> {
-        const sums: Record<string, number> = {};
-        for (const [other, { at, load }] of this.reports) {
-            if (now - at > reportTtlMs) {
-                this.reports.delete(other);
+        this.removeExpired(now);
+        const own = this.reports.get(instance)?.load ?? {};
+        const others: Record<string, number> = {};
+        for (const [worker, calls] of this.sums) {
+            const othersCalls = calls - (own[worker] ?? 0);
+            if (othersCalls > 0) {
+                others[worker] = othersCalls;
             }
-            else if (other !== instance) {
-                addTo(sums, load);
+        }
+        return others;
+    }
+
+    private removeExpired(now: number): void {
+        for (const [instance, { at }] of this.reports) {
+            if (now - at > reportTtlMs) {
+                this.remove(instance);
             }
         }
-        return sums;
     }
-}
 
-const addTo = (sums: Record<string, number>, load: WorkerLoad): void => {
-    for (const [worker, calls] of Object.entries(load)) {
-        sums[worker] = (sums[worker] ?? 0) + calls;
+    private remove(instance: string): void {
+        const report = this.reports.get(instance);
+        if (report !== undefined) {
+            this.reports.delete(instance);
+            this.add(report.load, -1);
+        }
     }
-};
+
+    private add(load: WorkerLoad, sign: 1 | -1): void {
+        for (const [worker, calls] of Object.entries(load)) {
+            const sum = (this.sums.get(worker) ?? 0) + sign * calls;
+            if (sum > 0) {
+                this.sums.set(worker, sum);
+            }
+            else {
+                this.sums.delete(worker);
+            }
+        }
+    }
+}
--- a/tests/gateway/factExchange.test.ts
+++ b/tests/gateway/factExchange.test.ts
@@ -1,6 +1,6 @@
 import type { Progress } from "@marigolddrift/common";
 import { silentLogger } from "@marigolddrift/common";
-import { FactClock, FactExchange, FactTable } from "@marigolddrift/gateway";
+import { Duties, FactClock, FactExchange, FactTable } from "@marigolddrift/gateway";
 import type { FactSource, PeerRequest } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -55,17 +55,23 @@
             [...this.members].filter(([other, member]) => other !== name && member.region === of).map(([other]) =>
                 other
             );
+        const isUsable = (other: string): boolean => performance.now() >= (this.backoffs.get(`${name}>${other}`) ?? 0);
         const peers = {
+            version: 0,
             regions: () => regions,
             namesInRegion: inRegion,
-            usableInRegion: (of: string) =>
-                inRegion(of).filter(other => performance.now() >= (this.backoffs.get(`${name}>${other}`) ?? 0)).map(
-                    other => this.peer(name, other),
-                ),
+            getByName: (other: string) =>
+                this.members.has(other) && other !== name ?
+                    Object.assign(this.peer(name, other) as object, { isUsable: isUsable(other) }) :
+                    undefined,
         } as never;
         const instance = `${name}-${start}`;
         const localInstance = { instance, region, address: () => name };
-        const exchange = new FactExchange(localInstance, peers, clock, { numbers: source }, silentLogger);
+        // The members of a fake fleet change without a version.
+        const duties = {
+            carriers: (...args: Parameters<Duties["carriers"]>) => new Duties(localInstance, peers).carriers(...args),
+        };
+        const exchange = new FactExchange(localInstance, duties, peers, clock, { numbers: source }, silentLogger);
         this.members.set(name, { region, facts, exchange, instance, isFrozen: false });
     }
 
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -168,7 +168,12 @@
     };
 
     archive(): JournalArchive {
-        const peers = { journals: this.journals, reload: async () => {}, pickFront: () => this.front } as never;
+        const peers = {
+            version: 0,
+            journals: this.journals,
+            reload: async () => {},
+            pickFront: () => this.front,
+        } as never;
         const placement = { zone: "z", regionOf: () => "r", toleratedLosses: 1 };
         return new JournalArchive(peers, this.store, placement, silentLogger);
     }
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -1,5 +1,5 @@
 import { silentLogger } from "@marigolddrift/common";
-import { Peers, PeerServer } from "@marigolddrift/gateway";
+import { Duties, peerName, Peers, PeerServer } from "@marigolddrift/gateway";
 import type { PeerAddress } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -37,7 +37,17 @@
             );
             return server;
         }));
-        const peers = new Peers("front", () => createAddress("front", "north-a", false), store, silentLogger);
+        const address = createAddress("front", "north-a", false);
+        const localInstance = { instance: "front", region: "north", address: () => peerName(address) };
+        const peers: Peers = new Peers(
+            "front",
+            () => address,
+            store,
+            silentLogger,
+            () => {},
+            () => [duties.likelyCarriers(["config"]), duties.partners()],
+        );
+        const duties = new Duties(localInstance, peers);
         peers.start();
         try {
             await waitUntil(() => peers.key !== undefined);
--- a/tests/gateway/permits.test.ts
+++ b/tests/gateway/permits.test.ts
@@ -1,5 +1,5 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { GatewayMetrics, PermitGranter, Permits } from "@marigolddrift/gateway";
+import { Duties, GatewayMetrics, PermitGranter, Permits } from "@marigolddrift/gateway";
 import type { PeerRequest } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -90,16 +90,22 @@
         const inRegion = (of: string): [string, Member][] =>
             [...this.members].filter(([other, member]) => other !== name && member.region === of);
         const peers = {
+            version: 0,
             namesInRegion: (of: string) => inRegion(of).map(([other]) => other),
-            usableInRegion: (of: string) =>
-                inRegion(of).filter(([other]) => performance.now() >= (this.backoffs.get(`${name}>${other}`) ?? 0)).map(
-                    (
-                        [other],
-                    ) => this.peer(name, other),
-                ),
+            getByName: (other: string) =>
+                this.members.has(other) && other !== name ?
+                    Object.assign(this.peer(name, other) as object, {
+                        isUsable: performance.now() >= (this.backoffs.get(`${name}>${other}`) ?? 0),
+                    }) :
+                    undefined,
             regions: () => ["north", "south"],
         } as never;
-        const permits = new Permits(localInstance, peers, granter, new GatewayMetrics(), silentLogger);
+        // The members of a fake fleet change without a version.
+        const duties = {
+            firstCoordinator: (...args: Parameters<Duties["firstCoordinator"]>) =>
+                new Duties(localInstance, peers).firstCoordinator(...args),
+        };
+        const permits = new Permits(localInstance, duties, peers, granter, new GatewayMetrics(), silentLogger);
         this.members.set(name, { region, permits, granter, isFrozen: false, isCutOff: false });
     }
 
--- a/tests/gateway/regionBudgets.test.ts
+++ b/tests/gateway/regionBudgets.test.ts
@@ -1,5 +1,5 @@
 import { Progress, rendezvous, silentLogger } from "@marigolddrift/common";
-import { BatchWriter, Budgets, RegionBudgets } from "@marigolddrift/gateway";
+import { BatchWriter, Budgets, Duties, RegionBudgets } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -50,6 +50,7 @@
     };
     const peer = (name: string) => ({
         name,
+        isUsable: true,
         address: { instance: name },
         ask: (request: PeerRequest, progress: Progress) => handleRequest(name, request, progress),
         notify: (request: PeerRequest) => handleRequest(name, request, new Progress(1_000)),
@@ -58,13 +59,15 @@
         const peers = {
             refresh: async () => {},
             get: (instance: string) => members.has(instance) ? peer(instance) : undefined,
-            usableInRegion: () => names.filter(other => other !== name).map(peer),
+            version: 0,
+            namesInRegion: () => names.filter(other => other !== name),
+            getByName: peer,
         } as never;
         const budgets = new Budgets(name, new BatchWriter(store, 0, silentLogger), store, peers, silentLogger);
         const localInstance = { instance: name, region: "r", address: () => name };
         members.set(name, {
             budgets,
-            region: new RegionBudgets(localInstance, budgets, peers, silentLogger),
+            region: new RegionBudgets(localInstance, budgets, new Duties(localInstance, peers), silentLogger),
             isReachable: true,
             responseMs: 0,
             lostSettlements: 0,
--- a/tests/gateway/regionalStoreReader.test.ts
+++ b/tests/gateway/regionalStoreReader.test.ts
@@ -1,5 +1,5 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { ChangeFeed, PrefixWatcher, RegionalStoreReader } from "@marigolddrift/gateway";
+import { ChangeFeed, Duties, PrefixWatcher, RegionalStoreReader } from "@marigolddrift/gateway";
 import type { PeerRequest } from "@marigolddrift/gateway";
 import { HistoryGoneError } from "@marigolddrift/store";
 import type { ChangeBatch, Snapshot, StoredValue, VersionedStore } from "@marigolddrift/store";
@@ -83,13 +83,19 @@
         ask: (request: PeerRequest, progress: Progress) => ask(name, request, progress),
     });
     for (const name of names) {
-        const peers = { usableInRegion: () => names.filter(other => other !== name).map(peer) } as never;
+        const peers = {
+            version: 0,
+            namesInRegion: () => names.filter(other => other !== name),
+            getByName: peer,
+            isReachable: () => true,
+        } as never;
         const feed = new ChangeFeed();
         const localPeer = { instance: name, region: "r", address: () => name };
         const memberStore = new MemberStore(store);
         const reader = new RegionalStoreReader(
             localPeer,
             memberStore,
+            new Duties(localPeer, peers),
             peers,
             feed,
             grownBounds.configApplyMs,
