Pass replies that end with their connection on as such, and reset those that break off

With a length of ours, a short one looked complete. Only its caller can tell, by the signature. Change: a reply without framing is passed on without framing; one that we break off is reset, since a close in order would end it. Test calls are made by node:http now: undici takes a reset for the end of such a response, so that it could not see the difference.

--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -40,7 +40,12 @@
         const body = Buffer.concat(this.chunks);
         const { status, headers } = this.head!;
         const hasBody = status !== 204 && status !== 304;
-        res.writeHead(status, [...headers, ...(hasBody ? ["Content-Length", String(body.length)] : [])]);
+        if (hasBody && this.head!.endsWithConnection) {
+            writeUnframedHead(res, this.head!);
+        }
+        else {
+            res.writeHead(status, [...headers, ...(hasBody ? ["Content-Length", String(body.length)] : [])]);
+        }
         res.end(body);
     }
 }
@@ -94,8 +99,35 @@
     }
 
     private writeHead(): void {
-        if (!this.res.headersSent && !this.res.destroyed) {
+        if (this.res.headersSent || this.res.destroyed) {
+            return;
+        }
+        if (this.head!.endsWithConnection) {
+            writeUnframedHead(this.res, this.head!);
+        }
+        else {
             this.res.writeHead(this.head!.status, [...this.head!.headers]);
         }
     }
 }
+
+/**
+ * Begins a response that ends with its connection, as the reply did: a length or chunks would tell the caller that it is
+ * whole, but a connection that ends in order does not.
+ */
+const writeUnframedHead = (res: ServerResponse, { status, headers }: ReplyHead): void => {
+    res.useChunkedEncodingByDefault = false;
+    res.shouldKeepAlive = false;
+    res.writeHead(status, [...headers, "Connection", "close"]);
+};
+
+/** Ends a response that has begun so that its caller does not take it for whole. */
+export const breakOff = (res: ServerResponse): void => {
+    if (res.useChunkedEncodingByDefault) {
+        res.destroy();
+    }
+    else {
+        // Closing in order would end the response as if it were whole.
+        res.socket?.resetAndDestroy();
+    }
+};
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -36,5 +36,6 @@
 export * from "./turns/turnRecord.js";
 export * from "./turns/turnStore.js";
 export * from "./upstreams/classifyReply.js";
+export * from "./upstreams/framing.js";
 export * from "./upstreams/upstreamEntry.js";
 export * from "./upstreams/upstreams.js";
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -142,7 +142,7 @@
         if (now - this.directFailedAt < directSuspicionMs || now < this.nextProbeAt) {
             return true;
         }
-        this.nextProbeAt = now + hedgeAfterMs;
+        this.nextProbeAt = now + Math.min(hedgeAfterMs, maxHedgeMs);
         return false;
     }
 
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -28,6 +28,8 @@
     readonly isLeaving: boolean;
     /** Requests a second that the upstream takes from all instances together; missing if it does not limit them. */
     readonly requestsPerSecond: number | undefined;
+    /** Whether the reply has neither a length nor chunks, so that only its caller can tell whether it is whole. */
+    readonly endsWithConnection: boolean;
     /** Headers for the caller, as alternating names and values. */
     readonly headers: readonly string[];
 }
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -2,6 +2,8 @@
 import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
 
+import { endsWithConnection } from "./framing.js";
+
 /** Timeout for establishing a connection. */
 const connectTimeoutMs = 400;
 
@@ -60,12 +62,6 @@
         });
 };
 
-/** Whether a reply has neither a length nor chunks, so that the end of its connection ends it. */
-const endsWithConnection = (headers: readonly string[]): boolean =>
-    !headers.some((text, index) => index % 2 === 0 && framingHeaders.has(text.toLowerCase()));
-
-const framingHeaders = new Set(["content-length", "transfer-encoding"]);
-
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
     private readonly pool: Pool;
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -57,6 +57,7 @@
         notRun: false,
         promisesNotRun: false,
         isLeaving: false,
+        endsWithConnection: false,
         requestsPerSecond: undefined,
         headers: [],
         ...changes,
--- a/tests/platform/calls.test.ts
+++ b/tests/platform/calls.test.ts
@@ -3,6 +3,14 @@
 import { request } from "undici";
 
 import { Deployment, waitUntil } from "./deployment.js";
+import type { ReceivedResponse } from "./deployment.js";
+
+/** How the caller can tell the end of a response. */
+const framingOf = ({ headers }: ReceivedResponse) => ({
+    length: headers["content-length"],
+    encoding: headers["transfer-encoding"],
+    connection: headers["connection"],
+});
 
 describe("calls on the platform", () => {
     let deployment: Deployment;
@@ -74,6 +82,7 @@
         deployment.plainWorker.fault = "unframed";
         const whole = await deployment.call("POST", "/order/1", {}, "x");
         expect([whole.status, whole.body]).toEqual([200, "first half second half"]);
+        expect(framingOf(whole)).toEqual({ length: undefined, encoding: undefined, connection: "close" });
         deployment.plainWorker.fault = "unframedReset";
         const reset = await deployment.call("POST", "/order/1", {}, "x");
         expect([reset.status, reset.body.includes("half")]).toEqual([502, false]);
@@ -83,6 +92,7 @@
         deployment.streamingWorker.fault = "unframed";
         const whole = await deployment.turn("p-unframed", "u1", "hello ");
         expect(whole.body).toEqual("id: 0\ndata: u1-0\n\nid: 1\ndata: u1-1\n\n");
+        expect(framingOf(whole)).toEqual({ length: undefined, encoding: undefined, connection: "close" });
         deployment.streamingWorker.fault = "none";
         await deployment.turn("p-unframed", "u2", "again", "u1");
         expect(deployment.streamingWorker.ran.at(-1)!.body).toEqual("hello u1-0\nu1-1\nagain");
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -2,9 +2,10 @@
 import { silentLogger } from "@marigolddrift/common";
 import { Gateway } from "@marigolddrift/gateway";
 import { callHeaders, PlatformStandin, PlatformStore, storeLayout, WorkerStandin } from "@marigolddrift/platform";
+import { request } from "node:http";
+import type { RequestOptions } from "node:http";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
-import { request } from "undici";
 
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 const engine = { slots: 4, kvCapacity: 90_000, tokensPerEvent: 10 };
@@ -40,6 +41,27 @@
     readonly headers: NodeJS.Dict<string | string[]>;
 }
 
+/**
+ * Sends a request on a connection of its own. Rejects if the response is broken off, also by a reset where the end of the
+ * connection ends the response; undici takes that for whole.
+ */
+const sendRequest = (options: RequestOptions, body: string | undefined): Promise<ReceivedResponse> =>
+    new Promise((resolve, reject) => {
+        const req = request({ ...options, agent: false }, res => {
+            const chunks: Buffer[] = [];
+            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            res.on("error", reject);
+            res.on("end", () =>
+                resolve({
+                    status: res.statusCode!,
+                    body: Buffer.concat(chunks).toString(),
+                    headers: res.headers,
+                }));
+        });
+        req.on("error", reject);
+        req.end(body);
+    });
+
 /** Runs the store, the workers and the gateways in one process, each on a free port. */
 export class Deployment {
     readonly store = new PlatformStandin();
@@ -100,12 +122,8 @@
         gateway = this.gateways[0]!,
     ): Promise<ReceivedResponse> {
         const id = headers["Request-Id"] ?? this.newId();
-        const res = await request(`http://127.0.0.1:${gateway.port}${path}`, {
-            method,
-            headers: { "Host": "carts.example", "Deadline-Ms": "2500", ...headers, "Request-Id": id },
-            ...(body === undefined ? {} : { body }),
-        });
-        return { status: res.statusCode, body: await res.body.text(), headers: res.headers };
+        const sent = { "Host": "carts.example", "Deadline-Ms": "2500", ...headers, "Request-Id": id };
+        return await sendRequest({ host: "127.0.0.1", port: gateway.port, method, path, headers: sent }, body);
     }
 
     /** Sends a turn of a program. */
