--- /dev/null
+++ b/bench/soak/main.ts
@@ -0,0 +1,73 @@
+/** `npm run soak -- --seed N --minutes M`: soaks with consecutive seeds; with `--variants`, those of the broken variants. */
+import { cac } from "cac";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { runSoak } from "./soak.js";
+import type { SoakResult } from "./soak.js";
+import { buildVariant, variants } from "./variants.js";
+
+const defaultMinutes = 1;
+
+/** Length of the soak of a variant. */
+const variantSeconds = 25;
+
+const maxShown = 20;
+
+const print = (line: string): void => void process.stdout.write(`${line}\n`);
+
+const printResult = (seed: number, { violations, counts, faults, dir }: SoakResult): void => {
+    print(`seed ${seed}: ${violations.length} broken promises, ${faults.length} faults`);
+    const ordered = Object.entries(counts).sort(([a], [b]) => a < b ? -1 : 1);
+    print(`  ${ordered.map(([name, count]) => `${name}: ${count}`).join("; ")}`);
+    violations.slice(0, maxShown).forEach(violation => print(`  ${violation}`));
+    if (violations.length > 0) {
+        print(`  logs and faults: ${dir}`);
+    }
+};
+
+/** Returns the number of runs in which a promise was broken. */
+const soak = async (firstSeed: number, runs: number, seconds: number): Promise<number> => {
+    let failed = 0;
+    for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
+        const result = await runSoak({ seed, seconds });
+        failed += result.violations.length > 0 ? 1 : 0;
+        printResult(seed, result);
+    }
+    return failed;
+};
+
+/** Returns the number of variants that were not caught. */
+const soakVariants = async (): Promise<number> => {
+    const dir = mkdtempSync(join(tmpdir(), "variants-"));
+    let missed = 0;
+    for (const variant of variants) {
+        const program = join(dir, "variant.cjs");
+        await buildVariant(variant, program);
+        const result = await runSoak({ seed: variant.seed, seconds: variantSeconds, program });
+        const isCaught = result.violations.length > 0;
+        missed += isCaught ? 0 : 1;
+        print(
+            `${isCaught ? "caught" : "MISSED"}: ${variant.name} (seed ${variant.seed}): ${result.violations[0] ?? ""}`,
+        );
+        rmSync(result.dir, { recursive: true, force: true });
+    }
+    rmSync(dir, { recursive: true });
+    return missed;
+};
+
+const cli = cac("soak");
+cli.option("--seed <n>", "Seed of the first run", { default: 1 });
+cli.option("--runs <n>", "Number of runs, with consecutive seeds", { default: 1 });
+cli.option("--minutes <m>", "Length of a run", { default: defaultMinutes });
+cli.option("--variants", "Run the broken variants, each of which must be caught");
+cli.help();
+const { options } = cli.parse();
+
+if (!options["help"]) {
+    const failed = options["variants"] ?
+        await soakVariants() :
+        await soak(Number(options["seed"]), Number(options["runs"]), Number(options["minutes"]) * 60);
+    process.exitCode = failed > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/bench/soak/soak.ts
@@ -0,0 +1,74 @@
+/** Runs real programs under overlapping faults and checks the promises to callers, from what callers and workers see. */
+import { delay } from "@marigolddrift/common";
+import { createRandom } from "@marigolddrift/workload";
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+import { SoakCaller } from "./soakCallers.js";
+import { SoakFaults } from "./soakFaults.js";
+import { builtProgram, SoakFleet } from "./soakFleet.js";
+import { SoakRecord } from "./soakRecord.js";
+
+const callerCount = 12;
+
+/** Time for which callers go on after the last fault, so that recovery is seen. */
+const recoveryMs = 6_000;
+
+/** Time in which calls that were given up may still reach a worker. */
+const settleMs = 4_500;
+
+/** Settings of a run. */
+export interface SoakOptions {
+    readonly seed: number;
+    readonly seconds: number;
+    /** File that the processes run; the built program if missing. */
+    readonly program?: string;
+}
+
+/** Result of a run. */
+export interface SoakResult {
+    readonly violations: readonly string[];
+    readonly counts: Readonly<Record<string, number>>;
+    readonly faults: readonly string[];
+    /** Logs of the processes; removed if no promise was broken. */
+    readonly dir: string;
+}
+
+/**
+ * Runs one soak.
+ *
+ * @example
+ * const { violations } = await runSoak({ seed: 7, seconds: 60 });
+ */
+export const runSoak = async ({ seed, seconds, program = builtProgram }: SoakOptions): Promise<SoakResult> => {
+    const random = createRandom(seed);
+    const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
+    mkdirSync(dir, { recursive: true });
+    const fleet = new SoakFleet(dir, program);
+    const record = new SoakRecord();
+    const faults = new SoakFaults(fleet, random);
+    try {
+        await fleet.start();
+        const callers = Array.from(
+            { length: callerCount },
+            (_, index) => new SoakCaller(`c${index}`, fleet, record, random),
+        );
+        const running = callers.map(caller => caller.run());
+        await faults.run(seconds * 1_000);
+        await delay(recoveryMs);
+        callers.forEach(caller => caller.stop());
+        await Promise.all(running);
+        await delay(settleMs);
+        record.checkRuns(fleet.workers);
+    }
+    finally {
+        await fleet.close();
+    }
+    const violations = [...record.violations, ...fleet.unexpectedExits];
+    writeFileSync(join(dir, "faults.txt"), faults.injected.join("\n"));
+    if (violations.length === 0) {
+        rmSync(dir, { recursive: true });
+    }
+    return { violations, counts: record.counts, faults: faults.injected, dir };
+};
--- /dev/null
+++ b/bench/soak/soakCallers.ts
@@ -0,0 +1,169 @@
+/** Callers that run programs of turns and tool calls, and retry as the platform's do. */
+import { delay } from "@marigolddrift/common";
+import { Agent, request } from "node:http";
+import type { IncomingMessage } from "node:http";
+
+import type { Machine, SoakFleet } from "./soakFleet.js";
+import { expectedAnswer, maxTurnTokens, outputOf } from "./soakRecord.js";
+import type { Attempt, CallKind, SoakRecord } from "./soakRecord.js";
+
+const callTimeoutMs = 4_000;
+
+/** Attempts at a turn or call before its program is given up. */
+const maxAttempts = 4;
+
+const retryDelayMs = 250;
+const pauseMs = 60;
+
+/** Budget of a program; those that loop ask for turns until they are told that it is spent. */
+const budgetTokens = 400;
+
+const turnsPerProgram = 5;
+const loopingShare = 0.1;
+
+/** One caller, which runs one program after the other over connections that it keeps. */
+export class SoakCaller {
+    private readonly agent = new Agent({ keepAlive: true });
+    private nextId = 0;
+    private stopped = false;
+
+    /** @param random Returns numbers in [0, 1). */
+    constructor(
+        private readonly name: string,
+        private readonly fleet: SoakFleet,
+        private readonly record: SoakRecord,
+        private readonly random: () => number,
+    ) {}
+
+    async run(): Promise<void> {
+        while (!this.stopped) {
+            await this.runProgram();
+        }
+        this.agent.destroy();
+    }
+
+    stop(): void {
+        this.stopped = true;
+    }
+
+    private async runProgram(): Promise<void> {
+        const program = this.newId("p");
+        const zone = this.pick(this.fronts()).zone;
+        const loops = this.random() < loopingShare;
+        this.record.setBudget(program, budgetTokens);
+        let history = "";
+        let previous: string | undefined;
+        for (let turn = 0; !this.stopped && (loops || turn < turnsPerProgram); turn++) {
+            const input = `${program} asks ${turn};`;
+            const attempt = await this.callUntilAnswered("turn", zone, history + input, input, program, previous);
+            if (attempt === undefined) {
+                this.record.count(`program ended at turn ${Math.min(turn, turnsPerProgram)}`);
+                return;
+            }
+            history += input + outputOf(attempt.id);
+            previous = attempt.id;
+            await this.callTools(zone);
+            await delay(pauseMs);
+        }
+        this.record.count("program complete");
+    }
+
+    private async callTools(zone: string): Promise<void> {
+        const calls = [this.callUntilAnswered("safe", zone, "", "")];
+        if (this.random() < 0.5) {
+            const body = `${this.newId("bags")} please`;
+            calls.push(this.callUntilAnswered("order", zone, body, body));
+        }
+        await Promise.all(calls);
+    }
+
+    /** Retries as often as the platform's callers do; what must not be repeated only after a promise that it has not run. */
+    private async callUntilAnswered(
+        kind: CallKind,
+        zone: string,
+        expectedBody: string,
+        body: string,
+        program?: string,
+        previous?: string,
+    ): Promise<Attempt | undefined> {
+        for (let tries = 0; tries < maxAttempts; tries++) {
+            const attempt: Attempt = { id: this.newId("r"), kind, expectedBody, ...(program && { program }) };
+            this.record.begin(attempt);
+            await this.send(attempt, zone, body, previous);
+            if (this.record.onAnswer(attempt) && attempt.body === expectedAnswer(attempt)) {
+                return attempt;
+            }
+            if (attempt.status === 402) {
+                return undefined;
+            }
+            if (attempt.status === 404) {
+                this.record.violations.push(`${attempt.id} continues ${previous}, which was kept, and got 404`);
+                return undefined;
+            }
+            await delay(retryDelayMs);
+        }
+        return undefined;
+    }
+
+    private send(attempt: Attempt, zone: string, body: string, previous: string | undefined): Promise<void> {
+        const { kind, id, program } = attempt;
+        const path = kind === "turn" ? "/chat/turn" : kind === "safe" ? "/look/1" : "/order/1";
+        const headers = {
+            "Host": "soak.example",
+            "Request-Id": id,
+            "Deadline-Ms": String(callTimeoutMs),
+            ...(program !== undefined && {
+                "Program-Id": program,
+                "Session-Id": program,
+                "Finish-Ms": "20000",
+                "Token-Budget": String(budgetTokens),
+                "Token-Usage": `100,${maxTurnTokens}`,
+                "Model": "m",
+            }),
+            ...(previous !== undefined && { "Previous-Turn": previous }),
+        };
+        const address = this.fleet.frontAddress(this.pickFront(zone));
+        return new Promise(resolve => {
+            const options = { ...address, method: kind === "safe" ? "GET" : "POST", path, headers, agent: this.agent };
+            const req = request(options, res => {
+                void readAnswer(res).then(({ text, isWhole }) => {
+                    const hasFrame = res.headers["content-length"] !== undefined ||
+                        res.headers["transfer-encoding"] !== undefined;
+                    Object.assign(attempt, { status: res.statusCode, body: text, framedWhole: isWhole && hasFrame });
+                    resolve();
+                });
+            });
+            req.setTimeout(callTimeoutMs + 1_000, () => req.destroy());
+            req.on("error", () => resolve());
+            req.end(kind === "safe" ? undefined : body);
+        });
+    }
+
+    private fronts(): Machine[] {
+        return this.fleet.machines.filter(({ role }) => role === "front");
+    }
+
+    /** Mostly a front of the caller's zone; its retries reach others. */
+    private pickFront(zone: string): Machine {
+        const inZone = this.fronts().filter(front => front.zone === zone);
+        return this.random() < 0.7 ? this.pick(inZone) : this.pick(this.fronts());
+    }
+
+    private pick<T>(items: readonly T[]): T {
+        return items[Math.floor(this.random() * items.length)]!;
+    }
+
+    private newId(prefix: string): string {
+        return `${prefix}-${this.name}-${this.nextId++}`;
+    }
+}
+
+/** Reads an answer to its end, or to where it breaks off. */
+const readAnswer = (res: IncomingMessage): Promise<{ readonly text: string; readonly isWhole: boolean; }> =>
+    new Promise(resolve => {
+        let text = "";
+        res.setEncoding("latin1");
+        res.on("data", (chunk: string) => text += chunk);
+        res.on("end", () => resolve({ text, isWhole: res.complete }));
+        res.on("error", () => resolve({ text, isWhole: false }));
+    });
--- /dev/null
+++ b/bench/soak/soakFleet.ts
@@ -0,0 +1,232 @@
+/** Runs front and store machines as separate processes against stand-ins of the platform and the workers. */
+import { delay } from "@marigolddrift/common";
+import { NarrowLink, PlatformStandin, WorkerStandin } from "@marigolddrift/platform";
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { createWriteStream, mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { get } from "node:http";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+/** The program as it is built. */
+export const builtProgram = fileURLToPath(new URL("../../../platform/dist/main.js", import.meta.url));
+
+const frontPort = 8149;
+const readyPort = 8141;
+const innerPorts = [7380, 7395];
+
+/** Bounds that the settings name, in the platform's units. */
+export const bounds = { graceS: 8, contactMs: 4_000, drainMs: 2_500, configApplyMs: 2_500 };
+
+/** The link between the regions, 21 Mbit/s each way. */
+const link = { bytesPerMs: 2_600, delayMs: 20 };
+
+const readyTimeoutMs = 20_000;
+
+/** Region that the platform's store stands in. */
+const storeRegion = "north";
+
+const regionOf = (zone: string): string => zone.split("-")[0]!;
+
+/** A machine of the system. */
+export interface Machine {
+    readonly name: string;
+    readonly role: "front" | "store";
+    readonly zone: string;
+    readonly ip: string;
+}
+
+const engine = { slots: 8, kvCapacity: 90_000, tokensPerEvent: 10 };
+
+const route = (name: string, prefix: string, changes: Record<string, unknown>) => ({
+    name,
+    host: "soak.example",
+    prefix,
+    timeoutMs: 3_000,
+    latencyGoalMs: 300,
+    priority: 0,
+    maxAttempts: 2,
+    ...changes,
+});
+
+const configOf = (version: number) => ({
+    version,
+    routes: [
+        route("chat", "/chat/", { kind: "stream", service: "brain", retain: true, keepS: 60 }),
+        route("look", "/look/", { kind: "safe", service: "ops" }),
+        route("order", "/order/", { kind: "unsafe", service: "ops" }),
+    ],
+    services: [{ name: "brain", maxConns: 150, engine }, { name: "ops", maxConns: 96 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+});
+
+/** The processes and stand-ins of one run. */
+export class SoakFleet {
+    readonly store = new PlatformStandin();
+    readonly machines: readonly Machine[];
+    /** Processes that ended although nobody had stopped them. */
+    readonly unexpectedExits: string[] = [];
+    /** All workers that have been started, also those that have left. */
+    readonly workers: WorkerStandin[] = [];
+    private readonly link = new NarrowLink(link);
+    private readonly processes = new Map<string, ChildProcess>();
+    private readonly stopped = new Set<string>();
+    private farStoreAddress = "";
+    private version = 0;
+    private closing = false;
+
+    /**
+     * @param dir Directory for settings, disks and logs.
+     * @param program File that the processes run.
+     */
+    constructor(private readonly dir: string, private readonly program: string) {
+        // Each machine has an address of its own on loopback, since ports are the same on all machines.
+        const network = `127.${20 + process.pid % 200}.0`;
+        const zones = ["north-a", "north-b", "south-a"];
+        const fronts = [...zones, "south-a"].map(zone => ({ role: "front" as const, zone }));
+        const stores = zones.map(zone => ({ role: "store" as const, zone }));
+        this.machines = [...fronts, ...stores].map(({ role, zone }, index) => ({
+            name: `${role}-${index + 1}`,
+            role,
+            zone,
+            ip: `${network}.${index + 1}`,
+        }));
+    }
+
+    async start(): Promise<void> {
+        await this.store.start();
+        this.farStoreAddress = await this.link.open(this.store.address);
+        this.changeConfig();
+        for (const [index, zone] of ["north-a", "north-b", "south-a"].entries()) {
+            await this.addWorker(`i-brain-${index}`, "brain", zone);
+            await this.addWorker(`i-ops-${index}`, "ops", zone);
+        }
+        this.machines.forEach(machine => this.startProcess(machine, true));
+        const fronts = this.machines.filter(({ role }) => role === "front");
+        await Promise.all(fronts.map(front => this.waitUntilReady(front)));
+        await delay(2_000); // Connections between the machines are opened in the background.
+    }
+
+    /** Writes a newer configuration. */
+    changeConfig(): void {
+        this.version += 1;
+        this.store.put("op/config", configOf(this.version));
+    }
+
+    async addWorker(id: string, service: "brain" | "ops", zone: string): Promise<WorkerStandin> {
+        const worker = new WorkerStandin(id, service, service === "brain");
+        await worker.start();
+        this.workers.push(worker);
+        this.store.put(`servers/${id}`, { ...worker.entry(), zone, slots: engine.slots });
+        return worker;
+    }
+
+    /** Address for callers. */
+    frontAddress({ ip }: Machine): { readonly host: string; readonly port: number; } {
+        return { host: ip, port: frontPort };
+    }
+
+    signal(machine: Machine, signal: NodeJS.Signals): void {
+        this.processes.get(machine.name)?.kill(signal);
+    }
+
+    /** Ends a process and starts it again a moment after its end; with `wipe` it comes back with an empty disk. */
+    async restart(machine: Machine, signal: "SIGKILL" | "SIGTERM", downMs: number, wipe = false): Promise<void> {
+        const child = this.processes.get(machine.name);
+        this.stopped.add(machine.name);
+        const ended = new Promise<void>(resolve => child?.once("exit", () => resolve()));
+        child?.kill(signal);
+        await ended;
+        await delay(downMs);
+        if (wipe) {
+            rmSync(this.dataDir(machine), { recursive: true, force: true });
+        }
+        if (!this.closing) {
+            this.startProcess(machine, false);
+        }
+    }
+
+    async close(): Promise<void> {
+        this.closing = true;
+        for (const [name, child] of this.processes) {
+            this.stopped.add(name);
+            child.kill("SIGKILL");
+        }
+        this.link.close();
+        this.workers.forEach(worker => worker.close());
+        this.store.close();
+        await delay(100);
+    }
+
+    private dataDir({ name }: Machine): string {
+        return join(this.dir, `${name}.disk`);
+    }
+
+    private startProcess(machine: Machine, firstStart: boolean): void {
+        const file = join(this.dir, `${machine.name}.toml`);
+        mkdirSync(this.dataDir(machine), { recursive: true });
+        writeFileSync(file, this.settings(machine, firstStart));
+        const child = spawn(process.execPath, ["--max-old-space-size=96", this.program, machine.role], {
+            env: { ...process.env, MARIGOLDDRIFT_SETTINGS: file },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const log = createWriteStream(join(this.dir, `${machine.name}.log`), { flags: "a" });
+        child.stdout.pipe(log, { end: false });
+        child.stderr.pipe(log, { end: false });
+        this.stopped.delete(machine.name);
+        this.processes.set(machine.name, child);
+        child.once("exit", code => {
+            if (!this.stopped.has(machine.name)) {
+                this.unexpectedExits.push(`${machine.name} ended by itself with ${code}`);
+            }
+        });
+    }
+
+    private settings({ name, zone, ip, role }: Machine, firstStart: boolean): string {
+        const address = regionOf(zone) === storeRegion ? this.store.address : this.farStoreAddress;
+        const { graceS, contactMs, drainMs, configApplyMs } = bounds;
+        return [
+            `node = "${name}"`,
+            `ip = "${ip}"`,
+            `zone = "${zone}"`,
+            `region = "${regionOf(zone)}"`,
+            `innerPorts = [${innerPorts.join(", ")}]`,
+            `firstStart = ${firstStart}`,
+            ...(role === "store" ? [`dataDir = "${this.dataDir({ name, zone, ip, role })}"`] : []),
+            "[zones]",
+            "north-a = \"north\"",
+            "north-b = \"north\"",
+            "south-a = \"south\"",
+            "[listen]",
+            ...(role === "front" ? [`front = "${ip}:${frontPort}"`, `ready = "${ip}:${readyPort}"`] : []),
+            "[tolerate]",
+            "machines = 1",
+            "[bounds]",
+            `graceS = ${graceS}`,
+            `contactMs = ${contactMs}`,
+            `drainMs = ${drainMs}`,
+            `configApplyMs = ${configApplyMs}`,
+            "[platform]",
+            `address = "${address}"`,
+            "",
+        ].join("\n");
+    }
+
+    private async waitUntilReady({ ip, name }: Machine): Promise<void> {
+        const endsAt = performance.now() + readyTimeoutMs;
+        while (!await isReady(ip)) {
+            if (performance.now() > endsAt) {
+                throw new Error(`${name} is not ready after ${readyTimeoutMs} ms`);
+            }
+            await delay(100);
+        }
+    }
+}
+
+const isReady = (host: string): Promise<boolean> =>
+    new Promise(resolve => {
+        get({ host, port: readyPort, path: "/api/ready" }, res => {
+            res.resume();
+            resolve(res.statusCode === 200);
+        }).on("error", () => resolve(false));
+    });
--- /dev/null
+++ b/bench/soak/variants.ts
@@ -0,0 +1,131 @@
+/** Broken variants of the program, each of which a soak must catch. */
+import { build } from "esbuild";
+import { readdirSync, readFileSync } from "node:fs";
+import { resolve } from "node:path";
+
+/** A fault that is put into the sources before the program is built. */
+export interface Variant {
+    readonly name: string;
+    /** Seed of a soak that catches it. */
+    readonly seed: number;
+    readonly file: string;
+    readonly find: string;
+    readonly replace: string;
+}
+
+const gateway = "packages/gateway/src";
+
+export const variants: readonly Variant[] = [
+    {
+        name: "a call that must not be repeated is sent again after it may have run",
+        seed: 101,
+        file: `${gateway}/filters/forwardFilter.ts`,
+        find: "const mayRepeat = ctx.route.idempotent && ",
+        replace: "const mayRepeat = ",
+    },
+    {
+        name: "the caller is told that a call has not run when its answer was lost",
+        seed: 102,
+        file: `${gateway}/filters/forwardFilter.ts`,
+        find: "new ProblemError(\"upstream_failed\", \"mayHaveRun\"",
+        replace: "new ProblemError(\"no_upstream\", \"notRun\"",
+    },
+    {
+        name: "a worker's promise that a call has not run is believed without its statement",
+        seed: 103,
+        file: `${gateway}/upstreams/classifyReply.ts`,
+        find: "if (head.promisesNotRun || ",
+        replace: "if (",
+    },
+    {
+        name: "a stream that is cut off ends as if it were whole",
+        seed: 104,
+        file: `${gateway}/upstreams/upstreamConnections.ts`,
+        find: "if (isTruncated) {",
+        replace: "if (isTruncated && this.ended) {",
+    },
+    {
+        name: "a stream that ends inside an event counts as whole",
+        seed: 105,
+        file: `${gateway}/upstreams/attempt.ts`,
+        find: "this.result !== undefined || this.sink.isWhole ?",
+        replace: "this.result !== undefined || this.sink !== undefined ?",
+    },
+    {
+        name: "an answer to another call is passed on",
+        seed: 106,
+        file: `${gateway}/upstreams/classifyReply.ts`,
+        find: "!(head.signed && head.callId === callId)",
+        replace: "!head.signed",
+    },
+    {
+        name: "a turn's record leaves out the turns before it",
+        seed: 107,
+        file: `${gateway}/turns/turnRecord.ts`,
+        find: "Buffer.concat([previous.tail, ...added])",
+        replace: "Buffer.concat(added)",
+    },
+    {
+        name: "tokens that turns use are not taken from the budget",
+        seed: 108,
+        file: `${gateway}/budgets/budgetAccount.ts`,
+        find: "this.usedTokens += tokens;",
+        replace: "this.usedTokens += 0 * tokens;",
+    },
+    {
+        name: "a turn is acknowledged by a machine that does not keep it",
+        seed: 109,
+        file: `${gateway}/journal/turnJournal.ts`,
+        find: "this.addUnflushed(turn, await this.disk.append(packr.pack(entry)));",
+        replace: "await this.disk.append(packr.pack(entry));",
+    },
+    {
+        name: "a reply without length and chunks is passed on with chunks",
+        seed: 110,
+        file: `${gateway}/filters/responseSinks.ts`,
+        find: "        if (this.head!.endsWithConnection) {\n            writeUnframedHead(this.res, this.head!);",
+        replace: "        if (this.head === undefined) {\n            writeUnframedHead(this.res, this.head!);",
+    },
+];
+
+/** Faults that belong together, as one check hides the lack of another. */
+const alsoReplaced: Readonly<Record<string, readonly [string, string]>> = {
+    "an answer to another call is passed on": [
+        "if (head.callId !== undefined && head.callId !== callId) {",
+        "if (head.callId === callId && head.callId !== callId) {",
+    ],
+};
+
+/** Builds a variant of the program into a file. */
+export const buildVariant = async (variant: Variant, outfile: string): Promise<void> => {
+    const path = resolve(variant.file);
+    const alias = Object.fromEntries(
+        readdirSync("packages").map(name => [`@marigolddrift/${name}`, resolve("packages", name, "src/index.ts")]),
+    );
+    await build({
+        entryPoints: ["platform/src/main.ts"],
+        outfile,
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        alias,
+        tsconfig: "tsconfig.base.json",
+        plugins: [{
+            name: "variant",
+            setup: bundler =>
+                bundler.onLoad({ filter: /\.ts$/ }, args => args.path === path ? load(path, variant) : null),
+        }],
+    });
+};
+
+const load = (path: string, { name, find, replace }: Variant) => {
+    let contents = readFileSync(path, "utf8");
+    for (const [from, to] of [[find, replace], alsoReplaced[name] ?? ["", ""]] as const) {
+        if (!contents.includes(from)) {
+            throw new Error(`variant "${name}": ${path} no longer contains ${JSON.stringify(from)}`);
+        }
+        contents = from === "" ? contents : contents.replace(from, to);
+    }
+    return { contents, loader: "ts" as const };
+};
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -1,7 +1,7 @@
 import { asError, Progress, silentLogger } from "@marigolddrift/common";
 import { createTurn, Gateway, JournalServer } from "@marigolddrift/gateway";
 import type { TurnRecord } from "@marigolddrift/gateway";
-import { callHeaders, PlatformStandin, PlatformStore, storeLayout } from "@marigolddrift/platform";
+import { callHeaders, NarrowLink, PlatformStandin, PlatformStore, storeLayout } from "@marigolddrift/platform";
 import { expect } from "earl";
 import { randomBytes } from "node:crypto";
 import { mkdtemp, rm } from "node:fs/promises";
@@ -10,7 +10,6 @@
 import { describe, it } from "node:test";
 
 import { config, waitUntil } from "./deployment.js";
-import { NarrowLink } from "./narrowLink.js";
 
 const membersPrefix = "marigolddrift/members/";
 const host = "127.0.0.1";
--- a/tools/imports.js
+++ b/tools/imports.js
@@ -14,7 +14,7 @@
     "packages/daemon/src": ["common", "policy", "dispatch", "ledger", "store"],
     "platform/src": ["common", "gateway", "standins", "store"],
     "spec": ["common", "ledger", "policy"],
-    "bench": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload"],
+    "bench": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload", "platform"],
     "tests": ["common", "policy", "dispatch", "ledger", "store", "daemon", "standins", "workload", "cli", "gateway", "platform"],
 };
 
