--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -18,6 +18,9 @@
 /** Time in which calls that were given up may still reach a worker. */
 const settleMs = 4_500;
 
+/** Distance between the seeds of the callers, which draw in an order that depends on timing. */
+const seedStride = 100_000;
+
 /** Settings of a run. */
 export interface SoakOptions {
     readonly seed: number;
@@ -42,17 +45,16 @@
  * const { violations } = await runSoak({ seed: 7, seconds: 60 });
  */
 export const runSoak = async ({ seed, seconds, program = builtProgram }: SoakOptions): Promise<SoakResult> => {
-    const random = createRandom(seed);
     const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
     mkdirSync(dir, { recursive: true });
     const fleet = new SoakFleet(dir, program);
     const record = new SoakRecord();
-    const faults = new SoakFaults(fleet, random);
+    const faults = new SoakFaults(fleet, createRandom(seed));
     try {
         await fleet.start();
         const callers = Array.from(
             { length: callerCount },
-            (_, index) => new SoakCaller(`c${index}`, fleet, record, random),
+            (_, index) => new SoakCaller(`c${index}`, fleet, record, createRandom(seed + index * seedStride)),
         );
         const running = callers.map(caller => caller.run());
         await faults.run(seconds * 1_000);
--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -7,6 +7,9 @@
 /** Time for which a machine with a disk counts as lost after it is back. */
 const catchUpMs = 6_000;
 
+/** Length of each faulty answer's first play. */
+const firstFaultMs = 500;
+
 /** Fronts that are always left. */
 const minFronts = 1;
 
@@ -47,9 +50,10 @@
     /** @param random Returns numbers in [0, 1). */
     constructor(private readonly fleet: SoakFleet, private readonly random: () => number) {}
 
-    /** Starts faults until the time is over, and waits until all have ended. */
+    /** Plays each faulty answer once, then starts faults until the time is over, and waits until all have ended. */
     async run(ms: number): Promise<void> {
         const endsAt = performance.now() + ms;
+        await Promise.all([this.playAll("brain", streamFaults), this.playAll("ops", plainFaults)]);
         while (performance.now() < endsAt) {
             const fault = this.pick(this.faults());
             const seconds = ((performance.now() - this.startedAt) / 1_000).toFixed(1);
@@ -102,6 +106,14 @@
         ];
     }
 
+    private async playAll(service: string, faults: readonly WorkerFault[]): Promise<void> {
+        for (const fault of faults) {
+            const worker = this.pick(this.fleet.workers.filter(candidate => candidate.service === service));
+            this.injected.push(`${worker.id} ${fault}`);
+            await this.setWorkerFault(worker, fault, firstFaultMs);
+        }
+    }
+
     private workerFault(): Fault {
         const worker = this.pick(this.fleet.workers.filter(({ isLeaving }) => !isLeaving));
         const fault = this.pick(worker.service === "brain" ? streamFaults : plainFaults);
--- a/packages/gateway/src/fleet/duties.ts
+++ b/packages/gateway/src/fleet/duties.ts
@@ -87,8 +87,8 @@
     }
 
     /** Names of the peers that are likely to carry one of the given duties. */
-    likelyCarriers(dutiesOfPeers: readonly string[]): string[] {
-        return [...new Set(dutiesOfPeers.flatMap(duty => this.order(duty).slice(0, connectedPerDuty)))];
+    likelyCarriers(dutyKeys: readonly string[]): string[] {
+        return [...new Set(dutyKeys.flatMap(duty => this.order(duty).slice(0, connectedPerDuty)))];
     }
 
     /** Names of the peers of this region that calls of this instance are likely to need. */
--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -13,6 +13,7 @@
 import { unpackTurn } from "../turns/turnRecord.js";
 import type { TurnRecord } from "../turns/turnRecord.js";
 import type { TurnArchive, TurnRef, TurnToSave } from "../turns/turnStore.js";
+import { LateServers } from "./lateServers.js";
 import { findInStages } from "./lookupStages.js";
 import type { Lookup } from "./lookupStages.js";
 import { TurnReplication } from "./turnReplication.js";
@@ -42,6 +43,7 @@
 /** Saves turns on journal servers, with the store as the fallback. */
 export class JournalArchive implements TurnArchive {
     private readonly hedgeBudget = new RetryBudget(hedgeShare);
+    private readonly lateServers = new LateServers();
     private servers: JournalServers | undefined;
 
     constructor(
@@ -52,14 +54,15 @@
     ) {}
 
     async save(turnToSave: TurnToSave, progress: Progress): Promise<void> {
-        const servers = this.rankServers(turnToSave.program).filter(isReachable);
+        const servers = this.lateServers.moveLast(this.rankServers(turnToSave.program).filter(isReachable));
         const copyCount = this.placement.toleratedLosses + 1;
         if (servers.length < copyCount) {
             await this.store.save(turnToSave, progress);
             return;
         }
-        this.hedgeBudget.onRequest();
-        await new TurnReplication(turnToSave, servers, copyCount, this.store, this.hedgeBudget, progress, this.log)
+        const { hedgeBudget, lateServers, store, log } = this;
+        hedgeBudget.onRequest();
+        await new TurnReplication({ turnToSave, servers, copyCount, store, hedgeBudget, lateServers, progress, log })
             .run();
     }
 
@@ -188,9 +191,9 @@
 
     /** The journal servers, prepared once per version of the member list. */
     private journalServers(): JournalServers {
-        const { version, journals } = this.peers;
+        const { version } = this.peers;
         if (this.servers?.version !== version) {
-            const servers = new Map(journals.map(server => [server.name, server]));
+            const servers = new Map(this.peers.journals.map(server => [server.name, server]));
             this.servers = { version, servers, table: new RendezvousTable([...servers.keys()]) };
         }
         return this.servers;
--- a/packages/gateway/src/journal/turnReplication.ts
+++ b/packages/gateway/src/journal/turnReplication.ts
@@ -6,6 +6,7 @@
 import type { PeerClient } from "../peers/peerClient.js";
 import { packTurn } from "../turns/turnRecord.js";
 import type { TurnArchive, TurnToSave } from "../turns/turnStore.js";
+import type { LateServers } from "./lateServers.js";
 
 /** Minimum delay before a further server gets a copy: above a round trip between regions including a disk sync. */
 const minCopyHedgeMs = 90;
@@ -22,6 +23,19 @@
 /** Timeout of a request to one server. */
 const requestTimeoutMs = 400;
 
+/** What a {@link TurnReplication} needs. */
+export interface TurnReplicationOptions {
+    readonly turnToSave: TurnToSave;
+    /** In the order in which they are to hold the turn. */
+    readonly servers: readonly PeerClient[];
+    readonly copyCount: number;
+    readonly store: TurnArchive;
+    readonly hedgeBudget: RetryBudget;
+    readonly lateServers: LateServers;
+    readonly progress: Progress;
+    readonly log: Logger;
+}
+
 /** Replication of one turn to journal servers. */
 export class TurnReplication {
     private acknowledgedCopies = 0;
@@ -35,15 +49,8 @@
     private resolve: () => void = () => {};
     private reject: (err: unknown) => void = () => {};
 
-    constructor(
-        private readonly turnToSave: TurnToSave,
-        private readonly servers: readonly PeerClient[],
-        private readonly copyCount: number,
-        private readonly store: TurnArchive,
-        private readonly hedgeBudget: RetryBudget,
-        private readonly progress: Progress,
-        private readonly log: Logger,
-    ) {
+    constructor(private readonly options: TurnReplicationOptions) {
+        const { servers, copyCount, turnToSave } = options;
         this.holders = servers.slice(0, copyCount).map(({ name }) => name);
         this.record = packTurn(turnToSave.turn);
     }
@@ -51,7 +58,7 @@
     /** Resolves once enough servers or the store have the turn. */
     async run(): Promise<void> {
         const result = new Promise<void>((resolve, reject) => Object.assign(this, { resolve, reject }));
-        for (let copy = 0; copy < this.copyCount; copy++) {
+        for (let copy = 0; copy < this.options.copyCount; copy++) {
             this.sendNext();
         }
         this.scheduleHedge(this.copyHedgeMs, () => {
@@ -59,7 +66,7 @@
             this.scheduleHedge(storeFallbackMs, () => this.saveInStore());
         });
         try {
-            await this.progress.race(result);
+            await this.options.progress.race(result);
         }
         finally {
             this.done = true;
@@ -69,7 +76,7 @@
 
     /** Time by which the servers usually have answered. */
     private get copyHedgeMs(): number {
-        const delays = this.servers.slice(0, this.copyCount).map(server =>
+        const delays = this.options.servers.slice(0, this.options.copyCount).map(server =>
             server.hedgeDelayMs("keepTurn", minCopyHedgeMs)
         );
         return Math.min(maxCopyHedgeMs, Math.max(...delays));
@@ -78,7 +85,7 @@
     /** Runs a hedge after a delay, or later if too many turns have been hedged. */
     private scheduleHedge(delayMs: number, hedge: () => void): void {
         this.hedgeTimer = setTimeout(() => {
-            if (this.hedgeBudget.tryAcquire()) {
+            if (this.options.hedgeBudget.tryAcquire()) {
                 hedge();
             }
             else {
@@ -88,7 +95,7 @@
     }
 
     private sendNext(): void {
-        const server = this.servers[this.sentCopies];
+        const server = this.options.servers[this.sentCopies];
         if (server === undefined || this.done) {
             return;
         }
@@ -97,13 +104,15 @@
     }
 
     private async send(server: PeerClient, copy: number): Promise<void> {
-        const { turn: { id }, keepMs } = this.turnToSave;
+        const { lateServers, progress, turnToSave: { turn: { id }, keepMs } } = this.options;
         this.openRequests += 1;
-        const askProgress = this.progress.child(requestTimeoutMs);
+        const startedAt = performance.now();
+        const askProgress = progress.child(requestTimeoutMs);
         try {
             const turn = { id, record: this.record, keepMs, copy, holders: this.holders };
             const isStored = await server.ask({ kind: "keepTurn", turn }, askProgress);
             if (isStored) {
+                lateServers.onAcknowledged(server.name);
                 this.onAcknowledged();
             }
             else {
@@ -111,7 +120,10 @@
             }
         }
         catch (err) {
-            this.log.info("failed to save copy of turn", {
+            if (performance.now() - startedAt >= requestTimeoutMs) {
+                lateServers.onTimeout(server.name);
+            }
+            this.options.log.info("failed to save copy of turn", {
                 turn: id,
                 machine: server.name,
                 error: asError(err).message,
@@ -127,14 +139,14 @@
 
     /** Writes the turn to the store once no server is left that may still take a copy. */
     private onRequestEnded(): void {
-        if (this.openRequests === 0 && !this.done && this.acknowledgedCopies < this.copyCount) {
+        if (this.openRequests === 0 && !this.done && this.acknowledgedCopies < this.options.copyCount) {
             this.saveInStore();
         }
     }
 
     private onAcknowledged(): void {
         this.acknowledgedCopies += 1;
-        if (this.acknowledgedCopies >= this.copyCount) {
+        if (this.acknowledgedCopies >= this.options.copyCount) {
             this.resolve();
         }
     }
@@ -144,12 +156,15 @@
             return;
         }
         this.isSavingInStore = true;
-        const { turn: { id } } = this.turnToSave;
-        this.log.info("replication too slow; saving turn in the store", {
+        const { turn: { id } } = this.options.turnToSave;
+        this.options.log.info("replication too slow; saving turn in the store", {
             turn: id,
             copies: this.acknowledgedCopies,
             sent: this.sentCopies,
         });
-        this.store.save(this.turnToSave, this.progress).then(() => this.resolve(), err => this.reject(err));
+        this.options.store.save(this.options.turnToSave, this.options.progress).then(
+            () => this.resolve(),
+            err => this.reject(err),
+        );
     }
 }
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -257,6 +257,26 @@
         expect(fleet.stored.size).toSatisfy(count => count <= 0.1 * ids.length);
     });
 
+    it("should not wait for a machine whose disk has been too slow, and use it again later", async () => {
+        const fleet = new FakeFleet();
+        const archive = fleet.archive();
+        await archive.save(toSave("t0"), new Progress(1_000));
+        const slow = fleet.holders("t0")[0]!;
+        fleet.silent.add(slow);
+        for (const id of ["t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"]) {
+            await archive.save(toSave(id), new Progress(3_000));
+        }
+        const startedAt = performance.now();
+        for (let turn = 0; turn < 20; turn++) {
+            await archive.save(toSave(`late-${turn}`), new Progress(3_000));
+        }
+        expect(performance.now() - startedAt).toSatisfy(ms => ms < 500);
+        fleet.silent.delete(slow);
+        await new Promise(resolve => setTimeout(resolve, 2_200));
+        await archive.save(toSave("again"), new Progress(1_000));
+        expect(fleet.holders("again")).toInclude(slow);
+    });
+
     it("should save in the store at once when no machine takes the turn", async () => {
         const fleet = new FakeFleet();
         fleet.refusesTurns = true;
