Pass streams on in chunks, whatever ends them at the upstream

Chunks tell every caller. Answers of tools go on without framing: they are only sent once they have ended.

--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -29,7 +29,16 @@
     "endInsideEvent",
     "bare503",
 ];
-const plainFaults: readonly WorkerFault[] = ["full", "loseResponse", "malformedResponse", "wrongRequestId", "bare503"];
+const plainFaults: readonly WorkerFault[] = [
+    "full",
+    "loseResponse",
+    "malformedResponse",
+    "wrongRequestId",
+    "unframed",
+    "unframedReset",
+    "unframedCut",
+    "bare503",
+];
 
 /** Something that goes wrong for a while. */
 interface Fault {
--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -70,7 +70,7 @@
         }
         const expected = expectedAnswer(attempt);
         if (attempt.body === expected) {
-            return attempt.framedWhole !== undefined;
+            return true;
         }
         if (attempt.framedWhole) {
             this.violations.push(`answer to ${attempt.id} looks whole but is ${JSON.stringify(attempt.body)}`);
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -10,7 +10,6 @@
 import { fingerprintsOf } from "../crashes/fingerprint.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { CallContext, CallTrace } from "../filters/callContext.js";
-import { breakOff } from "../filters/responseSinks.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { CallProtocol } from "../protocol.js";
 import { chooseTarget } from "../routes.js";
@@ -177,7 +176,7 @@
         Object.assign(trace, { status: err.status, error: err.code, verdict: err.verdict, detail: err.message });
         if (res.headersSent) {
             // Part of the response has been sent; only closing the connection can signal that it is incomplete.
-            breakOff(res);
+            res.destroy();
             return;
         }
         if (!req.complete) {
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -50,7 +50,10 @@
     }
 }
 
-/** Forwards a stream as it arrives. `end` must be called once the stream is known to be complete. */
+/**
+ * Forwards a stream as it arrives, in chunks, so that its caller can tell when it is broken off, also if the upstream's stream
+ * ends with its connection. `end` must be called once the stream is known to be complete.
+ */
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
@@ -99,13 +102,7 @@
     }
 
     private writeHead(): void {
-        if (this.res.headersSent || this.res.destroyed) {
-            return;
-        }
-        if (this.head!.endsWithConnection) {
-            writeUnframedHead(this.res, this.head!);
-        }
-        else {
+        if (!this.res.headersSent && !this.res.destroyed) {
             this.res.writeHead(this.head!.status, [...this.head!.headers]);
         }
     }
@@ -120,14 +117,3 @@
     res.shouldKeepAlive = false;
     res.writeHead(status, [...headers, "Connection", "close"]);
 };
-
-/** Ends a response that has begun so that its caller does not take it for whole. */
-export const breakOff = (res: ServerResponse): void => {
-    if (res.useChunkedEncodingByDefault) {
-        res.destroy();
-    }
-    else {
-        // Closing in order would end the response as if it were whole.
-        res.socket?.resetAndDestroy();
-    }
-};
