--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -13,6 +13,8 @@
     readonly program?: string;
     /** Status that the caller got; undefined if the connection ended before. */
     status?: number;
+    /** Whether the connection carried the answer to its end. */
+    ended?: boolean;
     /** Whether the answer's framing says that it is whole. */
     framedWhole?: boolean;
     body?: string;
@@ -70,7 +72,7 @@
         }
         const expected = expectedAnswer(attempt);
         if (attempt.body === expected) {
-            return true;
+            return attempt.ended === true;
         }
         if (attempt.framedWhole) {
             this.violations.push(`answer to ${attempt.id} looks whole but is ${JSON.stringify(attempt.body)}`);
