--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -40,7 +40,7 @@
     "bare503",
 ];
 
-/** Something that goes wrong for a while. */
+/** A fault that is injected and ends by itself. */
 interface Fault {
     readonly name: string;
     inject(): Promise<void>;
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -64,7 +64,7 @@
 export class SoakFleet {
     readonly store = new PlatformStandin();
     readonly machines: readonly Machine[];
-    /** Processes that ended although nobody had stopped them. */
+    /** Processes that exited without having been stopped. */
     readonly unexpectedExits: string[] = [];
     /** All workers that have been started, also those that have left. */
     readonly workers: WorkerStandin[] = [];
--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -98,7 +98,7 @@
     private checkRun(id: string, bodies: readonly string[]): void {
         const attempt = this.attempts.get(id);
         if (attempt === undefined) {
-            this.violations.push(`a worker ran ${id}, which nobody sent`);
+            this.violations.push(`a worker ran ${id}, which no caller sent`);
             return;
         }
         if (bodies.some(body => body !== attempt.expectedBody)) {
--- a/packages/gateway/src/fleet/duties.ts
+++ b/packages/gateway/src/fleet/duties.ts
@@ -34,7 +34,7 @@
  * Assigns the duties of each region by rendezvous hashing over its known front instances. The tables are computed once per
  * version of the member list, so that asking who is responsible costs as much in a large fleet as in a small one.
  *
- * Instances may know different members for a while. No duty depends on all naming the same instance: budgets are spent only
+ * The member lists of two instances may differ for some seconds. No duty depends on all naming the same instance: budgets are spent only
  * from allocations in the store, permits are granted at a lower rate by an instance that is not the first choice, facts and
  * load reports are merged, and a follower of the store reads the store itself when no leader responds.
  *
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -263,7 +263,7 @@
         for (const [key, client] of this.clients) {
             if (!listed.has(key)) {
                 this.clients.delete(key);
-                this.clientsByName.delete(client.name);
+                this.forgetName(client);
                 this.version += 1;
                 client.close();
                 this.log.info("peer removed", { peer: client.address.instance });
@@ -274,13 +274,20 @@
     private replaceClient(key: string, known: PeerClient | undefined, client: PeerClient): void {
         if (known !== undefined) {
             known.close();
-            this.clientsByName.delete(known.name);
+            this.forgetName(known);
         }
         this.clients.set(key, client);
         this.clientsByName.set(client.name, client);
         this.version += 1;
     }
 
+    /** Another machine may have taken over the address of one that is gone. */
+    private forgetName(client: PeerClient): void {
+        if (this.clientsByName.get(client.name) === client) {
+            this.clientsByName.delete(client.name);
+        }
+    }
+
     private createClient(address: PeerAddress): PeerClient {
         const link = address.region === this.localAddress().region ? "region" : "otherRegion";
         return new PeerClient(address, () => this.sharedKey, exchange => this.recordTraffic({ ...exchange, link }));
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -133,7 +133,7 @@
         return value;
     }
 
-    /** Whether to try peers first. After a while, one call is let through to find out whether the store responds again. */
+    /** Whether to try peers first. After the suspicion time, one call at a time probes whether the store responds again. */
     private isDirectSuspect(hedgeAfterMs: number): boolean {
         const now = performance.now();
         if (this.directFailedAt === undefined) {
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -1,4 +1,4 @@
-import { silentLogger } from "@marigolddrift/common";
+import { Progress, silentLogger } from "@marigolddrift/common";
 import { Duties, peerName, Peers, PeerServer } from "@marigolddrift/gateway";
 import type { PeerAddress } from "@marigolddrift/gateway";
 import { expect } from "earl";
@@ -63,4 +63,26 @@
             servers.forEach(server => server.close());
         }
     });
+
+    it("should still find a machine that has taken over the address of one that is removed", async () => {
+        const store = new FakeStore();
+        const put = (machine: string, instance: string): void => {
+            store.state.beginRevision();
+            const value = JSON.stringify(createAddress(instance, "north-a", false));
+            store.state.put(`marigolddrift/members/${machine}`, Buffer.from(value), "0");
+        };
+        put("old", "old-1");
+        const local = { ...createAddress("front", "north-a", false), port: 2 };
+        const peers = new Peers("front", () => local, store, silentLogger);
+        const progress = new Progress(1_000);
+        await peers.reload(progress);
+        put("new", "new-1");
+        await peers.reload(progress);
+        store.state.beginRevision();
+        store.state.remove("marigolddrift/members/old");
+        await peers.reload(progress);
+        expect(peers.getByName("127.0.0.1:1")?.address.instance).toEqual("new-1");
+        progress.dispose();
+        peers.stop();
+    });
 });
