Decide what became of a return without a reply before saying that a budget is spent

The tokens counted as neither its own nor returned, so that the program got 402 in 34 tries with 500 of 500 tokens held and few of them used. The conditional write that decides the outcome was only made when something else changed the record. Two tests that failed first: with the return applied, and not applied.

--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -121,6 +121,11 @@
                 await this.updateRecord(account, allocation, progress);
                 continue;
             }
+            if (account.hasUnknownWrite) {
+                // Decides the outcome: a write under the same condition is applied only if the unknown one was not.
+                await this.updateRecord(account, 0, progress);
+                continue;
+            }
             if (hasReclaimed || !await this.reclaimFromPeers(account, progress)) {
                 const { program, available, record, revision } = account;
                 this.log.info("budget spent", { program, needed, available, ...record, revision });
@@ -171,7 +176,7 @@
         const next = account.withAllocationDelta(delta, `${this.instance}/${this.nextNonce++}`);
         const put = { key: budgetKey(account.program), expected: account.revision, value: packBudget(next) };
         account.hasUnknownWrite = true;
-        const result = delta > 0 ? await this.writer.putFailFast(put, progress) : await this.writer.put(put, progress);
+        const result = delta >= 0 ? await this.writer.putFailFast(put, progress) : await this.writer.put(put, progress);
         account.hasUnknownWrite = false;
         if (result.kind === "conflict") {
             account.applyStored(result.current);
--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -124,6 +124,23 @@
         [a, b].forEach(budgets => budgets.close());
     });
 
+    for (const isApplied of [false, true]) {
+        it(`should grant tokens whose return had no reply, whether or not it was applied: ${isApplied}`, async () => {
+            const store = new FakeStore();
+            const fleet = { instances: new Map<string, Budgets>() };
+            const a = createInstance("a", store, fleet);
+            (await a.reserve("p", 200, 100, new Progress(5_000))).settle(0);
+            store.fault = isApplied ? "loseReply" : "down";
+            await expect(a.returnUnspent("p", new Progress(50))).toBeRejected();
+            store.fault = "none";
+            for (let turn = 0; turn < 2; turn++) {
+                await a.reserve("p", 200, 100, new Progress(5_000));
+            }
+            await expect(a.reserve("p", 200, 100, new Progress(5_000))).toBeRejectedWith("spent");
+            a.close();
+        });
+    }
+
     it("should not spend tokens twice when the reply to their return was lost", async () => {
         const store = new FakeStore();
         const fleet = { instances: new Map<string, Budgets>() };
