Read a program's record again before its budget counts as spent, and wait for holders that do not respond

The coordinator kept to its old view of the record, asked the holder again, heard that it had nothing left, and answered 402 in 33 tries while the whole budget was free. The first of these 402 was wrong, too: the holder was alive and had only not responded. Now the record is read again unless it is younger than a second, and a holder that does not respond leads to 503 for 4 s. Two tests that failed first.

--- a/packages/gateway/src/budgets/budgetAccount.ts
+++ b/packages/gateway/src/budgets/budgetAccount.ts
@@ -15,6 +15,10 @@
     /** Number of turns in progress. */
     running = 0;
     lastUsedAt = performance.now();
+    /** Monotonic time since which a holder of tokens has not responded; undefined if all have. */
+    unresponsiveSince: number | undefined;
+    /** Monotonic time at which the record was last read or written. */
+    confirmedAt = -Infinity;
     /** Whether a write may have been applied whose reply was not received. */
     hasUnknownWrite = false;
     /** Settles when the latest queued update of the record has finished; updates run one at a time. */
@@ -76,6 +80,7 @@
         }
         this.record = record;
         this.revision = revision;
+        this.confirmedAt = performance.now();
     }
 
     /** Applies the stored value. If the record was deleted, the next write recreates it as last known. */
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -15,6 +15,15 @@
 /** Timeout of a request to another instance to return its unspent tokens. */
 const returnRequestTimeoutMs = 500;
 
+/** Time for which a holder that does not respond may still be alive, so that the budget does not count as spent. */
+const holderPatienceMs = 4_000;
+
+/** Time after which a caller may ask again for tokens of a holder that did not respond. */
+const holderRetrySeconds = 0.5;
+
+/** Age up to which the record need not be read again before a budget counts as spent. */
+const recordTrustMs = 1_000;
+
 /** Timeout of the deletion of a record. */
 const removalTimeoutMs = 2_000;
 
@@ -23,6 +32,9 @@
 
 const instanceOfHolder = (holder: string): string => holder.split(holderSeparator)[0]!;
 
+/** Result of the request to a holder to return tokens. */
+type ReclaimOutcome = "returned" | "none" | "noResponse";
+
 /** Tokens reserved for a turn. */
 export interface Reservation {
     /** Ends the reservation; `spent` is the number of tokens that were delivered to the caller. */
@@ -119,24 +131,53 @@
             const allocation = nextAllocationTokens(unallocatedTokens(account.record), needed, account.available);
             if (allocation > 0) {
                 await this.updateRecord(account, allocation, progress);
-                continue;
             }
-            if (account.hasUnknownWrite) {
+            else if (account.hasUnknownWrite) {
                 // Decides the outcome: a write under the same condition is applied only if the unknown one was not.
                 await this.updateRecord(account, 0, progress);
-                continue;
             }
-            if (hasReclaimed || !await this.reclaimFromPeers(account, progress)) {
-                const { program, available, record, revision } = account;
-                this.log.info("budget spent", { program, needed, available, ...record, revision });
-                throw new ProblemError("budget_exhausted", "notRun", "The program's token budget is spent.");
+            else if (hasReclaimed) {
+                this.refuse(account, needed);
+            }
+            else {
+                hasReclaimed = true;
+                await this.reclaim(account, progress);
             }
-            hasReclaimed = true;
-            account.applyStored(await this.readRecord(account.program, progress));
         }
         account.reserve(needed);
     }
 
+    /** Asks the other holders for unspent tokens, and reads the record again if tokens may have been returned. */
+    private async reclaim(account: BudgetAccount, progress: Progress): Promise<void> {
+        const outcomes = await this.reclaimFromPeers(account, progress);
+        account.unresponsiveSince = outcomes.has("noResponse") ?
+            account.unresponsiveSince ?? performance.now() :
+            undefined;
+        const isOld = performance.now() - account.confirmedAt > recordTrustMs;
+        if (outcomes.has("returned") || outcomes.has("noResponse") || isOld) {
+            account.applyStored(await this.readRecord(account.program, progress));
+        }
+    }
+
+    /** Refuses a turn for good only if no instance that may still respond holds tokens of the budget. */
+    private refuse({ program, available, record, revision, unresponsiveSince }: BudgetAccount, needed: number): never {
+        const details = { program, needed, available, ...record, revision };
+        const silentMs = unresponsiveSince === undefined ? Infinity : performance.now() - unresponsiveSince;
+        if (silentMs < holderPatienceMs) {
+            this.log.info("budget undecided", { ...details, silentMs: Math.round(silentMs) });
+            throw new ProblemError(
+                "not_durable",
+                "notRun",
+                "An instance that holds tokens of the budget did not respond.",
+                {
+                    retryAfterSeconds: holderRetrySeconds,
+                },
+            );
+        }
+        this.log.info("budget spent", details);
+        throw new ProblemError("budget_exhausted", "notRun", "The program's token budget is spent.");
+    }
+
     private async readRecord(program: string, progress: Progress): Promise<StoredValue | undefined> {
         try {
             return await progress.race(this.store.get(budgetKey(program), progress));
@@ -148,27 +189,31 @@
         }
     }
 
-    /** Asks the other holders to return their unspent tokens. Resolves to false if none of them returned any. */
-    private async reclaimFromPeers(account: BudgetAccount, progress: Progress): Promise<boolean> {
+    /** Asks the other holders to return their unspent tokens. Those that are no longer listed are dead. */
+    private async reclaimFromPeers(
+        account: BudgetAccount,
+        progress: Progress,
+    ): Promise<ReadonlySet<ReclaimOutcome>> {
         const { program } = account;
         if (account.otherHolders.some(holder => this.peers.get(instanceOfHolder(holder)) === undefined)) {
             await this.peers.refresh();
         }
-        const returned = await Promise.all(account.otherHolders.map(async holder => {
+        const outcomes = await Promise.all(account.otherHolders.map(async (holder): Promise<ReclaimOutcome> => {
             const askProgress = progress.child(returnRequestTimeoutMs);
             try {
                 const peer = this.peers.get(instanceOfHolder(holder));
-                return await peer?.ask({ kind: "returnBudget", program }, askProgress) ?? false;
+                return await peer?.ask({ kind: "returnBudget", program }, askProgress) ? "returned" : "none";
             }
             catch (err) {
+                progress.throwIfAborted();
                 this.log.info("budget holder did not return tokens", { program, holder, error: asError(err).message });
-                return false;
+                return "noResponse";
             }
             finally {
                 askProgress.dispose();
             }
         }));
-        return returned.includes(true);
+        return new Set(outcomes);
     }
 
     /** Changes the allocation by `delta`. On a conflict, only refreshes the account and resolves to false. */
--- a/tests/gateway/budgets.test.ts
+++ b/tests/gateway/budgets.test.ts
@@ -1,22 +1,36 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
 import { BatchWriter, Budgets } from "@marigolddrift/gateway";
+import type { Reservation } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
 
+import { withClock } from "../clock.js";
 import { FakeStore } from "../fakeStore.js";
 
 interface Fleet {
     readonly instances: Map<string, Budgets>;
+    /** Whether requests to other instances get no response. */
+    readonly isSilent?: () => boolean;
+    /** Whether other instances carry out requests, but their responses are lost. */
+    readonly losesReplies?: () => boolean;
 }
 
-const createInstance = (name: string, store: FakeStore, { instances }: Fleet): Budgets => {
+const createInstance = (name: string, store: FakeStore, { instances, isSilent, losesReplies }: Fleet): Budgets => {
     const peers = {
         refresh: async () => {},
         get: (instance: string) => {
             const budgets = instances.get(instance);
-            const ask = async (request: { program: string; }, progress: Progress) =>
-                budgets!.returnUnspent(request.program, progress);
+            const ask = async (request: { program: string; }, progress: Progress) => {
+                if (isSilent?.()) {
+                    throw new Error("no response");
+                }
+                const returned = await budgets!.returnUnspent(request.program, progress);
+                if (losesReplies?.()) {
+                    throw new Error("the connection closed before the response");
+                }
+                return returned;
+            };
             return budgets === undefined ? undefined : { ask } as never;
         },
     };
@@ -124,6 +138,33 @@
         [a, b].forEach(budgets => budgets.close());
     });
 
+    it("should grant tokens that another instance has returned although its response was lost", async () => {
+        const store = new FakeStore();
+        const fleet = { instances: new Map<string, Budgets>(), losesReplies: () => true };
+        const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+        (await a.reserve("p", 200, 100, new Progress(5_000))).settle(0);
+        await b.reserve("p", 200, 150, new Progress(5_000));
+        [a, b].forEach(budgets => budgets.close());
+    });
+
+    it("should not say that a budget is spent while an instance that holds tokens of it does not respond", () =>
+        withClock(async clock => {
+            const store = new FakeStore();
+            const fleet = { instances: new Map<string, Budgets>(), isSilent: () => true };
+            const [a, b] = [createInstance("a", store, fleet), createInstance("b", store, fleet)];
+            const reserve = async (budgets: Budgets): Promise<Reservation> => {
+                const reservation = budgets.reserve("p", 200, 100, new Progress(60_000));
+                reservation.catch(() => {});
+                await clock.tickAsync(50);
+                return await reservation;
+            };
+            (await reserve(a)).settle(0);
+            await expect(reserve(b)).toBeRejectedWith("did not respond");
+            await clock.tickAsync(4_500);
+            await expect(reserve(b)).toBeRejectedWith("is spent");
+            [a, b].forEach(budgets => budgets.close());
+        }));
+
     for (const isApplied of [false, true]) {
         it(`should grant tokens whose return had no reply, whether or not it was applied: ${isApplied}`, async () => {
             const store = new FakeStore();
