--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -7,6 +7,7 @@
 
 import type { TrafficRecorder } from "../trafficMeter.js";
 import { PeerClient } from "./peerClient.js";
+import { peerName } from "./peerMessages.js";
 import type { PeerAddress } from "./peerMessages.js";
 
 const membersPrefix = "marigolddrift/members/";
@@ -294,14 +295,15 @@
     }
 
     private applyMembers(values: readonly StoredValue[]): void {
-        const localInstance = this.localAddress().instance;
+        // A list that is not recent may have the process that ran at this address before.
+        const localName = peerName(this.localAddress());
         for (const { key, value } of values) {
             const address = parseAddress(value);
             const known = this.clients.get(key);
             if (address === undefined) {
                 this.log.warn("peer entry ignored", { key, reason: "invalid address" });
             }
-            else if (address.instance !== localInstance && known?.address.instance !== address.instance) {
+            else if (peerName(address) !== localName && known?.address.instance !== address.instance) {
                 this.replaceClient(key, known, this.createClient(address));
                 this.log.info("peer found", { peer: address.instance, zone: address.zone });
             }
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -85,4 +85,17 @@
         progress.dispose();
         peers.stop();
     });
+
+    it("should not take the process that ran on its machine before for a peer", async () => {
+        const store = new FakeStore();
+        store.state.beginRevision();
+        const value = JSON.stringify(createAddress("front-before", "north-a", false));
+        store.state.put("marigolddrift/members/front", Buffer.from(value), "0");
+        const peers = new Peers("front", () => createAddress("front-now", "north-a", false), store, silentLogger);
+        const progress = new Progress(1_000);
+        await peers.reload(progress);
+        expect([peers.namesInRegion("north"), peers.get("front-before")]).toEqual([[], undefined]);
+        progress.dispose();
+        peers.stop();
+    });
 });
