--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,30 +1,20 @@
 /**
- * Turns of many programs, until all machines lose power. With the disruption, the last write to the log of two of the three store
- * machines, which was not synced yet, is torn: its length is in the file, but its first sectors are not, so that they read as zeros. Without it, that write is missing.
+ * A conversation of three turns on a route with keepS = 60, each continued well within keepS, beside the turns of other programs. The
+ * third turn comes in through another front. With the disruption, the store machines are stopped and started in turn before it.
  */
-import { appendFileSync, readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
-
-import { goOnUntilRecovered, sendTurns, strike, wholeTurns } from "../lib/finalFault.mjs";
 import { runCase, sheetWorkers, sleep } from "../lib/fleet.mjs";
 
-const tornMachines = 2;
-const sectorBytes = 512;
-const restartDelayMs = 500;
+const keepS = 60;
+const firstInput = "1".repeat(9_000);
+const secondInput = "2".repeat(600);
+const thirdInput = "3".repeat(600);
+const secondAtS = 55;
+const thirdAtS = 106;
+const othersPerSecond = 12;
+const otherBytes = 20_000;
+const program = "3fa81c";
 
-/** Appends a copy of the first write of the newest log, with its first sectors missing. */
-const tearLastWrite = (fleet, store) => {
-    const dir = join(fleet.dir, store.name, "data", "journal");
-    const numberOf = name => Number(/\d+/.exec(name)[0]);
-    const newest = readdirSync(dir).filter(name => name.endsWith(".log")).sort((a, b) => numberOf(a) - numberOf(b)).at(
-        -1,
-    );
-    const bytes = readFileSync(join(dir, newest));
-    const write = Buffer.from(bytes.subarray(0, 8 + bytes.readUInt32BE(0)));
-    write.fill(0, 0, Math.min(sectorBytes, write.length));
-    appendFileSync(join(dir, newest), write);
-    fleet.note(`${store.name}: the last ${write.length} bytes of ${newest} are a torn write`);
-};
+const outputOf = (id, events) => Array.from({ length: events }, (_, event) => `${id}-${event}\n`).join("");
 
 await runCase(import.meta.url, async (fleet, hasTrouble) => {
     await fleet.start({
@@ -32,30 +22,62 @@
         stores: ["tunis-a", "tunis-b", "sfax-a"],
         workers: sheetWorkers(),
     });
-    const turns = await sendTurns(fleet, { perSecond: 30, seconds: 3 });
-    const answered = await wholeTurns(fleet, turns);
-    fleet.note("all machines lose power");
-    let isOver = false;
-    let ownEnds = 0;
-    await strike(
-        fleet,
-        fleet.machines,
-        () => hasTrouble && fleet.stores.slice(0, tornMachines).forEach(store => tearLastWrite(fleet, store)),
+    const [here, there] = fleet.fronts;
+    const whole = async (front, options, name) => {
+        const outcome = await fleet.turn(front, { program, ...options });
+        if (outcome.status !== 200 || !outcome.whole) {
+            throw new Error(`the ${name} turn was answered ${outcome.status ?? outcome.error}`);
+        }
+        fleet.note(`the ${name} turn of the conversation is ${outcome.id}`);
+        return outcome;
+    };
+    const first = await whole(here, { body: firstInput }, "first");
+    let stopped = false;
+    const others = (async () => {
+        for (let count = 0; !stopped; count++) {
+            const front = fleet.fronts[count % fleet.fronts.length];
+            void fleet.turn(front, { program: `other-${count}`, body: `${count} `.padEnd(otherBytes, "x") });
+            await sleep(1000 / othersPerSecond);
+        }
+    })();
+    await sleep((secondAtS - fleet.now()) * 1000);
+    const second = await whole(here, { body: secondInput, previous: first.id }, "second");
+    await sleep((101.5 - fleet.now()) * 1000);
+    stopped = true;
+    await others;
+    if (hasTrouble) {
+        for (const store of fleet.stores) {
+            fleet.signal(store, "SIGTERM");
+            await fleet.ended(store);
+            fleet.spawn(store, false);
+            await sleep(1000);
+        }
+    }
+    await sleep(Math.max(0, (thirdAtS - fleet.now()) * 1000));
+    const broken = [];
+    const turnKey = `marigolddrift/turns/${first.id}`;
+    fleet.note(
+        `the record of the first turn is ${fleet.store.items.has(turnKey) ? "" : "no longer "}in the platform's store`,
     );
-    // A process that exits is restarted after a short delay.
-    const restarts = (async () => {
-        while (!isOver) {
-            for (const machine of fleet.machines.filter(({ name }) => !fleet.processes.has(name))) {
-                ownEnds += 1;
-                await sleep(restartDelayMs);
-                fleet.spawn(machine, false);
+    for (let attempt = 0; attempt < 6; attempt++) {
+        const third = await fleet.turn(there, { program, body: thirdInput, previous: second.id });
+        const ageS = third.endedAt - second.endedAt;
+        const age = `${ageS.toFixed(1)} s after the turn that it continues was answered whole`;
+        fleet.note(`the third turn is ${third.id}, ${age}: ${third.status ?? third.error}`);
+        if ((third.status === 404 || third.status === 410) && ageS < keepS) {
+            broken.push(`LOST: the third turn was answered ${third.status}, ${age}; keepS is ${keepS}`);
+        }
+        if (third.status === 200) {
+            const body = fleet.workers.flatMap(({ ran }) => ran).find(({ id }) => id === third.id).body.toString();
+            const chain = `${firstInput}${outputOf(first.id, 7)}${secondInput}${outputOf(second.id, 7)}${thirdInput}`;
+            if (body !== chain) {
+                broken.push(`UNASKED: the body of the third turn is not the conversation`);
             }
-            await sleep(25);
         }
-    })();
-    const broken = await goOnUntilRecovered(fleet, answered);
-    isOver = true;
-    await restarts;
-    fleet.note(`processes that ended by themselves: ${ownEnds}`);
+        if (third.status !== 503) {
+            break;
+        }
+        await sleep(Number(third.retryAfter ?? 0.5) * 1000);
+    }
     return broken;
 });
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -4,6 +4,7 @@
 const answerMs = 4;
 const maxEntries = 32;
 const pageItems = 500;
+const valueBytes = 1_048_576;
 
 export class Store {
     revision = 10;
@@ -124,6 +125,9 @@
         if (own.some(key => key.startsWith("op/") || key.startsWith("servers/"))) {
             return [403, {}];
         }
+        if (writes.some(({ value }) => Buffer.byteLength(value, "base64") > valueBytes)) {
+            return [400, {}];
+        }
         if (!expectedRev.every(({ key, rev }) => (this.items.get(key)?.rev ?? 0) === rev)) {
             return [412, {
                 items: expectedRev.map(({ key }) => this.items.get(key)).filter(item => item !== undefined),
