Take odd entries among the upstreams for what they are, and go on with the others

Cause: the decoder took any digits for a port, and the HTTP client's pool threw 'Invalid URL' (logged as 'store disconnected' 1 ms after the entry was written, while op/config went on to be read over the same connections).

--- a/packages/gateway/src/state/prefixWatcher.ts
+++ b/packages/gateway/src/state/prefixWatcher.ts
@@ -102,7 +102,7 @@
         this.onContact();
         this.revision = snapshot.revision;
         this.feed.onSnapshot(snapshot.revision);
-        this.events.onSnapshot(snapshot.values);
+        this.notify(() => this.events.onSnapshot(snapshot.values));
     }
 
     private async pollChanges(revision: number, progress: Progress): Promise<void> {
@@ -117,11 +117,21 @@
         this.revision = Math.max(revision, batch.revision);
         this.feed.onChanges(batch.changes, this.revision);
         if (batch.changes.length > 0) {
-            this.events.onChanges(batch.changes);
+            this.notify(() => this.events.onChanges(batch.changes));
             await progress.sleep(coalesceMs);
         }
     }
 
+    /** An error of the receiver is not one of the store; the values count as read, since it would fail again. */
+    private notify(event: () => void): void {
+        try {
+            event();
+        }
+        catch (err) {
+            this.log.error("store values not applied", { prefix: this.prefix, error: asError(err).stack });
+        }
+    }
+
     private onContact(): void {
         const outageMs = this.ageMs;
         this.lastContactAt = performance.now();
--- a/packages/gateway/src/upstreams/upstreamFollower.ts
+++ b/packages/gateway/src/upstreams/upstreamFollower.ts
@@ -1,4 +1,5 @@
 /** Applies the upstreams' entries in the store to the registry of upstreams. */
+import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import type { StoreChange, StoredValue } from "@marigolddrift/store";
 
@@ -46,10 +47,13 @@
             return;
         }
         const entry = this.decode(change.stored);
-        if (entry !== undefined) {
-            this.upstreams.onEntryPut(entry);
-            this.onAdded();
+        if (entry === undefined) {
+            // What the key named before must get no further calls, just as if a snapshot had been read.
+            this.upstreams.onEntryRemoved(this.layout.upstreamId(change.stored.key), false);
+            return;
         }
+        this.upstreams.onEntryPut(entry);
+        this.onAdded();
     }
 
     private get storeWasUnavailable(): boolean {
@@ -57,10 +61,21 @@
     }
 
     private decode(stored: StoredValue): UpstreamEntry | undefined {
-        const entry = this.layout.decodeUpstream(stored.key, stored.value);
+        const entry = this.tryDecode(stored);
         if (entry === undefined) {
             this.log.info("upstream entry ignored", { key: stored.key, reason: "it names no valid upstream" });
         }
         return entry;
     }
+
+    /** Other writers may leave any bytes, none of which may keep the other entries from being read. */
+    private tryDecode({ key, value }: StoredValue): UpstreamEntry | undefined {
+        try {
+            return this.layout.decodeUpstream(key, value);
+        }
+        catch (err) {
+            this.log.warn("upstream entry not decoded", { key, error: asError(err).message });
+            return undefined;
+        }
+    }
 }
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -1,4 +1,5 @@
 /** Registry of the known upstreams and of this instance's calls on them. */
+import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 
 import type { RouteTable } from "../routes.js";
@@ -109,8 +110,10 @@
         if (known !== undefined) {
             this.remove(known, "restarted");
         }
-        const maxConnections = this.routes()?.service(entry.service)?.maxConnections ?? entry.slots * 8;
-        const connections = new UpstreamConnections(entry.address, Math.max(2, this.connectionLimit(maxConnections)));
+        const connections = this.tryConnect(entry);
+        if (connections === undefined) {
+            return;
+        }
         const upstream = new Upstream(entry, connections);
         upstream.isLeaving = this.leavingKeys.has(upstream.key);
         this.byId.set(entry.id, upstream);
@@ -158,6 +161,18 @@
         this.byId.forEach(upstream => upstream.connections.close());
     }
 
+    /** Creates the connection pool of an entry; undefined if its address is none that the HTTP client accepts. */
+    private tryConnect(entry: UpstreamEntry): UpstreamConnections | undefined {
+        const maxConnections = this.routes()?.service(entry.service)?.maxConnections ?? entry.slots * 8;
+        try {
+            return new UpstreamConnections(entry.address, Math.max(2, this.connectionLimit(maxConnections)));
+        }
+        catch (err) {
+            this.log.warn("upstream not added", { upstream: entry.id, error: asError(err).message });
+            return undefined;
+        }
+    }
+
     private update(known: Upstream, entry: UpstreamEntry): void {
         if (known.entry.draining !== entry.draining || known.missingSince !== undefined) {
             this.log.info("upstream changed", { upstream: entry.id, draining: entry.draining });
