Refer to an earlier turn's record only while it is kept long enough

Cause: a record was removed 90 s after it was written, while records of later turns still referred to it; caches in memory hid that. The trace has the removal of the first turn's record, and the log the line 'an earlier turn of the conversation is missing'.

Change: a record says until when all that it refers to is kept. A turn refers to earlier records only if those are kept for as long as the turn can be continued; otherwise its record holds the whole conversation. A turn whose earlier record is missing while it is kept is answered 503. The remover no longer assumes that removals are due in the order of the writes.

--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -6,7 +6,7 @@
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { Route, Service } from "../routes.js";
-import type { Conversation } from "../turns/turnStore.js";
+import type { Conversation } from "../turns/turnRecord.js";
 
 /**
  * Fields that are logged when a call has ended. `sentMs` and `firstMs` are times since the headers arrived;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -194,8 +194,10 @@
             return;
         }
         const startedAt = performance.now();
-        const turn = createTurn(ctx.id, conversation?.last, ctx.body, response.events.output());
-        await this.options.turns.save({ turn, program: program.id, keepMs: route.turnRetentionMs }, ctx.progress);
+        const keepMs = route.turnRetentionMs;
+        const content = { id: ctx.id, input: ctx.body, output: response.events.output(), keepMs };
+        const turn = createTurn(content, conversation, Date.now());
+        await this.options.turns.save({ turn, program: program.id, keepMs }, ctx.progress);
         ctx.trace.savedMs = Math.round(performance.now() - startedAt);
     }
 
--- a/packages/gateway/src/turns/recordRemover.ts
+++ b/packages/gateway/src/turns/recordRemover.ts
@@ -3,8 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
-/** Additional time for which records are retained. */
-const retentionSlackMs = 30_000;
+import { clockToleranceMs, recordLifetimeMs } from "./turnRecord.js";
 
 /** Interval at which expired records are deleted. */
 const removalIntervalMs = 10_000;
@@ -17,7 +16,8 @@
 
 /** Deletes expired records. The process that wrote a record schedules its deletion. */
 export class RecordRemover {
-    private readonly scheduled: { readonly key: string; readonly removeAt: number; }[] = [];
+    /** Times at which records are to be removed, by key, in no particular order. */
+    private readonly scheduled = new Map<string, number>();
     private readonly timer: NodeJS.Timeout;
 
     constructor(private readonly store: Pick<VersionedStore, "txn">, private readonly log: Logger) {
@@ -25,9 +25,9 @@
         this.timer.unref();
     }
 
-    /** @param keepMs Promised retention time of the record. */
+    /** @param keepMs Time for which the turn of the record can be continued. */
     schedule(key: string, keepMs: number): void {
-        this.scheduled.push({ key, removeAt: performance.now() + keepMs + retentionSlackMs });
+        this.scheduled.set(key, performance.now() + recordLifetimeMs(keepMs) + clockToleranceMs);
     }
 
     close(): void {
@@ -36,24 +36,28 @@
 
     private async removeExpired(): Promise<void> {
         const now = performance.now();
-        while (this.scheduled.length > 0 && this.scheduled[0]!.removeAt < now) {
-            const due = this.scheduled.slice(0, maxKeysPerCall).filter(({ removeAt }) => removeAt < now);
-            const keys = due.map(({ key }) => key);
-            const progress = new Progress(callTimeoutMs);
-            try {
-                await progress.race(this.store.txn([], [], progress, keys));
-                this.scheduled.splice(0, keys.length);
-            }
-            catch (err) {
-                this.log.warn("expired records not removed", {
-                    records: keys.length,
-                    error: asError(err).message,
-                });
+        const due = [...this.scheduled].filter(([, removeAt]) => removeAt < now).map(([key]) => key);
+        for (let start = 0; start < due.length; start += maxKeysPerCall) {
+            const keys = due.slice(start, start + maxKeysPerCall);
+            if (!await this.remove(keys)) {
                 return;
             }
-            finally {
-                progress.dispose();
-            }
+            keys.forEach(key => this.scheduled.delete(key));
+        }
+    }
+
+    private async remove(keys: readonly string[]): Promise<boolean> {
+        const progress = new Progress(callTimeoutMs);
+        try {
+            await progress.race(this.store.txn([], [], progress, keys));
+            return true;
+        }
+        catch (err) {
+            this.log.warn("expired records not removed", { records: keys.length, error: asError(err).message });
+            return false;
+        }
+        finally {
+            progress.dispose();
         }
     }
 }
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -3,11 +3,14 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 
 import { turnMemoryBytes } from "./turnRecord.js";
-import type { TurnRecord } from "./turnRecord.js";
+import type { Conversation, TurnRecord } from "./turnRecord.js";
 
 /** Memory limit of the record cache. */
 const maxCacheBytes = 24 * 1024 * 1024;
 
+/** Time after which callers may retry if an earlier turn was not found. */
+const retryAfterSeconds = 0.5;
+
 /** Identifies a turn. The program determines which journal servers hold it. */
 export interface TurnRef {
     readonly id: string;
@@ -30,14 +33,6 @@
     load(ref: TurnRef, progress: Progress): Promise<TurnRecord | undefined>;
 }
 
-/** The conversation that a turn continues. */
-export interface Conversation {
-    /** Last turn of the conversation. */
-    readonly last: TurnRecord;
-    /** Inputs and outputs of all turns in order. */
-    readonly history: Buffer;
-}
-
 /** In-memory LRU cache in front of an archive. */
 export class TurnStore {
     private readonly cache = new Map<string, TurnRecord>();
@@ -54,7 +49,8 @@
     /**
      * Loads the conversation that ends with a turn.
      *
-     * @throws ProblemError `unknown_turn` if the turn certainly does not exist.
+     * @throws ProblemError `unknown_turn` if the turn certainly does not exist or is not kept any more, `not_durable` if that is
+     * not certain.
      */
     async loadConversation({ id: last, program }: TurnRef, progress: Progress): Promise<Conversation> {
         const isCached = this.cache.has(last);
@@ -67,12 +63,7 @@
         for (let base = turn.base; base !== undefined;) {
             const earlier: TurnRecord | undefined = await this.load({ id: base, program }, progress);
             if (earlier === undefined) {
-                this.log.warn("an earlier turn of the conversation is missing", { turn: last, missing: base });
-                throw new ProblemError(
-                    "unknown_turn",
-                    "notRun",
-                    "A turn of the conversation is no longer kept.",
-                );
+                throw this.missingBaseError(turn, base);
             }
             tails.unshift(earlier.tail);
             base = earlier.base;
@@ -84,6 +75,17 @@
         return { last: turn, history: tails.length === 1 ? turn.tail : Buffer.concat(tails) };
     }
 
+    /** A record that others refer to is removed only after them, unless they are not kept any more either. */
+    private missingBaseError(turn: TurnRecord, missing: string): ProblemError {
+        const isKept = turn.keptUntil !== undefined && Date.now() < turn.keptUntil;
+        this.log.warn("an earlier turn of the conversation is missing", { turn: turn.id, missing, isKept });
+        return isKept ?
+            new ProblemError("not_durable", "notRun", "An earlier turn of the conversation was not found.", {
+                retryAfterSeconds,
+            }) :
+            new ProblemError("unknown_turn", "notRun", "A turn of the conversation is no longer kept.");
+    }
+
     private async load(ref: TurnRef, progress: Progress): Promise<TurnRecord | undefined> {
         const { id } = ref;
         const cached = this.cache.get(id);
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -17,8 +17,10 @@
 import { waitUntil } from "../platform/deployment.js";
 import { withDir } from "./withDir.js";
 
-const turnOf = (id: string): TurnRecord => createTurn(id, undefined, Buffer.from(`${id} in `), Buffer.from("out\n"));
-const toSave = (id: string): TurnToSave => ({ turn: turnOf(id), program: "p", keepMs: 60_000 });
+const keepMs = 60_000;
+const turnOf = (id: string): TurnRecord =>
+    createTurn({ id, input: Buffer.from(`${id} in `), output: Buffer.from("out\n"), keepMs }, undefined, 0);
+const toSave = (id: string): TurnToSave => ({ turn: turnOf(id), program: "p", keepMs });
 
 class JournalNode {
     readonly notifiedIds: string[][] = [];
@@ -41,7 +43,7 @@
 
     keep(id: string, copy: number): Promise<boolean> {
         const record = packTurn(turnOf(id));
-        return this.journal.append({ id, record, keepMs: 60_000, copy, holders: ["other:1"] });
+        return this.journal.append({ id, record, keepMs, copy, holders: ["other:1"] });
     }
 
     async close(): Promise<void> {
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -105,9 +105,13 @@
 });
 
 describe("turns", () => {
-    const turn = (id: string, previous?: TurnRecord, bytes = 0): TurnRecord =>
-        createTurn(id, previous, Buffer.from(`${id} in ${"x".repeat(bytes)}`), Buffer.from(`${id} out\n`));
-    const toSave = (record: TurnRecord) => ({ turn: record, program: "p", keepMs: 60_000 });
+    const keepMs = 60_000;
+    const turn = (id: string, last?: TurnRecord, bytes = 0): TurnRecord => {
+        const input = Buffer.from(`${id} in ${"x".repeat(bytes)}`);
+        const previous = last && { last, history: last.tail };
+        return createTurn({ id, input, output: Buffer.from(`${id} out\n`), keepMs }, previous, 0);
+    };
+    const toSave = (record: TurnRecord) => ({ turn: record, program: "p", keepMs });
     const createTurns = (store: FakeStore): TurnStore =>
         new TurnStore(new StoreArchive(store, new BatchWriter(store, 0, silentLogger), silentLogger), silentLogger);
 
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -99,7 +99,9 @@
         let last: TurnRecord | undefined;
         for (let index = 0; index < turnsPerProgram; index++) {
             const input = randomBytes(index === 0 ? promptBytes : laterTurnBytes / 2);
-            const turn = createTurn(`${program}-${index}`, last, input, randomBytes(laterTurnBytes / 2));
+            const output = randomBytes(laterTurnBytes / 2);
+            const content = { id: `${program}-${index}`, input, output, keepMs: 60_000 };
+            const turn = createTurn(content, last && { last, history: last.tail }, Date.now());
             this.savedBytes += input.length + laterTurnBytes / 2;
             await this.save(program, turn);
             last = turn;
