Save long turns in several records, and do not hold up turns behind one that the store refuses

Cause: the record of a turn of 1.2 MB was larger than the store's values may be. A machine with a new disk counted as complete from its second start on, so that the answer was 404 and not 503.

Change: turns are split into records of 250 KB that refer to each other. A batch that is refused for good is written turn by turn, and a refused turn is tried again every 10 s. The disk says until when it is incomplete. On related paths: calls of the batch writer are bounded in size, ids become keys that the store accepts.

--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -6,6 +6,7 @@
 import type { Peers } from "../peers/peers.js";
 import { notDurableError } from "../state/batchWriter.js";
 import type { BatchWriter } from "../state/batchWriter.js";
+import { storeKey } from "../state/storeKey.js";
 import { BudgetAccount } from "./budgetAccount.js";
 import { nextAllocationTokens, packBudget, unallocatedTokens } from "./budgetRecord.js";
 
@@ -281,4 +282,4 @@
     };
 };
 
-const budgetKey = (program: string): string => `marigolddrift/budgets/${program}`;
+const budgetKey = (program: string): string => storeKey("marigolddrift/budgets/", program);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,6 +31,7 @@
 export * from "./state/changeFeed.js";
 export * from "./state/prefixWatcher.js";
 export * from "./state/regionalStoreReader.js";
+export * from "./state/storeKey.js";
 export * from "./trafficMeter.js";
 export * from "./turns/recordRemover.js";
 export * from "./turns/storeArchive.js";
--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -12,8 +12,11 @@
 /** Size of the length and checksum that precede each payload. */
 const frameHeaderBytes = 8;
 
-/** File that marks a disk as used, to distinguish it from a new, empty disk. */
-const markerFile = "identity";
+/** File that says since when the disk has held all turns that the machine acknowledged. */
+const stateFile = "disk-state";
+
+/** File by which earlier versions marked a disk as used, which then counted as complete. */
+const legacyMarkerFile = "identity";
 
 const namePattern = /^turns-(\d+)\.log$/;
 
@@ -30,8 +33,8 @@
 export interface LogContents {
     readonly payloads: readonly LoggedPayload[];
     readonly segments: readonly SegmentId[];
-    /** Whether the disk had never held a log before. */
-    readonly isNew: boolean;
+    /** Time for which the log still lacks what an earlier disk of the machine may have held, in milliseconds. */
+    readonly incompleteMs: number;
 }
 
 interface PendingAppend {
@@ -49,8 +52,12 @@
 
     constructor(private readonly dir: string, private readonly log: Logger) {}
 
-    /** Reads the log that earlier processes have written. An incomplete or corrupt end of a segment is skipped. */
-    async open(): Promise<LogContents> {
+    /**
+     * Reads the log that earlier processes have written. An incomplete or corrupt end of a segment is skipped.
+     *
+     * @param newDiskIncompleteMs Time for which a disk counts as incomplete that has never held a log.
+     */
+    async open(newDiskIncompleteMs: number): Promise<LogContents> {
         await mkdir(this.dir, { recursive: true });
         const names = await readdir(this.dir);
         const segments = names.map(name => namePattern.exec(name)?.[1]).filter(text => text !== undefined).map(Number)
@@ -64,11 +71,8 @@
             }
         }
         this.nextSegment = (segments.at(-1) ?? -1) + 1;
-        const isNew = !names.includes(markerFile);
-        if (isNew) {
-            await this.createMarker();
-        }
-        return { payloads: payloadsRead, segments, isNew };
+        const incompleteMs = await this.openState(names, newDiskIncompleteMs);
+        return { payloads: payloadsRead, segments, incompleteMs };
     }
 
     /** Resolves with the segment once the payload has been synced to disk. */
@@ -96,8 +100,26 @@
         this.current = undefined;
     }
 
-    private async createMarker(): Promise<void> {
-        const file = await open(join(this.dir, markerFile), "w");
+    /** Returns the time for which the disk is incomplete; a restart of the process does not shorten it. */
+    private async openState(names: readonly string[], newDiskIncompleteMs: number): Promise<number> {
+        if (names.includes(stateFile)) {
+            const completeAt = parseCompleteAt(await readFile(join(this.dir, stateFile), "utf8"));
+            if (completeAt !== undefined) {
+                return Math.min(newDiskIncompleteMs, Math.max(0, completeAt - Date.now()));
+            }
+            this.log.warn("disk state not readable", { dir: this.dir, outcome: "the disk counts as new" });
+        }
+        else if (names.includes(legacyMarkerFile)) {
+            await this.writeState(0);
+            return 0;
+        }
+        await this.writeState(newDiskIncompleteMs);
+        return newDiskIncompleteMs;
+    }
+
+    private async writeState(incompleteMs: number): Promise<void> {
+        const file = await open(join(this.dir, stateFile), "w");
+        await file.write(`complete-at ${Date.now() + incompleteMs}\n`);
         await file.sync();
         await file.close();
     }
@@ -154,6 +176,12 @@
     }
 }
 
+/** Returns the Unix time in milliseconds; undefined if the text was torn by a loss of power. */
+const parseCompleteAt = (text: string): number | undefined => {
+    const digits = /^complete-at (\d+)\n$/.exec(text)?.[1];
+    return digits === undefined ? undefined : Number(digits);
+};
+
 const encodeFrame = (payload: Buffer): [Buffer, Buffer] => {
     const header = Buffer.alloc(frameHeaderBytes);
     header.writeUInt32BE(payload.length, 0);
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -80,7 +80,7 @@
         while (!this.peers.isRegistered && !this.closed) {
             await new Promise(resolve => setTimeout(resolve, registrationPollMs));
         }
-        await this.journal.start(isNewDisk => isNewDisk && !this.options.firstStart ? newDiskIncompleteMs : 0);
+        await this.journal.start(this.options.firstStart ? 0 : newDiskIncompleteMs);
     }
 
     /** Flushes all turns to the store and unregisters the server. */
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -4,6 +4,7 @@
  */
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
+import { StoreRefusalError } from "@marigolddrift/store";
 import type { VersionedStore } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 
@@ -25,6 +26,9 @@
 /** Backoff after a failed store call. */
 const retryBackoffMs = 250;
 
+/** Time after which a turn is tried again that the store has refused for good. */
+const refusedRetryMs = 10_000;
+
 /** Timeout of one store call. */
 const callTimeoutMs = 1_500;
 
@@ -43,6 +47,8 @@
     /** Position among the holders that flush the turn. */
     readonly position: number;
     readonly dueAt: number;
+    /** Whether the store has refused the turn by itself, so that it is not sent together with others. */
+    readonly isRefused: boolean;
 }
 
 const packr = new Packr({ useRecords: false });
@@ -83,10 +89,10 @@
     /**
      * Recovers the turns on the disk and starts to accept turns.
      *
-     * @param incompleteMs Time for which the journal may lack turns acknowledged by a previous disk of the machine.
+     * @param newDiskIncompleteMs Time for which a new disk may lack turns acknowledged by a previous disk of the machine.
      */
-    async start(incompleteMs: (isNewDisk: boolean) => number): Promise<void> {
-        const { payloads, segments, isNew } = await this.disk.open();
+    async start(newDiskIncompleteMs: number): Promise<void> {
+        const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
         segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
         for (const { segment, payload } of payloads) {
             const entry = packr.unpack(payload) as LogEntry;
@@ -98,10 +104,10 @@
             }
         }
         this.removeFlushedSegments();
-        this.completeAt = performance.now() + incompleteMs(isNew);
+        this.completeAt = performance.now() + incompleteMs;
         this.accepting = true;
         this.timer = setInterval(() => void this.flushDue(), flushPollMs);
-        this.log.info("journal is open", { read: payloads.length, unflushed: this.unflushed.size, isNew });
+        this.log.info("journal is open", { read: payloads.length, unflushed: this.unflushed.size, incompleteMs });
     }
 
     /** Resolves to true once the turn has been synced to disk, or to false if the journal accepts no turns now. */
@@ -156,7 +162,7 @@
         }
         const position = this.flushOrder.positionOf(turn);
         const dueAt = performance.now() + firstFlushDelayMs + position * laterFlushDelayMs;
-        this.unflushed.set(turn.id, { ...turn, segment, position, dueAt });
+        this.unflushed.set(turn.id, { ...turn, segment, position, dueAt, isRefused: false });
         this.unflushedBytes += turn.record.length;
         this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + 1);
     }
@@ -171,7 +177,9 @@
             return;
         }
         // Includes all others that this machine flushes first; they become due within `firstFlushDelayMs` anyway.
-        await this.flush(all.filter(({ dueAt, position }) => dueAt <= now || position === 0));
+        await this.flush(
+            all.filter(({ dueAt, position, isRefused }) => dueAt <= now || (position === 0 && !isRefused)),
+        );
     }
 
     private async flush(due: readonly UnflushedTurn[]): Promise<void> {
@@ -180,7 +188,7 @@
             for (let remaining = due; remaining.length > 0;) {
                 const batch = firstBatch(remaining);
                 remaining = remaining.slice(batch.length);
-                await this.writeBatch(batch);
+                await this.writeAccepted(batch);
             }
         }
         catch (err) {
@@ -198,6 +206,34 @@
         }
     }
 
+    /** Writes a batch; if the store refuses it for good, each turn by itself, so that one does not hold up the others. */
+    private async writeAccepted(batch: readonly UnflushedTurn[]): Promise<void> {
+        try {
+            await this.writeBatch(batch);
+        }
+        catch (err) {
+            if (!(err instanceof StoreRefusalError) || err.isRetryable) {
+                throw err;
+            }
+            if (batch.length === 1) {
+                this.onRefused(batch[0]!, err);
+                return;
+            }
+            for (const turn of batch) {
+                await this.writeAccepted([turn]);
+            }
+        }
+    }
+
+    /** The turn stays on the disk, from which it can be read, and is tried again now and then. */
+    private onRefused(turn: UnflushedTurn, err: StoreRefusalError): void {
+        const { id, record } = turn;
+        this.log.error("turn refused by the store", { turn: id, bytes: record.length, error: err.message });
+        if (this.unflushed.get(id) === turn) {
+            this.unflushed.set(id, { ...turn, dueAt: performance.now() + refusedRetryMs, isRefused: true });
+        }
+    }
+
     /** Writes one batch to the store. Records are immutable, so writing one twice is harmless. */
     private async writeBatch(batch: readonly UnflushedTurn[]): Promise<void> {
         const progress = new Progress(callTimeoutMs);
@@ -284,9 +320,9 @@
 
 const firstBatch = (turns: readonly UnflushedTurn[]): readonly UnflushedTurn[] => {
     let bytes = 0;
-    const end = turns.findIndex(({ record }, index) => {
+    const end = turns.findIndex(({ record, isRefused }, index) => {
         bytes += record.length;
-        return index > 0 && (index >= maxBatchTurns || bytes > maxBatchBytes);
+        return index > 0 && (index >= maxBatchTurns || bytes > maxBatchBytes || isRefused || turns[0]!.isRefused);
     });
     return end < 0 ? turns : turns.slice(0, end);
 };
--- a/packages/gateway/src/state/batchWriter.ts
+++ b/packages/gateway/src/state/batchWriter.ts
@@ -7,6 +7,9 @@
 /** Maximum number of writes in a batch: the store accepts 32 entries per call, and a conditional write takes two. */
 const maxBatchSize = 16;
 
+/** Size of the values of a batch of several writes, so that a call gets through a slow link in time. */
+const maxBatchBytes = 256 * 1024;
+
 /** Maximum number of concurrent calls. */
 const maxConcurrentCalls = 2;
 
@@ -123,16 +126,20 @@
     /** Removes the next writes from the queue, at most one per key. */
     private takeBatch(): PendingWrite[] {
         const keys = new Set<string>();
+        let bytes = 0;
         const batch: PendingWrite[] = [];
         const rest: PendingWrite[] = [];
         for (const write of this.waiting.splice(0)) {
             if (write.settled || write.progress.signal.aborted) {
                 continue;
             }
-            const fits = batch.length < maxBatchSize && !keys.has(write.put.key);
+            const size = write.put.value.length;
+            const hasRoom = batch.length < maxBatchSize && (batch.length === 0 || bytes + size <= maxBatchBytes);
+            const fits = hasRoom && !keys.has(write.put.key);
             (fits ? batch : rest).push(write);
             if (fits) {
                 keys.add(write.put.key);
+                bytes += size;
             }
         }
         this.waiting.push(...rest);
--- a/packages/gateway/src/turns/storeArchive.ts
+++ b/packages/gateway/src/turns/storeArchive.ts
@@ -4,6 +4,7 @@
 import type { VersionedStore } from "@marigolddrift/store";
 
 import type { BatchWriter } from "../state/batchWriter.js";
+import { storeKey } from "../state/storeKey.js";
 import { RecordRemover } from "./recordRemover.js";
 import { packTurn, unpackTurn } from "./turnRecord.js";
 import type { TurnRecord } from "./turnRecord.js";
@@ -19,7 +20,7 @@
 const retryAfterSeconds = 0.5;
 
 /** Key of a turn in the store. */
-export const turnKey = (id: string): string => `marigolddrift/turns/${encodeURIComponent(id)}`;
+export const turnKey = (id: string): string => storeKey("marigolddrift/turns/", id);
 
 /** Archive that writes each turn once, directly to the store. */
 export class StoreArchive implements TurnArchive {
--- a/packages/gateway/src/turns/turnRecord.ts
+++ b/packages/gateway/src/turns/turnRecord.ts
@@ -105,5 +105,27 @@
     keptUntil !== undefined && keptUntil >= now + keepMs &&
     keptUntil <= now + recordLifetimeMs(keepMs) + clockToleranceMs;
 
+/** Separates the id of a turn from the number of a part; no header, and so no id of a turn, can contain it. */
+const partSeparator = "\n";
+
+/**
+ * Splits a record so that each part has at most `maxTailBytes` of the conversation. Each part refers to the one before it, and
+ * the last one is the turn's own record.
+ *
+ * @example
+ * splitTurn(turn, 256 * 1024).at(-1)!.id === turn.id;
+ */
+export const splitTurn = (turn: TurnRecord, maxTailBytes: number): TurnRecord[] => {
+    const parts: TurnRecord[] = [];
+    let { base } = turn;
+    let start = 0;
+    for (; turn.tail.length - start > maxTailBytes; start += maxTailBytes) {
+        const id = `${turn.id}${partSeparator}${parts.length}`;
+        parts.push({ ...turn, id, base, tail: turn.tail.subarray(start, start + maxTailBytes) });
+        base = id;
+    }
+    return [...parts, { ...turn, base, tail: turn.tail.subarray(start) }];
+};
+
 /** Approximate memory usage of a record. */
 export const turnMemoryBytes = (turn: TurnRecord): number => turn.tail.length + 200;
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -2,12 +2,15 @@
 import { ProblemError } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
 
-import { turnMemoryBytes } from "./turnRecord.js";
+import { splitTurn, turnMemoryBytes } from "./turnRecord.js";
 import type { Conversation, TurnRecord } from "./turnRecord.js";
 
 /** Memory limit of the record cache. */
 const maxCacheBytes = 24 * 1024 * 1024;
 
+/** Size up to which the text of a turn is stored in one record; a store accepts values of several times that size. */
+const defaultMaxTailBytes = 250 * 1024;
+
 /** Time after which callers may retry if an earlier turn was not found. */
 const retryAfterSeconds = 0.5;
 
@@ -38,11 +41,17 @@
     private readonly cache = new Map<string, TurnRecord>();
     private cachedBytes = 0;
 
-    constructor(private readonly archive: TurnArchive, private readonly log: Logger) {}
+    constructor(
+        private readonly archive: TurnArchive,
+        private readonly log: Logger,
+        private readonly maxTailBytes = defaultMaxTailBytes,
+    ) {}
 
-    /** Saves a turn durably and caches it. */
+    /** Saves a turn durably and caches it. A long one is saved in several records, each after the one that it refers to. */
     async save(turnToSave: TurnToSave, progress: Progress): Promise<void> {
-        await this.archive.save(turnToSave, progress);
+        for (const turn of splitTurn(turnToSave.turn, this.maxTailBytes)) {
+            await this.archive.save({ ...turnToSave, turn }, progress);
+        }
         this.addToCache(turnToSave.turn);
     }
 
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -56,7 +56,7 @@
     withDir(async dir => {
         const store = new FakeStore();
         const node = new JournalNode(dir, store);
-        await node.journal.start(() => 0);
+        await node.journal.start(0);
         try {
             await test(node, store, dir);
         }
@@ -92,7 +92,7 @@
             await node.keep("t1", 0);
             await node.journal.close();
             const restarted = new JournalNode(dir, store);
-            await restarted.journal.start(() => 0);
+            await restarted.journal.start(0);
             expect(restarted.journal.find("t1").record).toEqual(packTurn(turnOf("t1")));
             store.fault = "none";
             await waitUntil(() => restarted.journal.unflushedCount === 0);
@@ -108,7 +108,7 @@
             const countSegments = async () => (await readdir(dir)).filter(name => name.endsWith(".log")).length;
             for (let restart = 0; restart < 3; restart++) {
                 const restarted = new JournalNode(dir, store);
-                await restarted.journal.start(() => 0);
+                await restarted.journal.start(0);
                 await restarted.keep(`r${restart}`, 0);
                 await waitUntil(() => restarted.journal.unflushedCount === 0);
                 await restarted.close();
@@ -131,7 +131,7 @@
     it("should report that it may lack turns after a start with a new disk", () =>
         withDir(async dir => {
             const node = new JournalNode(dir, new FakeStore());
-            await node.journal.start(isNewDisk => isNewDisk ? 60_000 : 0);
+            await node.journal.start(60_000);
             expect(node.journal.find("t1")).toEqual({ record: undefined, complete: false });
             await node.close();
         }));
