Give back the tokens that ended turns have not used, so that a crash does not count them as spent

Cause: an instance took the tokens of two to four turns at once and kept in memory what turns had used. All that a dead instance had taken counted as spent for good ('budget spent', taken 580, after one turn of 70 tokens).

Change: 0.4 s after a turn its unused tokens go back to the record. Tokens are taken in advance for two turns at most, and only while those of four turns are left besides; they are topped up between turns, so that turns rarely wait for the store.

--- a/packages/gateway/src/budgets/budgetAccount.ts
+++ b/packages/gateway/src/budgets/budgetAccount.ts
@@ -1,7 +1,7 @@
 /** Tracks the tokens that this instance has allocated from a program's budget and how many of them it has used. */
 import type { StoredValue } from "@marigolddrift/store";
 
-import { unpackBudget } from "./budgetRecord.js";
+import { maxHeldTokens, unallocatedTokens, unpackBudget } from "./budgetRecord.js";
 import type { BudgetRecord } from "./budgetRecord.js";
 
 /**
@@ -14,6 +14,10 @@
     revision = 0;
     /** Number of turns in progress. */
     running = 0;
+    /** Tokens that the latest turn reserved. */
+    turnTokens = 0;
+    /** Set while a balance of the account with the record is due. */
+    balanceTimer: NodeJS.Timeout | undefined;
     lastUsedAt = performance.now();
     /** Monotonic time since which a holder of tokens has not responded; undefined if all have. */
     unresponsiveSince: number | undefined;
@@ -54,15 +58,25 @@
         this.usedTokens -= tokens;
     }
 
+    /** Difference between the tokens that the account should hold for turns to come and those that are available. */
+    get imbalance(): number {
+        const { available, turnTokens } = this;
+        const limit = maxHeldTokens(unallocatedTokens(this.record) + available, turnTokens);
+        if (available > limit) {
+            return limit - available;
+        }
+        return available < Math.min(limit, turnTokens) ? limit - available : 0;
+    }
+
     /**
-     * Makes all available tokens unavailable before their return is written, so that a write with an unknown outcome
-     * cannot leave them both here and in the shared budget. Includes the tokens of an earlier return with an unknown
-     * outcome: both writes are conditional on the same revision, so at most one of them succeeds.
+     * Makes available tokens unavailable before their return is written, so that a write with an unknown outcome cannot leave
+     * them both here and in the shared budget. Includes the tokens of an earlier return with an unknown outcome: both writes
+     * are conditional on the same revision, so at most one of them succeeds.
      *
      * @returns Number of tokens to return.
      */
-    beginReturn(): number {
-        this.returningTokens += this.available;
+    beginReturn(tokens: number): number {
+        this.returningTokens += tokens;
         return this.returningTokens;
     }
 
--- a/packages/gateway/src/budgets/budgetRecord.ts
+++ b/packages/gateway/src/budgets/budgetRecord.ts
@@ -23,26 +23,25 @@
 export const unallocatedTokens = (record: BudgetRecord): number =>
     record.total - Object.values(record.taken).reduce((sum, tokens) => sum + tokens, 0);
 
-/** Up to this many turns, the unallocated budget is not split by share, since an allocation might not hold a turn. */
-const smallBudgetTurns = 3;
+/** Turns whose tokens an instance may hold in advance, so that most turns need no write before them. */
+const heldTurns = 2;
 
-/** Share of a larger unallocated budget per allocation; limited because a crash loses the allocation to the program. */
-const allocationShare = 0.4;
-
-/** Upper limit of an allocation, in turns. */
-const maxAllocationTurns = 4;
+/** Turns that must be left for other instances; a program with less has to get back all that a crash would strand. */
+const minUnallocatedTurns = 4;
 
 /**
- * Number of tokens to allocate so that a turn can reserve `needed` tokens; 0 if the budget is insufficient. Sized for
- * programs of many short turns on several instances that may all crash at once: each allocation costs a store call, and
- * a crash strands the allocated tokens that were not used.
+ * Number of tokens that an instance may hold for turns to come. They count as spent if the instance crashes, so that there are
+ * none once the program has few turns left.
+ *
+ * @param left Tokens that are neither spent nor reserved, wherever they are.
+ * @example
+ * maxHeldTokens(2_304, 288) === 576;
  */
+export const maxHeldTokens = (left: number, turnTokens: number): number =>
+    left >= (heldTurns + minUnallocatedTurns) * turnTokens ? heldTurns * turnTokens : 0;
+
+/** Number of tokens to allocate so that a turn can reserve `needed` tokens; 0 if the budget is insufficient. */
 export const nextAllocationTokens = (unallocated: number, needed: number, available: number): number => {
-    if (unallocated + available < needed) {
-        return 0;
-    }
-    const targetTokens = unallocated <= smallBudgetTurns * needed ?
-        2 * needed :
-        Math.max(needed, Math.min(maxAllocationTurns * needed, Math.ceil(unallocated * allocationShare)));
-    return Math.min(unallocated, targetTokens - available);
+    const left = unallocated + available;
+    return left < needed ? 0 : Math.max(needed, maxHeldTokens(left, needed)) - available;
 };
--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -25,6 +25,15 @@
 /** Age up to which the record need not be read again before a budget counts as spent. */
 const recordTrustMs = 1_000;
 
+/** Time after the end of a turn after which its unused tokens go back, so that a crash does not count them as spent. */
+const balanceDelayMs = 400;
+
+/** Time after which a balance that failed is tried again. */
+const balanceRetryMs = 1_000;
+
+/** Timeout of a balance. */
+const balanceTimeoutMs = 2_000;
+
 /** Timeout of the deletion of a record. */
 const removalTimeoutMs = 2_000;
 
@@ -47,6 +56,7 @@
     private readonly accounts = new Map<string, BudgetAccount>();
     private nextAccount = 0;
     private nextNonce = 0;
+    private isClosed = false;
     private readonly timer: NodeJS.Timeout;
 
     constructor(
@@ -67,6 +77,7 @@
      */
     async reserve(program: string, total: number, needed: number, progress: Progress): Promise<Reservation> {
         const account = this.getOrCreateAccount(program, total);
+        account.turnTokens = needed;
         account.running += 1;
         account.lastUsedAt = performance.now();
         try {
@@ -81,7 +92,15 @@
             account.running -= 1;
             throw err;
         }
-        return createReservation(account, needed);
+        return createReservation(account, needed, () => this.scheduleBalance(account, balanceDelayMs));
+    }
+
+    /** Returns the tokens of a program that this instance should not hold, or takes those that it should hold. */
+    async balance(program: string, progress: Progress): Promise<void> {
+        const account = this.accounts.get(program);
+        if (account !== undefined && account.imbalance !== 0) {
+            await this.runExclusive(account, () => this.balanceAccount(account, progress));
+        }
     }
 
     /** Returns all unspent tokens to the shared budgets before the instance stops. */
@@ -107,6 +126,8 @@
 
     close(): void {
         clearInterval(this.timer);
+        this.accounts.forEach(account => clearTimeout(account.balanceTimer));
+        this.isClosed = true;
     }
 
     private getOrCreateAccount(program: string, total: number): BudgetAccount {
@@ -118,6 +139,44 @@
         return account;
     }
 
+    private scheduleBalance(account: BudgetAccount, delayMs: number): void {
+        if (this.isClosed || account.balanceTimer !== undefined) {
+            return;
+        }
+        account.balanceTimer = setTimeout(() => {
+            account.balanceTimer = undefined;
+            void this.balanceInTime(account);
+        }, delayMs).unref();
+    }
+
+    private async balanceInTime(account: BudgetAccount): Promise<void> {
+        // Without the store, turns go on with what the account holds, so nothing may be set aside for a return.
+        if (this.writer.isUnavailable) {
+            this.scheduleBalance(account, balanceRetryMs);
+            return;
+        }
+        const progress = new Progress(balanceTimeoutMs);
+        try {
+            await this.balance(account.program, progress);
+        }
+        catch (err) {
+            this.log.info("budget not balanced", { program: account.program, error: asError(err).message });
+            this.scheduleBalance(account, balanceRetryMs);
+        }
+        finally {
+            progress.dispose();
+        }
+    }
+
+    private async balanceAccount(account: BudgetAccount, progress: Progress): Promise<void> {
+        for (let missing = account.imbalance; missing !== 0; missing = account.imbalance) {
+            const delta = missing > 0 ? missing : -account.beginReturn(-missing);
+            if (await this.updateRecord(account, delta, progress)) {
+                return;
+            }
+        }
+    }
+
     private async runExclusive<T>(account: BudgetAccount, update: () => Promise<T>): Promise<T> {
         const result = account.lastUpdate.then(update, update);
         account.lastUpdate = result.catch(() => {
@@ -234,7 +293,8 @@
 
     private async returnUnspentOf(account: BudgetAccount, progress: Progress): Promise<void> {
         await this.runExclusive(account, async () => {
-            for (let unspent = account.beginReturn(); unspent > 0; unspent = account.beginReturn()) {
+            const begin = (): number => account.beginReturn(account.available);
+            for (let unspent = begin(); unspent > 0; unspent = begin()) {
                 if (await this.updateRecord(account, -unspent, progress)) {
                     return;
                 }
@@ -268,7 +328,7 @@
     }
 }
 
-const createReservation = (account: BudgetAccount, reserved: number): Reservation => {
+const createReservation = (account: BudgetAccount, reserved: number, onSettled: () => void): Reservation => {
     let settled = false;
     return {
         settle: spent => {
@@ -277,6 +337,7 @@
                 account.release(Math.max(0, reserved - spent));
                 account.running -= 1;
                 account.lastUsedAt = performance.now();
+                onSettled();
             }
         },
     };
