Answer each call that a stopping instance has taken, and refuse those that it cannot finish

Cause: a stopping instance took each call that reached it, through connections that had not been used before, to the end of the grace period, and closed all connections once it had seen no active call; while unused budgets were returned further calls were taken. An answer that was still being sent did not count as active. The users' log has 'The client is destroyed' for these calls, which is what close() causes.

Change: from 2.6 s after the signal a call is taken only if its time limit ends within the grace period, others get 503 with Retry-After 0 at once. Calls that are active at the end are answered: 503 if not passed on, else 502. A repeatable call that may have run is not answered 503 after later refusals.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -14,6 +14,7 @@
 import type { CallProtocol } from "../protocol.js";
 import { chooseTarget } from "../routes.js";
 import type { CallerLimits, RouteTable } from "../routes.js";
+import type { DrainSchedule } from "./drainSchedule.js";
 
 /** Maximum size of the request headers for the HTTP parser; the configured limit is checked after parsing. */
 const parserHeaderBytes = 128 * 1024;
@@ -32,8 +33,8 @@
     readonly filters: readonly Filter<CallContext>[];
     readonly protocol: CallProtocol;
     routes(): RouteTable | undefined;
-    /** Whether the instance is stopping, so that callers should close their connections. */
-    isStopping(): boolean;
+    /** Set while the instance is stopping, so that callers should close their connections. */
+    drainSchedule(): DrainSchedule | undefined;
     readonly random: () => number;
     readonly metrics: GatewayMetrics;
     readonly log: Logger;
@@ -41,8 +42,9 @@
 
 /** Accepts the requests of callers and sends the errors that the filters raise. */
 export class EntryServer {
-    /** Number of requests whose responses have not ended. */
+    /** Number of requests whose responses have not been sent to their end. */
     active = 0;
+    private readonly progresses = new Set<Progress>();
     private readonly server: Server;
     private readonly app: Polka;
     private readonly sockets = new Set<Socket>();
@@ -82,6 +84,14 @@
         this.server.closeIdleConnections();
     }
 
+    /** Gives up all active calls: those that have not been sent to an upstream are refused, the others may have run. */
+    abortCalls(): void {
+        const reason = new ProblemError("draining", "notRun", "The instance is about to stop.", {
+            retryAfterSeconds: 0,
+        });
+        this.progresses.forEach(progress => progress.abort(reason));
+    }
+
     closeIdle(): void {
         this.server.closeIdleConnections();
     }
@@ -93,15 +103,17 @@
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         this.active += 1;
+        const isSent = new Promise(resolve => res.once("close", resolve));
         const arrivedAt = performance.now();
         const trace: CallTrace = {};
         let progress: Progress | undefined;
         try {
-            if (this.options.isStopping()) {
+            if (this.options.drainSchedule() !== undefined) {
                 res.setHeader("Connection", "close");
             }
             const ctx = this.createContext(req, res, arrivedAt, trace);
             progress = ctx.progress;
+            this.progresses.add(progress);
             await runChain(this.options.filters, ctx);
         }
         catch (err) {
@@ -109,8 +121,9 @@
         }
         finally {
             progress?.dispose();
-            this.active -= 1;
+            this.progresses.delete(progress!);
             this.recordCall(req, arrivedAt, trace);
+            void isSent.then(() => this.active -= 1);
         }
     }
 
@@ -142,6 +155,9 @@
         }
         const limitMs = Math.min(head.leftMs ?? Infinity, route.timeoutMs);
         Object.assign(trace, { route: route.name, service: service.name, limitMs });
+        if (this.options.drainSchedule()?.takes(limitMs, arrivedAt) === false) {
+            throw new ProblemError("draining", "notRun", "The instance is stopping.", { retryAfterSeconds: 0 });
+        }
         const progress = new Progress(limitMs);
         res.on("close", () => {
             if (!res.writableFinished && (route.isStreaming || route.idempotent)) {
@@ -224,7 +240,8 @@
 const toProblem = (err: unknown, progress: Progress | undefined): ProblemError => {
     const reason: unknown = progress?.signal.aborted ? progress.signal.reason : undefined;
     const mayHaveRun = err instanceof ProblemError && err.verdict !== "notRun";
-    if (reason instanceof ProblemError && mayHaveRun) {
+    // The status of a refusal would promise that the call has not run.
+    if (reason instanceof ProblemError && mayHaveRun && reason.code !== "draining") {
         return new ProblemError(reason.code, "mayHaveRun", reason.message);
     }
     return toProblemError(err, "mayHaveRun");
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -50,32 +50,48 @@
     readonly kind: "noPermit";
 }
 
+/** What the attempts at a call have shown so far. */
+interface Tries {
+    /** Upstreams that are not tried again. */
+    readonly excluded: Set<string>;
+    /** Number of upstreams that did not run the call. */
+    refusals: number;
+    /** Number of attempts in which the call may have run. */
+    runs: number;
+}
+
 /** The last filter of the chain: forwards the call and retries failed attempts. */
 export class ForwardFilter implements Filter<CallContext> {
     constructor(private readonly options: ForwardFilterOptions) {}
 
     async handle(ctx: CallContext): Promise<void> {
-        const excluded = new Set<string>();
-        let refusals = 0;
-        let runs = 0;
-        for (;;) {
-            const result = await this.runAttempt(ctx, excluded, runs > 0);
-            if (result.kind === "complete") {
-                return;
-            }
-            if (result.kind === "noPermit") {
-                continue;
-            }
-            this.options.log.info("attempt failed", { request: ctx.id, upstream: ctx.trace.upstream, ...result });
-            if (result.kind === "notRun") {
-                refusals += 1;
-                this.checkRefusals(ctx, refusals, result.detail);
-            }
-            else {
-                runs += 1;
-                this.checkRuns(ctx, runs, result.detail);
+        const tries: Tries = { excluded: new Set(), refusals: 0, runs: 0 };
+        try {
+            while (!await this.tryOnce(ctx, tries)) {
+                // The attempt failed in a way that allows another one.
             }
         }
+        catch (err) {
+            throw tries.runs > 0 ? asMayHaveRun(err) : err;
+        }
+    }
+
+    /** Resolves to whether the call is complete. */
+    private async tryOnce(ctx: CallContext, tries: Tries): Promise<boolean> {
+        const result = await this.runAttempt(ctx, tries.excluded, tries.runs > 0);
+        if (result.kind === "complete" || result.kind === "noPermit") {
+            return result.kind === "complete";
+        }
+        this.options.log.info("attempt failed", { request: ctx.id, upstream: ctx.trace.upstream, ...result });
+        if (result.kind === "notRun") {
+            tries.refusals += 1;
+            this.checkRefusals(ctx, tries.refusals, result.detail);
+        }
+        else {
+            tries.runs += 1;
+            this.checkRuns(ctx, tries.runs, result.detail);
+        }
+        return false;
     }
 
     private async runAttempt(
@@ -218,6 +234,12 @@
     }
 }
 
+/** A later attempt that was refused does not undo that an earlier one may have run. */
+const asMayHaveRun = (err: unknown): unknown =>
+    err instanceof ProblemError && err.verdict === "notRun" ?
+        new ProblemError("upstream_failed", "mayHaveRun", err.message, { cause: err }) :
+        err;
+
 /**
  * Priority for the engine: by the route's priority first; at the same priority, programs that are already running
  * precede new ones.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 /** Assembles, starts and stops the components of an instance that serves plain HTTP calls. */
-import { delay, Progress } from "@marigolddrift/common";
-import type { Logger } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { createPlacement, nextCall } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
@@ -9,6 +8,7 @@
 import { RegionBudgets } from "./budgets/regionBudgets.js";
 import { CallBlocker } from "./crashes/callBlocker.js";
 import { CrashDetector } from "./crashes/crashDetector.js";
+import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
@@ -59,15 +59,6 @@
 /** Time for which writes are collected into a batch before it is sent. */
 const batchDelayMs = 3;
 
-/** Time after the stop signal during which new connections may still arrive. */
-const minDrainMs = 2_600;
-
-/** Interval at which a draining instance checks whether calls are still active. */
-const drainPollMs = 25;
-
-/** Part of the grace period, at its end, in which a draining instance no longer waits for active calls. */
-const drainReserveMs = 700;
-
 /** Limit on the body size until a configuration has been loaded. */
 const defaultMaxBodyBytes = 1024 * 1024;
 
@@ -81,8 +72,8 @@
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
-    private stopping = false;
-    private readonly regionBudgets: RegionBudgets;
+    private readonly drainController: DrainController;
+    readonly regionBudgets: RegionBudgets;
     private readonly writer: BatchWriter;
     private readonly loadExchange: LoadExchange;
     private readonly facts: FactExchange;
@@ -111,6 +102,7 @@
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
+        this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         const store = this.store;
@@ -190,7 +182,8 @@
 
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
-        return !this.stopping && this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
+        return this.drainController.schedule === undefined && this.activeConfig.table !== undefined &&
+            this.upstreamFollower.hasSnapshot;
     }
 
     async start(): Promise<void> {
@@ -202,26 +195,9 @@
         this.port = await this.entry.listen(host, this.options.port);
     }
 
-    /** Continues to serve calls until none are active or the grace period ends, then returns the unused budgets. */
+    /** Stops taking calls; resolves when those that were taken have been answered. */
     async drain(): Promise<void> {
-        const startedAt = performance.now();
-        this.stopping = true;
-        this.regionBudgets.stop();
-        this.log.info("stopping", { active: this.entry.active, connections: this.entry.connections });
-        const elapsed = (): number => performance.now() - startedAt;
-        const endsAt = this.options.graceMs - drainReserveMs;
-        await delay(minDrainMs);
-        this.entry.stopAccepting();
-        while (this.entry.active > 0 && elapsed() < endsAt) {
-            await delay(drainPollMs);
-            this.entry.closeIdle();
-        }
-        const progress = new Progress(Math.max(200, this.options.graceMs - drainReserveMs / 2 - elapsed()));
-        await progress.race(this.budgets.returnAllUnspent(progress)).catch((err: unknown) => {
-            this.log.warn("budget return failed", { error: String(err), outcome: "reserved tokens count as spent" });
-        });
-        progress.dispose();
-        this.log.info("stopped", { ms: Math.round(elapsed()), active: this.entry.active });
+        await this.drainController.drain();
     }
 
     /** Refreshes the list of peers immediately instead of at the next interval. */
@@ -322,7 +298,7 @@
             ],
             protocol,
             routes: () => this.activeConfig.table,
-            isStopping: () => this.stopping,
+            drainSchedule: () => this.drainController.schedule,
             random,
             metrics: this.metrics,
             log,
--- a/tests/gateway/turnRetention.test.ts
+++ b/tests/gateway/turnRetention.test.ts
@@ -1,4 +1,4 @@
-import type { ProblemError} from "@marigolddrift/common";
+import type { ProblemError } from "@marigolddrift/common";
 import { Progress, silentLogger } from "@marigolddrift/common";
 import { BatchWriter, createTurn, RecordRemover, StoreArchive, TurnStore } from "@marigolddrift/gateway";
 import type { Conversation, TurnRecord } from "@marigolddrift/gateway";
