Bound the memory of all replies in progress together

Cause: each reply is broken off after 4 MiB, but 90 of them at once may hold 360 MiB.

New gauge reply_bytes.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -18,6 +18,7 @@
 import type { TurnStore } from "../turns/turnStore.js";
 import { attemptCall } from "../upstreams/attempt.js";
 import type { AttemptResult } from "../upstreams/attempt.js";
+import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
@@ -39,6 +40,7 @@
     readonly blocker: CallBlocker;
     readonly protocol: CallProtocol;
     readonly turns: TurnStore;
+    readonly replyMemory: ReplyMemory;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
     readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
     readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void;
@@ -157,7 +159,9 @@
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
-        const result = await attemptCall(upstream, call, ctx.id, this.options.protocol, response, ctx.progress);
+        const { protocol, replyMemory: memory } = this.options;
+        const attempt = { call, callId: ctx.id, protocol, sink: response, memory };
+        const result = await attemptCall(upstream, attempt, ctx.progress);
         this.options.recordTraffic(upstream, {
             kind: "call",
             sentBytes: body.length,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
+import { ReplyMemory } from "./upstreams/replyMemory.js";
 import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
 import { Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
@@ -69,6 +70,7 @@
     readonly turns: TurnStore;
     readonly budgets: Budgets;
     readonly entry: EntryServer;
+    readonly replyMemory: ReplyMemory;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
@@ -102,6 +104,7 @@
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
+        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes);
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
@@ -170,6 +173,7 @@
         });
         addGauges(this.metrics, {
             entry: this.entry,
+            replyMemory: this.replyMemory,
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
@@ -282,6 +286,7 @@
             blocker: this.blocker,
             protocol,
             turns,
+            replyMemory: this.replyMemory,
             log,
             recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -5,11 +5,13 @@
 import type { StallMonitor } from "./stallMonitor.js";
 import type { ActiveConfig } from "./state/activeConfig.js";
 import type { PrefixWatcher } from "./state/prefixWatcher.js";
+import type { ReplyMemory } from "./upstreams/replyMemory.js";
 import type { Upstreams } from "./upstreams/upstreams.js";
 
 /** The components whose state the gauges show. */
 export interface GaugedComponents {
     readonly entry: Pick<EntryServer, "active">;
+    readonly replyMemory: Pick<ReplyMemory, "heldBytes">;
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size">;
     readonly blocker: Pick<CallBlocker, "blocked">;
@@ -22,6 +24,7 @@
 /** Registers a gauge for each value that is read from a component when metrics are collected. */
 export const addGauges = (metrics: GatewayMetrics, of: GaugedComponents): void => {
     metrics.addGauge("calls_active", "Calls whose answers have not ended", () => of.entry.active);
+    metrics.addGauge("reply_bytes", "Bytes of replies in progress", () => of.replyMemory.heldBytes);
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -40,6 +40,8 @@
     readonly changeDelayLimitMs: number;
     /** Time between the stop signal and the end of the process. */
     readonly graceMs: number;
+    /** Memory for the replies of all calls in progress. */
+    readonly maxReplyMemoryBytes: number;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -3,6 +3,7 @@
 
 import type { CallProtocol, ReplyHead } from "../protocol.js";
 import { classifyReply } from "./classifyReply.js";
+import type { HeldReply, ReplyMemory } from "./replyMemory.js";
 import type { OutgoingCall, ReplyListener, RunningCall } from "./upstreamConnections.js";
 import type { Upstream } from "./upstreams.js";
 
@@ -36,15 +37,17 @@
 /** Status by which another process than the expected one refuses a call, after it has taken over the address. */
 const misdirectedStatus = 421;
 
+/** A call to send, and what its reply needs. */
+export interface Attempt {
+    readonly call: OutgoingCall;
+    readonly callId: string;
+    readonly protocol: CallProtocol;
+    readonly sink: ResponseSink;
+    readonly memory: ReplyMemory;
+}
+
 /** Sends a call to an upstream and writes the reply to a sink. */
-export const attemptCall = (
-    upstream: Upstream,
-    call: OutgoingCall,
-    callId: string,
-    protocol: CallProtocol,
-    sink: ResponseSink,
-    progress: Progress,
-): Promise<AttemptResult> =>
+export const attemptCall = (upstream: Upstream, attempt: Attempt, progress: Progress): Promise<AttemptResult> =>
     new Promise(resolve => {
         const active: { call?: RunningCall; } = {};
         const abort = (reason: Error): void => active.call?.abort(reason);
@@ -53,7 +56,7 @@
             progress.signal.removeEventListener("abort", onAbort);
             resolve(result);
         };
-        active.call = upstream.connections.send(call, new AttemptListener(callId, protocol, sink, finish, abort));
+        active.call = upstream.connections.send(attempt.call, new AttemptListener(attempt, finish, abort));
         progress.signal.addEventListener("abort", onAbort, { once: true });
         if (progress.signal.aborted) {
             onAbort();
@@ -65,29 +68,31 @@
     private result: AttemptResult | undefined;
     private bytes = 0;
     private refusalTimer: NodeJS.Timeout | undefined;
+    private readonly held: HeldReply;
 
     constructor(
-        private readonly callId: string,
-        private readonly protocol: CallProtocol,
-        private readonly sink: ResponseSink,
+        private readonly attempt: Attempt,
         private readonly finish: (result: AttemptResult) => void,
         private readonly abort: (reason: Error) => void,
-    ) {}
+    ) {
+        this.held = attempt.memory.hold(() => this.breakOff());
+    }
 
     onHead(status: number, rawHeaders: string[]): boolean {
-        const head = this.protocol.parseReply(status, rawHeaders);
-        const replyKind = classifyReply(head, this.callId);
+        const { callId, protocol, sink } = this.attempt;
+        const head = protocol.parseReply(status, rawHeaders);
+        const replyKind = classifyReply(head, callId);
         // Refusals of a call that did not reach the upstream itself may lack the limit that it names.
         const tellsLimit = replyKind === "answer" || (replyKind === "notRun" && head.requestsPerSecond !== undefined);
-        if (head.callId === this.callId && tellsLimit) {
-            this.sink.onLimit(head.requestsPerSecond);
+        if (head.callId === callId && tellsLimit) {
+            sink.onLimit(head.requestsPerSecond);
         }
-        const isOfUpstream = status !== misdirectedStatus && (head.callId === this.callId || replyKind === "notRun");
+        const isOfUpstream = status !== misdirectedStatus && (head.callId === callId || replyKind === "notRun");
         if (head.isLeaving && isOfUpstream) {
-            this.sink.onLeaving();
+            sink.onLeaving();
         }
         if (replyKind === "answer") {
-            this.sink.onHead(head);
+            sink.onHead(head);
             return true;
         }
         if (replyKind === "notRun") {
@@ -107,13 +112,17 @@
             this.result = { kind: "broken", detail: `the reply is longer than ${maxReplyBytes} bytes` };
             return false;
         }
-        this.sink.onData(chunk);
+        this.held.add(chunk.length);
+        if (this.result !== undefined) {
+            return false;
+        }
+        this.attempt.sink.onData(chunk);
         return true;
     }
 
     onEnd(): void {
         this.end(
-            this.result !== undefined || this.sink.isWhole ?
+            this.result !== undefined || this.attempt.sink.isWhole ?
                 { kind: "complete" } :
                 { kind: "broken", detail: "the stream ended inside an event" },
         );
@@ -141,7 +150,13 @@
         this.finish(this.result);
     }
 
+    private breakOff(): void {
+        this.result = { kind: "broken", detail: "the replies of all calls need too much memory" };
+        this.abort(new Error(this.result.detail));
+    }
+
     private end(result: AttemptResult): void {
+        this.held.release();
         clearTimeout(this.refusalTimer);
         this.finish(this.result ?? result);
     }
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -1,6 +1,7 @@
 /** A small deployment on loopback: a fake platform store, fake workers and real gateways. */
 import { silentLogger } from "@marigolddrift/common";
 import { Gateway } from "@marigolddrift/gateway";
+import type { GatewayOptions } from "@marigolddrift/gateway";
 import { callHeaders, PlatformStandin, PlatformStore, storeLayout, WorkerStandin } from "@marigolddrift/platform";
 import { request } from "node:http";
 import type { RequestOptions } from "node:http";
@@ -86,7 +87,7 @@
         return deployment;
     }
 
-    async addGateway(): Promise<Gateway> {
+    async addGateway(options: Partial<GatewayOptions> = {}): Promise<Gateway> {
         const machine = `front-${this.gateways.length}`;
         const proxy = await StoreProxy.open(this.store.address);
         this.storeProxies.push(proxy);
@@ -105,7 +106,9 @@
             storeSilenceMs: 5_000,
             changeDelayLimitMs: 2_500,
             graceMs: 4_000,
+            maxReplyMemoryBytes: 24 * 1024 * 1024,
             log: silentLogger,
+            ...options,
         });
         await gateway.start();
         this.gateways.push(gateway);
--- a/tests/platform/endlessReplies.test.ts
+++ b/tests/platform/endlessReplies.test.ts
@@ -90,6 +90,38 @@
         expect(deployment.plainWorker.endlessBytes).toSatisfy(bytes => bytes <= concurrentCalls * mib);
     });
 
+    // Guards against endless replies to many calls at once, each within its own limit, that fill the memory of a small machine.
+    it("should bound the memory of all replies together, and break off the largest", async () => {
+        const limit = 3 * mib;
+        const gateway = await deployment.addGateway({ maxReplyMemoryBytes: limit });
+        deployment.streamingWorker.fault = "endlessBody";
+        const turns = callAll(async index => {
+            try {
+                const { status } = await deployment.turn(
+                    `many-${index}`,
+                    deployment.newId(),
+                    "hello",
+                    undefined,
+                    gateway,
+                );
+                return status === 200 ? "complete" : "failed";
+            }
+            catch {
+                return "broken off";
+            }
+        });
+        let mostBytes = 0;
+        const timer = setInterval(() => mostBytes = Math.max(mostBytes, gateway.replyMemory.heldBytes), 1);
+        const startedAt = performance.now();
+        while (performance.now() - startedAt < 300) {
+            expect((await deployment.call("GET", "/look/1", {}, undefined, gateway)).status).toEqual(200);
+        }
+        expect((await turns).results).not.toInclude("complete");
+        clearInterval(timer);
+        expect(mostBytes).toSatisfy(bytes => bytes > 0 && bytes <= limit);
+        expect(gateway.replyMemory.heldBytes).toEqual(0);
+    });
+
     it("should serve other calls while and after replies do not end", async () => {
         deployment.streamingWorker.fault = "endlessBody";
         const turns = callAll(playTurn);
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -70,6 +70,7 @@
             toleratedLosses: 1,
             storeSilenceMs: 5_000,
             changeDelayLimitMs: 2_500,
+            maxReplyMemoryBytes: 24 * 1024 * 1024,
             graceMs: 4_000,
             log: silentLogger,
         });
