End what is read of a segment at zeros, which a loss of power may leave

Zeros passed as an empty frame with the right checksum. The test fails without the change and passes with it.

--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -193,9 +193,11 @@
     const payloads: Buffer[] = [];
     let offset = 0;
     while (offset + frameHeaderBytes <= bytes.length) {
-        const end = offset + frameHeaderBytes + bytes.readUInt32BE(offset);
+        const length = bytes.readUInt32BE(offset);
+        const end = offset + frameHeaderBytes + length;
         const payload = bytes.subarray(offset + frameHeaderBytes, end);
-        if (end > bytes.length || crc32(payload) !== bytes.readUInt32BE(offset + 4)) {
+        // Zeros are what a loss of power may leave of a frame; their checksum is that of an empty payload.
+        if (length === 0 || end > bytes.length || crc32(payload) !== bytes.readUInt32BE(offset + 4)) {
             break;
         }
         payloads.push(payload);
--- a/tests/gateway/diskLog.test.ts
+++ b/tests/gateway/diskLog.test.ts
@@ -56,7 +56,15 @@
             await log.close();
             const path = join(dir, (await readdir(dir)).find(name => name.endsWith(".log"))!);
             const bytes = await readFile(path);
-            for (const torn of [bytes.subarray(0, -3), Buffer.concat([bytes.subarray(0, -3), Buffer.alloc(3)])]) {
+            const lastFrame = bytes.subarray(0, -("torn later".length + 8));
+            const tornEnds = [
+                bytes.subarray(0, -3),
+                Buffer.concat([bytes.subarray(0, -3), Buffer.alloc(3)]),
+                // Guards against machines that did not start after a torn write that began with zeros.
+                Buffer.concat([lastFrame, Buffer.alloc(18)]),
+                Buffer.concat([lastFrame, Buffer.alloc(512)]),
+            ];
+            for (const torn of tornEnds) {
                 await writeFile(path, torn);
                 expect(payloadTexts((await new DiskLog(dir, silentLogger).open(0)).payloads)).toEqual(["whole"]);
             }
