--- a/packages/gateway/src/budgets/budgets.ts
+++ b/packages/gateway/src/budgets/budgets.ts
@@ -9,13 +9,11 @@
 import { storeKey } from "../state/storeKey.js";
 import { BudgetAccount } from "./budgetAccount.js";
 import { nextAllocationTokens, packBudget, unallocatedTokens } from "./budgetRecord.js";
+import { holderName, TokenReclaimer } from "./tokenReclaimer.js";
 
 /** Time without turns after which a program's account is evicted and its record is deleted. */
 const accountIdleMs = 600_000;
 
-/** Timeout of a request to another instance to return its unspent tokens. */
-const returnRequestTimeoutMs = 500;
-
 /** Time for which a holder that does not respond may still be alive, so that the budget does not count as spent. */
 const holderPatienceMs = 4_000;
 
@@ -37,14 +35,6 @@
 /** Timeout of the deletion of a record. */
 const removalTimeoutMs = 2_000;
 
-/** Separates the instance id from the account number in holder names. */
-const holderSeparator = "#";
-
-const instanceOfHolder = (holder: string): string => holder.split(holderSeparator)[0]!;
-
-/** Result of the request to a holder to return tokens. */
-type ReclaimOutcome = "returned" | "none" | "noResponse";
-
 /** Tokens reserved for a turn. */
 export interface Reservation {
     /** Ends the reservation; `spent` is the number of tokens that were delivered to the caller. */
@@ -58,14 +48,16 @@
     private nextNonce = 0;
     private isClosed = false;
     private readonly timer: NodeJS.Timeout;
+    private readonly reclaimer: TokenReclaimer;
 
     constructor(
         private readonly instance: string,
         private readonly writer: BatchWriter,
         private readonly store: Pick<VersionedStore, "get" | "txn">,
-        private readonly peers: Pick<Peers, "get" | "refresh">,
+        peers: Pick<Peers, "get" | "refresh">,
         private readonly log: Logger,
     ) {
+        this.reclaimer = new TokenReclaimer(peers, log);
         this.timer = setInterval(() => this.evictIdleAccounts(), accountIdleMs / 4);
         this.timer.unref();
     }
@@ -133,7 +125,7 @@
     private getOrCreateAccount(program: string, total: number): BudgetAccount {
         let account = this.accounts.get(program);
         if (account === undefined) {
-            account = new BudgetAccount(program, total, `${this.instance}${holderSeparator}${this.nextAccount++}`);
+            account = new BudgetAccount(program, total, holderName(this.instance, this.nextAccount++));
             this.accounts.set(program, account);
         }
         return account;
@@ -209,7 +201,7 @@
 
     /** Asks the other holders for unspent tokens, and reads the record again if tokens may have been returned. */
     private async reclaim(account: BudgetAccount, progress: Progress): Promise<void> {
-        const outcomes = await this.reclaimFromPeers(account, progress);
+        const outcomes = await this.reclaimer.reclaim(account, progress);
         account.unresponsiveSince = outcomes.has("noResponse") ?
             account.unresponsiveSince ?? performance.now() :
             undefined;
@@ -249,33 +241,6 @@
         }
     }
 
-    /** Asks the other holders to return their unspent tokens. Those that are no longer listed are dead. */
-    private async reclaimFromPeers(
-        account: BudgetAccount,
-        progress: Progress,
-    ): Promise<ReadonlySet<ReclaimOutcome>> {
-        const { program } = account;
-        if (account.otherHolders.some(holder => this.peers.get(instanceOfHolder(holder)) === undefined)) {
-            await this.peers.refresh();
-        }
-        const outcomes = await Promise.all(account.otherHolders.map(async (holder): Promise<ReclaimOutcome> => {
-            const askProgress = progress.child(returnRequestTimeoutMs);
-            try {
-                const peer = this.peers.get(instanceOfHolder(holder));
-                return await peer?.ask({ kind: "returnBudget", program }, askProgress) ? "returned" : "none";
-            }
-            catch (err) {
-                progress.throwIfAborted();
-                this.log.info("budget holder did not return tokens", { program, holder, error: asError(err).message });
-                return "noResponse";
-            }
-            finally {
-                askProgress.dispose();
-            }
-        }));
-        return new Set(outcomes);
-    }
-
     /** Changes the allocation by `delta`. On a conflict, only refreshes the account and resolves to false. */
     private async updateRecord(account: BudgetAccount, delta: number, progress: Progress): Promise<boolean> {
         const next = account.withAllocationDelta(delta, `${this.instance}/${this.nextNonce++}`);
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -12,6 +12,8 @@
 import type { RecordRemover } from "../turns/recordRemover.js";
 import { turnKey } from "../turns/storeArchive.js";
 import type { DiskLog, SegmentId } from "./diskLog.js";
+import { batchesOf, dueBatches } from "./flushBatch.js";
+import type { UnflushedTurn } from "./flushBatch.js";
 import type { FlushOrder } from "./flushOrder.js";
 
 /** Delay after which the first holder of a turn flushes it to the store. */
@@ -32,25 +34,12 @@
 /** Timeout of one store call. */
 const callTimeoutMs = 1_500;
 
-/** Limits of one store call; the store accepts up to 32 entries. */
-const maxBatchTurns = 32;
-const maxBatchBytes = 256 * 1024;
-
 /** Size of the unflushed turns above which the journal rejects further turns. */
 const maxUnflushedBytes = 48 * 1024 * 1024;
 
 /** Size of the in-memory cache of turns that have been flushed. */
 const maxFlushedCacheBytes = 24 * 1024 * 1024;
 
-interface UnflushedTurn extends JournaledTurn {
-    readonly segment: SegmentId;
-    /** Position among the holders that flush the turn. */
-    readonly position: number;
-    readonly dueAt: number;
-    /** Whether the store has refused the turn by itself, so that it is not sent together with others. */
-    readonly isRefused: boolean;
-}
-
 const packr = new Packr({ useRecords: false });
 
 /** An entry of the log: a turn, or the ids of turns that have been flushed. */
@@ -155,7 +144,7 @@
         await this.opened;
         // A turn that is being written to the disk has been accepted, too.
         while (this.unflushed.size > 0 || this.appendsInFlight > 0) {
-            await this.flush([...this.unflushed.values()]);
+            await this.flush(batchesOf([...this.unflushed.values()]));
             await new Promise(resolve => setTimeout(resolve, flushPollMs));
         }
     }
@@ -182,22 +171,16 @@
         if (this.flushing || now < this.retryAt) {
             return;
         }
-        const all = [...this.unflushed.values()];
-        if (!all.some(({ dueAt }) => dueAt <= now)) {
-            return;
+        const batches = dueBatches([...this.unflushed.values()], now);
+        if (batches.length > 0) {
+            await this.flush(batches);
         }
-        // Includes all others that this machine flushes first; they become due within `firstFlushDelayMs` anyway.
-        await this.flush(
-            all.filter(({ dueAt, position, isRefused }) => dueAt <= now || (position === 0 && !isRefused)),
-        );
     }
 
-    private async flush(due: readonly UnflushedTurn[]): Promise<void> {
+    private async flush(batches: readonly UnflushedTurn[][]): Promise<void> {
         this.flushing = true;
         try {
-            for (let remaining = due; remaining.length > 0;) {
-                const batch = firstBatch(remaining);
-                remaining = remaining.slice(batch.length);
+            for (const batch of batches) {
                 await this.writeAccepted(batch);
             }
         }
@@ -327,12 +310,3 @@
         }
     }
 }
-
-const firstBatch = (turns: readonly UnflushedTurn[]): readonly UnflushedTurn[] => {
-    let bytes = 0;
-    const end = turns.findIndex(({ record, isRefused }, index) => {
-        bytes += record.length;
-        return index > 0 && (index >= maxBatchTurns || bytes > maxBatchBytes || isRefused || turns[0]!.isRefused);
-    });
-    return end < 0 ? turns : turns.slice(0, end);
-};
