Take a stream for broken off if its connection was reset while the process was busy

Cause: if a reset arrives together with data, the runtime reports an orderly end; a program of 30 lines without our code shows it at a process that is busy for 60 ms.

Change: at the end of a connection, one whose other side's address is no longer known counts as reset.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,6 +41,7 @@
 export * from "./upstreams/classifyReply.js";
 export * from "./upstreams/framing.js";
 export * from "./upstreams/replyMemory.js";
+export * from "./upstreams/upstreamConnections.js";
 export * from "./upstreams/upstreamEntry.js";
 export * from "./upstreams/upstreamFollower.js";
 export * from "./upstreams/upstreams.js";
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -1,4 +1,5 @@
 /** Keep-alive connections to an upstream, and the calls on them. */
+import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
 
@@ -50,18 +51,25 @@
  */
 const trackSocketEnds = (ending: SocketEnding): buildConnector.connector => {
     const connect = buildConnector({ timeout: connectTimeoutMs });
-    const mark = (end: SocketEnd) => (): void => {
+    const mark = (end: SocketEnd): void => {
         ending.now = end;
         queueMicrotask(() => ending.now = undefined);
     };
     return (options, callback) =>
         connect(options, (...args) => {
-            args[1]?.on("end", mark("closed"));
-            args[1]?.on("error", mark("failed"));
+            const [, socket] = args;
+            socket?.on("end", () => mark(isReset(socket) ? "failed" : "closed"));
+            socket?.on("error", () => mark("failed"));
             callback(...args);
         });
 };
 
+/**
+ * Whether a connection that has ended was reset. If the reset arrives together with data, as it does at a busy process, the
+ * runtime reports an end in order; but only a reset takes the address of the other side away. It must not have been read before.
+ */
+const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
+
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
     private readonly pool: Pool;
