--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -27,10 +27,10 @@
     version,
     routes: [
         route("chat", "/chat/", { kind: "stream", service: "brain", retain: true, keepS: 60 }),
-        route("talk", "/talk/", { kind: "stream", service: "brain", resumable: true, maxAttempts: 3 }),
         route("look", "/look/", { kind: "safe", service: "ops", maxAttempts: 2 }),
         route("order", "/order/", { kind: "unsafe", service: "ops" }),
         route("short", "/short/", { kind: "safe", service: "ops", timeoutMs: 200 }),
+        route("talk", "/talk/", { kind: "stream", service: "brain", resumable: true, maxAttempts: 3 }),
     ],
     services: [{ name: "brain", maxConns: 150, engine }, { name: "ops", maxConns: 96 }],
     limits,
