Name the build that a process runs in its start line

The line 'start' now has the commit that the program was bundled from ('-modified' if sources differ), or a digest of the sources where there is no repository.

--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,9 +1,37 @@
 // Bundles the platform's program into a single file, which starts faster and uses less memory than separate modules. It
 // is built from the sources, so that nothing is written outside target/.
 import { build } from "esbuild";
-import { readdirSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { createHash } from "node:crypto";
+import { readdirSync, readFileSync } from "node:fs";
 import { resolve } from "node:path";
 
+const digestLength = 12;
+
+const git = args => execFileSync("git", args, { encoding: "utf8", stdio: ["ignore", "pipe", "ignore"] }).trim();
+
+/** The commit, with a mark if sources differ from it; without a repository, a digest of all sources. */
+const createBuildId = () => {
+    try {
+        const commit = git(["rev-parse", `--short=${digestLength}`, "HEAD"]);
+        const changes = git(["status", "--porcelain", "--", "packages", "platform", "tools", "package-lock.json"]);
+        return changes === "" ? commit : `${commit}-modified`;
+    }
+    catch {
+        return `sources-${digestSources()}`;
+    }
+};
+
+const digestSources = () => {
+    const hash = createHash("sha256");
+    const files = ["packages", "platform"].flatMap(root =>
+        readdirSync(root, { recursive: true }).map(file => `${root}/${file}`)
+    );
+    const sources = files.filter(file => /\/src\/.*\.ts$/.test(file) && !file.includes("node_modules")).sort();
+    sources.forEach(file => hash.update(file).update(readFileSync(file)));
+    return hash.digest("hex").slice(0, digestLength);
+};
+
 const alias = Object.fromEntries(
     readdirSync("packages").map(name => [`@marigolddrift/${name}`, resolve("packages", name, "src/index.ts")]),
 );
@@ -17,5 +45,6 @@
     format: "cjs",
     minifySyntax: true,
     alias,
+    define: { bundledBuildId: JSON.stringify(createBuildId()) },
     tsconfig: "tsconfig.base.json",
 });
