Read a head that broke off and the reply after it as no reply

Callers saw a 200 with the text of an error, or a 503 for a call that had run, if a worker sent a part of a surplus head ("HTTP/1.1 200 O") on a connection that stayed open and then replied to the next call there. A limit of requests in such a part was held against all calls.

Cause: the reply parser accepts any text in a reason and a header value, so the next status line became the end of the line that had broken off, and both heads were one.

Why it works: two heads that run together have a status line in the reason or in a value of the first one; in a name or between lines the parser fails.

--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -3,7 +3,7 @@
 import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
 
-import { endsWithConnection } from "./framing.js";
+import { endsWithConnection, isRunTogether } from "./framing.js";
 
 /** Timeout for establishing a connection. */
 const connectTimeoutMs = 400;
@@ -137,12 +137,21 @@
         this.controller = controller;
     }
 
-    onResponseStart(controller: HttpDispatcher.DispatchController, status: number): void {
+    onResponseStart(
+        controller: HttpDispatcher.DispatchController,
+        status: number,
+        _: unknown,
+        reason = "",
+    ): void {
+        const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+        const headers = raw.map(value => typeof value === "string" ? value : value.toString("latin1"));
+        if (isRunTogether(reason, headers)) {
+            this.abort(new Error("the head of a reply broke off, and another reply followed"));
+            return;
+        }
         if (status < 200) {
             return;
         }
-        const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
-        const headers = raw.map(value => typeof value === "string" ? value : value.toString("latin1"));
         this.endsWithConnection = endsWithConnection(headers);
         if (!this.listener.onHead(status, headers)) {
             this.abort(new Error("the reply was refused by its listener"));
