Count a turn's copies only on disks that may not be lost besides the tolerated ones

What callers saw: nothing that a record shows. A turn that was answered whole could be answered 404 after the loss of the tolerated number of disks and of one further machine that the tolerated losses are not counted among, or that was new.

Cause: any synced copy counted. Nothing read inTolerance or catchupS of the settings.

Evidence: five tests fail on the code before, two of them by the turn that is lost or by turns that are not written to the store ("The value undefined is not equal to "t1""), three by a machine that says that its copies count.

Why it works: the machine that takes a copy knows its settings and the age of its disk, and says with the copy whether it counts. A front sends the turn to the next machine otherwise, or to the store if too few count, so that tolerated losses + 1 counted disks or the store hold each turn. Older versions on either side count a copy as before.

--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -17,6 +17,7 @@
 import { findInStages } from "./lookupStages.js";
 import type { Lookup } from "./lookupStages.js";
 import { TurnReplication } from "./turnReplication.js";
+import { UncountedServers } from "./uncountedServers.js";
 
 /** Hedges per turn, over many turns: copies that are late are not lost, and further ones would slow down all others. */
 const hedgeShare = 0.1;
@@ -44,6 +45,7 @@
 export class JournalArchive implements TurnArchive {
     private readonly hedgeBudget = new RetryBudget(hedgeShare);
     private readonly lateServers = new LateServers();
+    private readonly uncountedServers: UncountedServers;
     private servers: JournalServers | undefined;
 
     constructor(
@@ -51,20 +53,31 @@
         private readonly store: TurnArchive,
         private readonly placement: JournalPlacement,
         private readonly log: Logger,
-    ) {}
+    ) {
+        this.uncountedServers = new UncountedServers(log);
+    }
 
     async save(turnToSave: TurnToSave, progress: Progress): Promise<void> {
         const copyCount = this.placement.toleratedLosses + 1;
+        const { hedgeBudget, lateServers, uncountedServers, store, log } = this;
         const reachable = this.rankServers(turnToSave.program).filter(isReachable);
-        const servers = this.lateServers.order(reachable, copyCount);
+        const servers = lateServers.order(uncountedServers.select(reachable, copyCount), copyCount);
         if (servers.length < copyCount) {
             await this.store.save(turnToSave, progress);
             return;
         }
-        const { hedgeBudget, lateServers, store, log } = this;
         hedgeBudget.onRequest();
-        await new TurnReplication({ turnToSave, servers, copyCount, store, hedgeBudget, lateServers, progress, log })
-            .run();
+        await new TurnReplication({
+            turnToSave,
+            servers,
+            copyCount,
+            store,
+            hedgeBudget,
+            lateServers,
+            uncountedServers,
+            progress,
+            log,
+        }).run();
     }
 
     async load(ref: TurnRef, progress: Progress): Promise<TurnRecord | undefined> {
@@ -87,7 +100,9 @@
         progress: Progress,
         loadViaFront: Lookup,
     ): Promise<TurnRecord | undefined> {
-        const servers = this.rankServers(ref.program);
+        const isUncounted = ({ name }: PeerClient): boolean => this.uncountedServers.has(name);
+        const ranked = this.rankServers(ref.program);
+        const servers = [...ranked.filter(server => !isUncounted(server)), ...ranked.filter(isUncounted)];
         const reachable = servers.filter(isReachable);
         const unconnected = servers.filter(server => !reachable.includes(server) && server.isUsable);
         const createLookup = (server: PeerClient) => async (): Promise<TurnRecord | undefined> => {
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -11,6 +11,7 @@
 import type { TrafficRecorder } from "../trafficMeter.js";
 import { RecordRemover } from "../turns/recordRemover.js";
 import { DiskLog } from "./diskLog.js";
+import { DiskStanding } from "./diskStanding.js";
 import { FlushOrder } from "./flushOrder.js";
 import { TurnJournal } from "./turnJournal.js";
 
@@ -34,6 +35,10 @@
     readonly dir: string;
     /** Whether the whole system starts for the first time, in which case an empty disk is complete. */
     readonly firstStart: boolean;
+    /** Whether the machine's loss is one of those that the deployment tolerates now. */
+    readonly isCounted: () => boolean;
+    /** Time for which a new disk may be lost in addition to the tolerated ones. */
+    readonly catchUpMs: number;
     readonly store: VersionedStore;
     /** Receives the bytes exchanged with peers. */
     readonly recordTraffic?: TrafficRecorder;
@@ -46,6 +51,7 @@
     private readonly peers: Peers;
     private readonly server: PeerServer;
     private readonly remover: RecordRemover;
+    private readonly standing: DiskStanding;
     private peerPort = 0;
     private closed = false;
 
@@ -71,6 +77,12 @@
         const flushOrder = new FlushOrder(peerAddress.region, regionOf, () => store.fastestMs);
         const disk = new DiskLog(options.dir, log);
         this.journal = new TurnJournal(disk, store, this.remover, notifyFlushed, flushOrder, log);
+        const { isCounted, catchUpMs } = options;
+        this.standing = new DiskStanding({
+            isCounted,
+            catchUpMs,
+            isStoreReachable: () => this.journal.isStoreReachable,
+        });
     }
 
     /** Resolves once the journal accepts turns, which it does only after peers can discover the server. */
@@ -80,7 +92,10 @@
         while (!this.peers.isRegistered && !this.closed) {
             await new Promise(resolve => setTimeout(resolve, registrationPollMs));
         }
-        await this.journal.start(this.options.firstStart ? 0 : newDiskIncompleteMs);
+        await this.journal.start(
+            this.options.firstStart ? 0 : newDiskIncompleteMs,
+            incompleteMs => this.standing.onOpened(incompleteMs > 0 ? newDiskIncompleteMs - incompleteMs : Infinity),
+        );
     }
 
     /** Flushes all turns to the store and unregisters the server. */
@@ -109,7 +124,7 @@
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
         switch (request.kind) {
             case "keepTurn":
-                return await this.journal.append(request.turn);
+                return await this.journal.append(request.turn) && (this.standing.counts || "uncounted");
             case "findTurn":
                 return this.journal.find(request.id);
             case "turnsFlushed":
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -76,6 +76,11 @@
         this.opened = new Promise(resolve => this.onOpened = resolve);
     }
 
+    /** Whether the last call to the store succeeded. */
+    get isStoreReachable(): boolean {
+        return !this.isStoreUnreachable;
+    }
+
     /** Number of turns that are not yet in the store. */
     get unflushedCount(): number {
         return this.unflushed.size;
@@ -85,8 +90,9 @@
      * Recovers the turns on the disk and starts to accept turns.
      *
      * @param newDiskIncompleteMs Time for which a new disk may lack turns acknowledged by a previous disk of the machine.
+     * @param onOpened Called with what is left of that time before the first turn is accepted.
      */
-    async start(newDiskIncompleteMs: number): Promise<void> {
+    async start(newDiskIncompleteMs: number, onOpened: (incompleteMs: number) => void = () => {}): Promise<void> {
         const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
         segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
         for (const { segment, payload } of payloads) {
@@ -100,6 +106,7 @@
         }
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
+        onOpened(incompleteMs);
         this.accepting = !this.isDraining;
         this.onOpened();
         this.timer = setInterval(() => void this.flushDue(), flushPollMs);
--- a/packages/gateway/src/journal/turnReplication.ts
+++ b/packages/gateway/src/journal/turnReplication.ts
@@ -7,6 +7,7 @@
 import { packTurn } from "../turns/turnRecord.js";
 import type { TurnArchive, TurnToSave } from "../turns/turnStore.js";
 import type { LateServers } from "./lateServers.js";
+import type { UncountedServers } from "./uncountedServers.js";
 
 /** Minimum delay before a further server gets a copy: above a round trip between regions including a disk sync. */
 const minCopyHedgeMs = 90;
@@ -32,6 +33,7 @@
     readonly store: TurnArchive;
     readonly hedgeBudget: RetryBudget;
     readonly lateServers: LateServers;
+    readonly uncountedServers: UncountedServers;
     readonly progress: Progress;
     readonly log: Logger;
 }
@@ -104,15 +106,18 @@
     }
 
     private async send(server: PeerClient, copy: number): Promise<void> {
-        const { lateServers, progress, turnToSave: { turn: { id }, keepMs } } = this.options;
+        const { lateServers, uncountedServers, progress, turnToSave: { turn: { id }, keepMs } } = this.options;
         this.openRequests += 1;
         const mayTakeLong = progress.leftMs >= requestTimeoutMs;
         const askProgress = progress.child(requestTimeoutMs);
         try {
             const turn = { id, record: this.record, keepMs, copy, holders: this.holders };
-            const isStored = await server.ask({ kind: "keepTurn", turn }, askProgress);
-            if (isStored) {
+            const answer = await server.ask({ kind: "keepTurn", turn }, askProgress);
+            if (answer !== false) {
                 lateServers.onAcknowledged(server.name);
+                uncountedServers.onAnswer(server.name, answer !== "uncounted");
+            }
+            if (answer === true) {
                 this.onAcknowledged();
             }
             else {
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -130,8 +130,11 @@
     /** `elsewhere` if the peer does not reserve tokens for others; the sender then reserves them itself. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
     settleTokens: boolean;
-    /** False if the server currently accepts no turns. */
-    keepTurn: boolean;
+    /**
+     * False if the server currently accepts no turns; `uncounted` if it has the turn, but its disk may be lost in addition
+     * to the tolerated losses. Instances that do not know `uncounted` take it for true.
+     */
+    keepTurn: boolean | "uncounted";
     findTurn: FindTurnResponse;
     turnsFlushed: boolean;
 }
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -76,6 +76,8 @@
     readonly records = new Map<string, Map<string, Buffer>>();
     readonly silent = new Set<string>();
     readonly incomplete = new Set<string>();
+    /** Servers that may be lost in addition to the tolerated ones. */
+    readonly uncounted = new Set<string>();
     readonly stored = new Map<string, TurnRecord>();
     isStoreDown = false;
     responseMs = 0;
@@ -145,7 +147,7 @@
         }
         if (request.kind === "keepTurn") {
             records.set(request.turn.id, request.turn.record);
-            return true;
+            return this.uncounted.has(name) ? "uncounted" : true;
         }
         return request.kind === "findTurn" ?
             { record: records.get(request.id), complete: !this.incomplete.has(name) } :
@@ -270,6 +272,33 @@
         await expect(load(fleet, "t9")).toBeRejectedWith("Too few machines");
     });
 
+    // Guards against turns lost with a machine that may be lost besides the tolerated ones, as one that was just added.
+    it("should find a turn after the loss of an uncounted machine and of the tolerated number of others", async () => {
+        const fleet = new FakeFleet();
+        const archive = fleet.archive();
+        await archive.save(toSave("t0"), new Progress(300));
+        const [added, counted] = fleet.holders("t0");
+        fleet.uncounted.add(added!);
+        await archive.save(toSave("t1"), new Progress(300));
+        [added!, counted!].forEach(name => fleet.records.delete(name));
+        expect((await load(fleet, "t1"))?.id).toEqual("t1");
+    });
+
+    it("should save in the store at once when too few machines count, and use them again when they do", async () => {
+        const fleet = new FakeFleet();
+        const archive = fleet.archive();
+        fleet.uncounted.add("a:1").add("b:1");
+        await archive.save(toSave("t1"), new Progress(1_000));
+        fleet.requestCount = 0;
+        await archive.save(toSave("t2"), new Progress(1_000));
+        expect([fleet.stored.has("t1"), fleet.stored.has("t2"), fleet.requestCount]).toEqual([true, true, 0]);
+        fleet.uncounted.clear();
+        await new Promise(resolve => setTimeout(resolve, 1_100));
+        await archive.save(toSave("t3"), new Progress(1_000));
+        await archive.save(toSave("t4"), new Progress(1_000));
+        expect([fleet.stored.has("t4"), fleet.holders("t4").length]).toEqual([false, 2]);
+    });
+
     it("should not rule a turn out while the store is unavailable", async () => {
         const fleet = new FakeFleet();
         fleet.isStoreDown = true;
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -135,6 +135,8 @@
             peerPort: 0,
             dir,
             firstStart: true,
+            isCounted: () => true,
+            catchUpMs: 0,
             store: new PlatformStore(storeAddress),
             log: silentLogger,
         });
--- /dev/null
+++ b/tests/platform/uncountedDisks.test.ts
@@ -0,0 +1,162 @@
+import { Progress, silentLogger } from "@marigolddrift/common";
+import { JournalServer, packTurn, PeerClient } from "@marigolddrift/gateway";
+import type { PeerAddress } from "@marigolddrift/gateway";
+import { PlatformStandin, PlatformStore, SettingsFile } from "@marigolddrift/platform";
+import { expect } from "earl";
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+
+import { turnOf } from "../gateway/journalNode.js";
+import { withDir } from "../gateway/withDir.js";
+import { waitUntil } from "./deployment.js";
+
+const host = "127.0.0.1";
+const catchUpMs = 1_500;
+const memberKey = "marigolddrift/members/disk-1";
+
+interface DiskOptions {
+    readonly firstStart: boolean;
+    readonly isCounted: () => boolean;
+}
+
+/** A machine with a disk, the store, and a connection of a front. */
+class DiskMachine {
+    private readonly keeper: JournalServer;
+    private readonly store: PlatformStore;
+    private client: PeerClient | undefined;
+
+    private constructor(dir: string, options: DiskOptions, address: string) {
+        this.store = new PlatformStore(address);
+        this.keeper = new JournalServer({
+            peerAddress: { instance: "disk-1-1", host, zone: "z", region: "r" },
+            machine: "disk-1",
+            peerPort: 0,
+            dir,
+            catchUpMs,
+            store: this.store,
+            log: silentLogger,
+            ...options,
+        });
+    }
+
+    static async run(
+        dir: string,
+        options: DiskOptions,
+        test: (machine: DiskMachine, platform: PlatformStandin) => Promise<void>,
+    ): Promise<void> {
+        const platform = new PlatformStandin();
+        await platform.start();
+        const machine = new DiskMachine(dir, options, platform.address);
+        try {
+            await machine.connect(platform);
+            await test(machine, platform);
+        }
+        finally {
+            await machine.close();
+            platform.close();
+        }
+    }
+
+    /** Sends a copy of a turn and returns what the machine says about it. */
+    async keep(id: string): Promise<unknown> {
+        const progress = new Progress(1_000);
+        try {
+            const turn = { id, record: packTurn(turnOf(id)), keepMs: 60_000, copy: 0, holders: [] };
+            return await this.client!.ask({ kind: "keepTurn", turn }, progress);
+        }
+        finally {
+            progress.dispose();
+        }
+    }
+
+    private async connect(platform: PlatformStandin): Promise<void> {
+        await this.keeper.start();
+        const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
+        const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
+        this.client = new PeerClient(address, () => key);
+    }
+
+    private async close(): Promise<void> {
+        this.client?.close();
+        await this.keeper.close();
+        await this.store.close();
+    }
+}
+
+const settingsText = (inTolerance: boolean): string => `
+node = "store-north-a-1"
+ip = "10.1.0.38"
+zone = "north-a"
+region = "north"
+innerPorts = [7380,7395]
+inTolerance = ${inTolerance}
+[zones]
+north-a = "north"
+[listen]
+[tolerate]
+machines = 1
+[bounds]
+graceS = 8
+contactMs = 4000
+drainMs = 2500
+configApplyMs = 2500
+[platform]
+address = "10.200.1.7:8142"
+`;
+
+describe("disks that may be lost besides the tolerated ones", () => {
+    // Guards against turns lost with a new machine, which may be lost besides the tolerated number until it has caught up.
+    it("should not count until a new machine has caught up", () =>
+        withDir(dir =>
+            DiskMachine.run(dir, { firstStart: false, isCounted: () => true }, async machine => {
+                expect(await machine.keep("t1")).toEqual("uncounted");
+                await new Promise(resolve => setTimeout(resolve, catchUpMs));
+                expect(await machine.keep("t2")).toEqual(true);
+            })
+        ));
+
+    it("should count at once on the first start, and after a restart with the same disk", () =>
+        withDir(async dir => {
+            const isCounted = () => true;
+            await DiskMachine.run(dir, { firstStart: true, isCounted }, async machine => {
+                expect(await machine.keep("t1")).toEqual(true);
+            });
+            await DiskMachine.run(dir, { firstStart: false, isCounted }, async machine => {
+                expect(await machine.keep("t2")).toEqual(true);
+            });
+        }));
+
+    it("should catch up again after the store was unavailable meanwhile", () =>
+        withDir(dir =>
+            DiskMachine.run(dir, { firstStart: false, isCounted: () => true }, async (machine, platform) => {
+                platform.fault = "down";
+                await machine.keep("t1");
+                // By then the first turn is due, and cannot be written to the store.
+                await new Promise(resolve => setTimeout(resolve, catchUpMs - 200));
+                expect(await machine.keep("t2")).toEqual("uncounted");
+                await new Promise(resolve => setTimeout(resolve, 400));
+                expect(await machine.keep("t3")).toEqual("uncounted");
+            })
+        ));
+
+    it("should count or not as the settings say now, also when they change without a signal", () =>
+        withDir(async dir => {
+            await mkdir(join(dir, "journal"));
+            const file = join(dir, "settings.toml");
+            await writeFile(file, settingsText(false));
+            const settings = new SettingsFile(file);
+            settings.watch(silentLogger);
+            const options = { firstStart: true, isCounted: () => settings.current.inTolerance };
+            await DiskMachine.run(join(dir, "journal"), options, async machine => {
+                expect(await machine.keep("t1")).toEqual("uncounted");
+                await writeFile(file, settingsText(true));
+                await waitUntil(() => settings.current.inTolerance);
+                expect(await machine.keep("t2")).toEqual(true);
+                await writeFile(file, "not = [valid");
+                settings.reload(silentLogger);
+                expect(await machine.keep("t3")).toEqual(true);
+            });
+            settings.unwatch();
+        }));
+});
