Take turns on a machine with a disk only once it is known whether it is to be emptied

What callers saw: nothing that a record shows. A machine that had reported to be empty could take copies of turns again after a restart, and could be taken away with them.

The request to empty it is read beside that, and may be read later.

Evidence: tests/platform/emptiedMachine.test.ts with a store that answers this read a second late: without the wait the machine says that a copy is safe ("[true, false] is not equal to [false, false]"), with it never, and a machine that is not to be emptied still does soon.

--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -39,6 +39,8 @@
     readonly isCounted: () => boolean;
     /** Time for which a new disk may be lost in addition to the tolerated ones. */
     readonly catchUpMs: number;
+    /** Resolves once it is known whether the machine is to be emptied; until then it takes no turns. */
+    readonly mayTakeTurns: Promise<void>;
     readonly store: VersionedStore;
     /** Receives the bytes exchanged with peers. */
     readonly recordTraffic?: TrafficRecorder;
@@ -92,6 +94,7 @@
         while (!this.peers.isRegistered && !this.closed) {
             await new Promise(resolve => setTimeout(resolve, registrationPollMs));
         }
+        await this.options.mayTakeTurns;
         await this.journal.start(
             this.options.firstStart ? 0 : newDiskIncompleteMs,
             incompleteMs => this.standing.onOpened(incompleteMs > 0 ? newDiskIncompleteMs - incompleteMs : Infinity),
--- /dev/null
+++ b/tests/platform/emptiedMachine.test.ts
@@ -0,0 +1,93 @@
+import { Progress, silentLogger } from "@marigolddrift/common";
+import { packTurn, PeerClient } from "@marigolddrift/gateway";
+import type { PeerAddress } from "@marigolddrift/gateway";
+import { parseSettings, PlatformStandin, PlatformStore, StoreMachine } from "@marigolddrift/platform";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+
+import { turnOf } from "../gateway/journalNode.js";
+import { withDir } from "../gateway/withDir.js";
+import { waitUntil } from "./deployment.js";
+
+const memberKey = "marigolddrift/members/disk-1";
+const slowReadMs = 1_000;
+
+/** A store whose reads of the requests to empty machines are slow, as when an answer is lost. */
+class SlowRequestsStore extends PlatformStore {
+    override async range(...args: Parameters<PlatformStore["range"]>): ReturnType<PlatformStore["range"]> {
+        if (args[0].startsWith("op/retire/")) {
+            await new Promise(resolve => setTimeout(resolve, slowReadMs));
+        }
+        return await super.range(...args);
+    }
+}
+
+const settingsOf = (dataDir: string, address: string) =>
+    parseSettings(`
+node = "disk-1"
+ip = "127.0.0.1"
+zone = "north-a"
+region = "north"
+innerPorts = [0,0]
+firstStart = true
+dataDir = ${JSON.stringify(dataDir)}
+[zones]
+north-a = "north"
+[listen]
+[tolerate]
+machines = 1
+[bounds]
+graceS = 8
+contactMs = 4000
+drainMs = 2500
+configApplyMs = 2500
+[platform]
+address = "${address}"
+`);
+
+/** Sends a copy of a turn until the machine has said something about it. */
+const keepOnce = async (client: PeerClient, id: string): Promise<unknown> => {
+    const progress = new Progress(1_000);
+    try {
+        const turn = { id, record: packTurn(turnOf(id)), keepMs: 60_000, copy: 1, holders: [] };
+        return await client.ask({ kind: "keepTurn", turn }, progress);
+    }
+    finally {
+        progress.dispose();
+    }
+};
+
+describe("machine that is to be emptied", () => {
+    // Guards against turns lost with a machine that had reported to be empty, and took turns again after a restart.
+    for (const isRequested of [true, false]) {
+        it(`should ${isRequested ? "never" : "soon"} take turns after a restart if that is ${isRequested ? "" : "not "}requested`, () =>
+            withDir(async dir => {
+                const platform = new PlatformStandin();
+                await platform.start();
+                const store = new SlowRequestsStore(platform.address);
+                if (isRequested) {
+                    platform.put("op/retire/disk-1", { durationS: 5 });
+                }
+                const settings = { current: settingsOf(dir, platform.address) };
+                const machine = new StoreMachine({ settings, instance: "disk-1-1", store, log: silentLogger });
+                const started = machine.start();
+                await waitUntil(() => platform.state.get(memberKey) !== undefined);
+                const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
+                const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
+                const client = new PeerClient(address, () => key);
+                const answers: unknown[] = [];
+                const endsAt = performance.now() + 2 * slowReadMs;
+                for (let turn = 0; performance.now() < endsAt; turn++) {
+                    answers.push(await keepOnce(client, `t${turn}`));
+                    await new Promise(resolve => setTimeout(resolve, 50));
+                }
+                expect([answers.includes(true), answers.includes("uncounted")]).toEqual([!isRequested, false]);
+                expect(platform.state.get("status/retire/disk-1") !== undefined).toEqual(isRequested);
+                await started;
+                client.close();
+                await machine.stop();
+                await store.close();
+                platform.close();
+            }));
+    }
+});
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -137,6 +137,7 @@
             firstStart: true,
             isCounted: () => true,
             catchUpMs: 0,
+            mayTakeTurns: Promise.resolve(),
             store: new PlatformStore(storeAddress),
             log: silentLogger,
         });
--- a/tests/platform/uncountedDisks.test.ts
+++ b/tests/platform/uncountedDisks.test.ts
@@ -34,6 +34,7 @@
             peerPort: 0,
             dir,
             catchUpMs,
+            mayTakeTurns: Promise.resolve(),
             store: this.store,
             log: silentLogger,
             ...options,
