--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -135,6 +135,9 @@
             peerPort: 0,
             dir,
             firstStart: true,
+            isCounted: () => true,
+            catchUpMs: 0,
+            mayTakeTurns: Promise.resolve(),
             store: new PlatformStore(storeAddress),
             log: silentLogger,
         });
