Don't eject a sound upstream for a call that its caller or this instance ended

Cause: an attempt that ended before it had a connection counted as one whose upstream could not be reached, whoever had ended it, and ejected the upstream for all calls of the instance. In the same class, the mean service time fell with each attempt that ended early, and replies broken off for memory could suspect an upstream of a crash.

Fix: the result of an attempt says who ended it, and only an end by the upstream counts against it. A connection that cannot be opened ejects the upstream by itself, so that a dead one is found although each call gives up earlier. The service time can only rise by a call that ended early.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -158,10 +158,16 @@
         }
     }
 
-    /** Adds a sample to the moving average of a model's service time. */
-    recordServiceTime(model: string, ms: number): void {
+    /**
+     * Adds a sample to the moving average of a model's service time.
+     *
+     * @param isComplete Whether the call ran to its end; if not, it would have needed at least this time.
+     */
+    recordServiceTime(model: string, ms: number, isComplete = true): void {
         const queue = this.queue(model);
-        queue.meanServiceMs += serviceTimeSmoothing * (ms - queue.meanServiceMs);
+        if (isComplete || ms > queue.meanServiceMs) {
+            queue.meanServiceMs += serviceTimeSmoothing * (ms - queue.meanServiceMs);
+        }
     }
 
     /** Dispatches queued calls of all models as far as possible, for example after a worker has become available. */
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -110,14 +110,16 @@
         const startedAt = performance.now();
         const previousAttempts = ctx.trace.attempts ?? 0;
         const queuedMs = Math.round(startedAt - ctx.arrivedAt);
+        let result: AttemptResult | undefined;
         Object.assign(ctx.trace, { upstream: lease.worker, attempts: previousAttempts + 1, sentMs: queuedMs });
         try {
             // While the call waited, others like it may have ended their upstreams.
             this.options.blocker.check(ctx, mayHaveRun);
-            return await this.send(ctx, lease);
+            return result = await this.send(ctx, lease);
         }
         finally {
-            dispatcher.recordServiceTime(ctx.service.name, performance.now() - startedAt);
+            const isComplete = result?.kind === "complete";
+            dispatcher.recordServiceTime(ctx.service.name, performance.now() - startedAt, isComplete);
             lease.release();
         }
     }
@@ -141,10 +143,11 @@
     private async send(ctx: CallContext, lease: DispatchLease): Promise<AttemptResult> {
         const upstream = this.options.upstreams.get(lease.worker);
         if (upstream === undefined) {
-            return { kind: "notRun", detail: "the upstream has just left", unreachable: true };
+            return { kind: "notRun", detail: "the upstream has just left", endedBy: "upstream", unreachable: true };
         }
         if (upstream.isLeaving) {
-            return { kind: "notRun", detail: "the upstream has just said that it is leaving", unreachable: false };
+            const detail = "the upstream has just said that it is leaving";
+            return { kind: "notRun", detail, endedBy: "upstream", unreachable: false };
         }
         const response = ctx.route.isStreaming ? new StreamedResponse(ctx.res) : new BufferedResponse();
         const { prompt } = ctx.head;
@@ -175,7 +178,7 @@
             upstream.recordDuration(performance.now() - startedAt);
             this.options.blocker.onAnswered(ctx);
         }
-        if (result.kind === "broken" && !response.hasData && !ctx.progress.signal.aborted) {
+        if (result.kind === "broken" && result.endedBy === "upstream" && !response.hasData) {
             this.options.crashes.onBroken(upstream, ctx.fingerprints());
         }
         await this.completeAttempt(ctx, response, result);
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -7,13 +7,22 @@
 import type { OutgoingCall, ReplyListener, RunningCall } from "./upstreamConnections.js";
 import type { Upstream } from "./upstreams.js";
 
+/** Who ended an attempt early: "here" is the caller, the deadline, a stop or a bound of this instance, and tells nothing of the upstream. */
+export type EndedBy = "upstream" | "here";
+
 /** How an attempt ended. */
 export type AttemptResult =
     | { readonly kind: "complete"; }
     /** The upstream did not run the call. */
-    | { readonly kind: "notRun"; readonly detail: string; readonly unreachable: boolean; }
+    | {
+        readonly kind: "notRun";
+        readonly detail: string;
+        readonly endedBy: EndedBy;
+        /** Whether the upstream could not be reached at all; only an end by the upstream shows that. */
+        readonly unreachable: boolean;
+    }
     /** The call may have run, and there is no complete reply. */
-    | { readonly kind: "broken"; readonly detail: string; };
+    | { readonly kind: "broken"; readonly detail: string; readonly endedBy: EndedBy; };
 
 /** Receives a reply that has been found to belong to the call. */
 export interface ResponseSink {
@@ -51,12 +60,16 @@
     new Promise(resolve => {
         const active: { call?: RunningCall; } = {};
         const abort = (reason: Error): void => active.call?.abort(reason);
-        const onAbort = (): void => abort(progress.signal.reason as Error);
+        const onAbort = (): void => {
+            listener.onEndedHere();
+            abort(progress.signal.reason as Error);
+        };
         const finish = (result: AttemptResult): void => {
             progress.signal.removeEventListener("abort", onAbort);
             resolve(result);
         };
-        active.call = upstream.connections.send(attempt.call, new AttemptListener(attempt, finish, abort));
+        const listener = new AttemptListener(attempt, finish, abort);
+        active.call = upstream.connections.send(attempt.call, listener);
         progress.signal.addEventListener("abort", onAbort, { once: true });
         if (progress.signal.aborted) {
             onAbort();
@@ -67,6 +80,7 @@
     /** Set once the result is known although the reply goes on. */
     private result: AttemptResult | undefined;
     private bytes = 0;
+    private endedBy: EndedBy = "upstream";
     private refusalTimer: NodeJS.Timeout | undefined;
     private readonly held: HeldReply;
 
@@ -99,7 +113,7 @@
             this.onRefused(status);
             return true;
         }
-        this.result = { kind: "broken", detail: `a reply with status ${status} that does not belong to the call` };
+        this.result = this.broken(`a reply with status ${status} that does not belong to the call`);
         return false;
     }
 
@@ -109,7 +123,7 @@
             return this.bytes <= maxRefusalBytes;
         }
         if (this.bytes > maxReplyBytes) {
-            this.result = { kind: "broken", detail: `the reply is longer than ${maxReplyBytes} bytes` };
+            this.result = this.broken(`the reply is longer than ${maxReplyBytes} bytes`);
             return false;
         }
         this.held.add(chunk.length);
@@ -124,23 +138,30 @@
         this.end(
             this.result !== undefined || this.attempt.sink.isWhole ?
                 { kind: "complete" } :
-                { kind: "broken", detail: "the stream ended inside an event" },
+                this.broken("the stream ended inside an event"),
         );
     }
 
     onError(err: Error, sent: boolean): void {
+        const { endedBy } = this;
         this.end(
             sent ?
-                { kind: "broken", detail: err.message } :
-                { kind: "notRun", detail: err.message, unreachable: true },
+                this.broken(err.message) :
+                { kind: "notRun", detail: err.message, endedBy, unreachable: endedBy === "upstream" },
         );
     }
 
+    /** Notes that what follows is not the upstream's doing. */
+    onEndedHere(): void {
+        this.endedBy = "here";
+    }
+
     /** A refusal counts from its head on; its body is read only so that the connection can be used again. */
     private onRefused(status: number): void {
         this.result = {
             kind: "notRun",
             detail: `the upstream refused with ${status}`,
+            endedBy: "upstream",
             unreachable: status === misdirectedStatus,
         };
         this.refusalTimer = setTimeout(
@@ -151,10 +172,15 @@
     }
 
     private breakOff(): void {
-        this.result = { kind: "broken", detail: "the replies of all calls need too much memory" };
+        this.onEndedHere();
+        this.result = this.broken("the replies of all calls need too much memory");
         this.abort(new Error(this.result.detail));
     }
 
+    private broken(detail: string): Extract<AttemptResult, { kind: "broken"; }> {
+        return { kind: "broken", detail, endedBy: this.endedBy };
+    }
+
     private end(result: AttemptResult): void {
         this.held.release();
         clearTimeout(this.refusalTimer);
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -49,7 +49,7 @@
  * Creates a connector that records the end of a connection before the HTTP client handles it: the client treats what has
  * arrived as complete, also if the connection was reset, or closed before the announced length.
  */
-const trackSocketEnds = (ending: SocketEnding): buildConnector.connector => {
+const trackSocketEnds = (ending: SocketEnding, onUnreachable: () => void): buildConnector.connector => {
     const connect = buildConnector({ timeout: connectTimeoutMs });
     const mark = (end: SocketEnd): void => {
         ending.now = end;
@@ -57,7 +57,10 @@
     };
     return (options, callback) =>
         connect(options, (...args) => {
-            const [, socket] = args;
+            const [err, socket] = args;
+            if (err !== null) {
+                onUnreachable();
+            }
             socket?.on("end", () => mark(isReset(socket) ? "failed" : "closed"));
             socket?.on("error", () => mark("failed"));
             callback(...args);
@@ -72,6 +75,8 @@
 
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
+    /** Called when a connection cannot be opened, also if the call that needed it has been given up meanwhile. */
+    onUnreachable: () => void = () => {};
     private readonly pool: Pool;
     private readonly socketEnding: SocketEnding = { now: undefined };
 
@@ -79,7 +84,7 @@
         this.pool = new Pool(`http://${address}`, {
             connections,
             pipelining: 1,
-            connect: trackSocketEnds(this.socketEnding),
+            connect: trackSocketEnds(this.socketEnding, () => this.onUnreachable()),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: defaultKeepAliveMs,
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -35,6 +35,7 @@
 
     constructor(public entry: UpstreamEntry, readonly connections: UpstreamConnections) {
         this.key = `${entry.id}#${entry.startedAt ?? ""}`;
+        connections.onUnreachable = () => this.eject();
     }
 
     isAvailable(now: number): boolean {
@@ -48,7 +49,7 @@
             this.meanCallMs + durationSmoothing * (ms - this.meanCallMs);
     }
 
-    /** Excludes the upstream from new calls for a short time, after an attempt that could not reach it. */
+    /** Excludes the upstream from new calls for a short time, because it could not be reached. */
     eject(): void {
         this.ejectedUntil = performance.now() + ejectionMs;
     }
