Serve the requests of a connection one after the other, so that none is passed on and cut

Callers that write a second request before the first answer lost it when an instance stopped: the first answer said Connection: close, the second request was passed on, and the connection ended without its answer (LOST).

Cause: Node.js hands over each request as soon as it is read, also behind others, and ends the connection after an answer with Connection: close. A response behind others never emits close when its connection ends, so such calls stayed active for good, and the next stop took the whole grace period.

A request that waits behind another has not been passed on, so nothing is lost if the connection ends; only the newest request of a connection may carry Connection: close.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -15,6 +15,7 @@
 import type { CallerLimits, RouteTable } from "../routes.js";
 import { DrainableServer } from "./drainableServer.js";
 import type { DrainSchedule } from "./drainSchedule.js";
+import { RequestSequence } from "./requestSequence.js";
 
 /** Maximum size of the request headers for the HTTP parser; the configured limit is checked after parsing. */
 const parserHeaderBytes = 128 * 1024;
@@ -48,6 +49,7 @@
     private readonly server: DrainableServer;
     private readonly app: Polka;
     private readonly sockets = new Set<Socket>();
+    private readonly sequence = new RequestSequence();
 
     constructor(private readonly options: EntryServerOptions) {
         this.server = new DrainableServer({
@@ -104,10 +106,22 @@
         this.active += 1;
         const isSent = new Promise(resolve => res.once("close", resolve));
         const arrivedAt = performance.now();
+        if (await this.sequence.enter(req, res)) {
+            await this.serve(req, res, arrivedAt);
+            await isSent;
+        }
+        else {
+            const waitedMs = Math.round(performance.now() - arrivedAt);
+            this.options.log.info("request dropped", { method: req.method, path: req.url, waitedMs });
+        }
+        this.active -= 1;
+    }
+
+    private async serve(req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
         const trace: CallTrace = {};
         let progress: Progress | undefined;
         try {
-            if (this.options.drainSchedule() !== undefined) {
+            if (this.options.drainSchedule() !== undefined && this.sequence.isNewest(req, res)) {
                 res.setHeader("Connection", "close");
             }
             const ctx = this.createContext(req, res, arrivedAt, trace);
@@ -122,7 +136,6 @@
             progress?.dispose();
             this.progresses.delete(progress!);
             this.recordCall(req, arrivedAt, trace);
-            void isSent.then(() => this.active -= 1);
         }
     }
 
@@ -157,7 +170,7 @@
         if (this.options.drainSchedule()?.takes(limitMs, arrivedAt) === false) {
             throw new ProblemError("draining", "notRun", "The instance is stopping.", { retryAfterSeconds: 0 });
         }
-        const progress = new Progress(limitMs);
+        const progress = new Progress(limitMs - (performance.now() - arrivedAt));
         res.on("close", () => {
             if (!res.writableFinished && (route.isStreaming || route.idempotent)) {
                 progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
--- /dev/null
+++ b/packages/gateway/src/entry/requestSequence.ts
@@ -0,0 +1,51 @@
+/** Order of the requests that a caller sends on one connection without awaiting the answers (pipelining). */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/**
+ * Lets the requests of a connection be served one after the other, so that none runs whose answer can't be sent because
+ * an earlier one ends the connection.
+ */
+export class RequestSequence {
+    private readonly newest = new WeakMap<Socket, ServerResponse>();
+
+    /**
+     * Waits until all earlier requests of the connection have been answered; resolves to false if it ends before that.
+     *
+     * @example
+     * if (!await sequence.enter(req, res)) {
+     *     return; // The request has not been served, and there is no connection left for an answer.
+     * }
+     */
+    enter(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
+        const { socket } = req;
+        const previous = this.newest.get(socket);
+        this.newest.set(socket, res);
+        if (res.socket !== null) {
+            return Promise.resolve(true);
+        }
+        if (previous?.headersSent === false) {
+            // The connection must stay open for the answer to this request.
+            previous.removeHeader("Connection");
+        }
+        return untilTurn(socket, res);
+    }
+
+    /** Whether no request has arrived on the connection after the given one. */
+    isNewest({ socket }: IncomingMessage, res: ServerResponse): boolean {
+        return this.newest.get(socket) === res;
+    }
+}
+
+/** The server assigns the connection to a response once the ones before it have been sent. */
+const untilTurn = (socket: Socket, res: ServerResponse): Promise<boolean> =>
+    new Promise(resolve => {
+        const onClose = (): void => resolve(false);
+        // Any number of requests may wait.
+        socket.setMaxListeners(0);
+        socket.once("close", onClose);
+        res.once("socket", () => {
+            socket.off("close", onClose);
+            resolve(true);
+        });
+    });
