Ask machines that are new in the list before a turn is said not to be found

What callers saw: 503 for a turn whose earlier turn another front had answered whole 0.2 to 0.4 s before, just after machines with disks had been added; the next attempt was served.

Cause: each front reads the list of machines every 8 s. Before it says that a turn does not exist it reads the list again, but did not ask the machines that were new in it. Each of them counted as one without an answer, and one more of these than the tolerated losses make 503.

The new test fails on ("Too few machines said whether the turn exists.") and passes now.

Why it works: whoever saved the turn knew the machines from the same list, so that the list read now has them, and they are asked; the store is asked after them, since turns move there.

--- a/packages/gateway/src/journal/journalArchive.ts
+++ b/packages/gateway/src/journal/journalArchive.ts
@@ -35,6 +35,9 @@
     readonly toleratedLosses: number;
 }
 
+/** Responses of the servers that were asked for a turn; undefined while, or if, there is none. */
+type TurnResponses = Map<PeerClient, FindTurnResponse | undefined>;
+
 interface JournalServers {
     readonly version: number;
     readonly servers: ReadonlyMap<string, PeerClient>;
@@ -81,10 +84,11 @@
     }
 
     async load(ref: TurnRef, progress: Progress): Promise<TurnRecord | undefined> {
-        const responses = new Map<PeerClient, FindTurnResponse>();
-        const found = await this.findTurn(ref, responses, progress, () => this.loadViaFront(ref, progress));
+        const responses: TurnResponses = new Map();
+        const found = await this.findTurn(ref, responses, progress, () => this.loadViaFront(ref, progress)) ??
+            await this.findOnNewServers(ref, responses, progress);
         if (found === undefined) {
-            await this.verifyAbsent(ref, responses, progress);
+            this.verifyAbsent(ref, responses);
         }
         return found;
     }
@@ -96,7 +100,7 @@
 
     private async findTurn(
         ref: TurnRef,
-        responses: Map<PeerClient, FindTurnResponse>,
+        responses: TurnResponses,
         progress: Progress,
         loadViaFront: Lookup,
     ): Promise<TurnRecord | undefined> {
@@ -105,14 +109,8 @@
         const servers = [...ranked.filter(server => !isUncounted(server)), ...ranked.filter(isUncounted)];
         const reachable = servers.filter(isReachable);
         const unconnected = servers.filter(server => !reachable.includes(server) && server.isUsable);
-        const createLookup = (server: PeerClient) => async (): Promise<TurnRecord | undefined> => {
-            const response = await this.requestTurn(server, ref, progress);
-            if (response !== undefined) {
-                responses.set(server, response);
-            }
-            return response?.record && unpackTurn(response.record);
-        };
-        const loadStored = (): Promise<TurnRecord | undefined> => this.store.load(ref, progress);
+        const createLookup = (server: PeerClient): Lookup => () => this.lookUp(server, ref, responses, progress);
+        const loadStored: Lookup = () => this.store.load(ref, progress);
         const copyCount = this.placement.toleratedLosses + 1;
         return await findInStages([
             reachable.slice(0, 1).map(createLookup),
@@ -128,6 +126,35 @@
         ]);
     }
 
+    /**
+     * Looks a turn up on the servers that were not known yet, or have restarted. Instances learn of a new server seconds
+     * apart, so that another one may already have saved turns there.
+     */
+    private async findOnNewServers(
+        ref: TurnRef,
+        responses: TurnResponses,
+        progress: Progress,
+    ): Promise<TurnRecord | undefined> {
+        await this.reloadServers(ref.id, progress);
+        const newServers = this.peers.journals.filter(server => !responses.has(server) && server.isUsable);
+        return newServers.length === 0 ? undefined : await findInStages([
+            newServers.map(server => () => this.lookUp(server, ref, responses, progress)),
+            [() => this.store.load(ref, progress)],
+        ]);
+    }
+
+    private async lookUp(
+        server: PeerClient,
+        ref: TurnRef,
+        responses: TurnResponses,
+        progress: Progress,
+    ): Promise<TurnRecord | undefined> {
+        responses.set(server, undefined);
+        const response = await this.requestTurn(server, ref, progress);
+        responses.set(server, response);
+        return response?.record && unpackTurn(response.record);
+    }
+
     /** Looks up a turn through another front instance, which may reach journal servers that this one cannot. */
     private async loadViaFront({ id, program }: TurnRef, progress: Progress): Promise<TurnRecord | undefined> {
         const front = this.peers.pickFront();
@@ -154,12 +181,7 @@
      * Throws unless the turn certainly does not exist. Each turn is saved on more disks than may be lost, so all but
      * the tolerated number of servers must have answered that they do not have it.
      */
-    private async verifyAbsent(
-        { id }: TurnRef,
-        responses: ReadonlyMap<PeerClient, FindTurnResponse>,
-        progress: Progress,
-    ): Promise<void> {
-        await this.reloadServers(id, progress);
+    private verifyAbsent({ id }: TurnRef, responses: TurnResponses): void {
         const inconclusive = this.peers.journals.filter(server => responses.get(server)?.complete !== true);
         if (inconclusive.length > this.placement.toleratedLosses) {
             this.log.info("cannot rule out that the turn exists", {
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -72,7 +72,9 @@
 
 /** Journal servers in memory, and a store. */
 class FakeFleet {
-    readonly journals = ["a:1", "b:1", "c:1"].map(name => this.createServer(name));
+    journals = ["a:1", "b:1", "c:1"].map(name => this.createServer(name));
+    /** Servers that an archive learns of when it reads the list of members. */
+    listed: readonly string[] = [];
     readonly records = new Map<string, Map<string, Buffer>>();
     readonly silent = new Set<string>();
     readonly incomplete = new Set<string>();
@@ -107,12 +109,17 @@
     archive(): JournalArchive {
         const peers = {
             version: 0,
-            journals: this.journals,
-            reload: async () => {},
+            journals: [...this.journals],
+            reload: async () => {
+                const known = peers.journals.map(({ name }) => name);
+                const added = this.listed.filter(name => !known.includes(name));
+                peers.journals.push(...added.map(name => this.createServer(name)));
+                peers.version += 1;
+            },
             pickFront: () => this.front,
-        } as never;
+        };
         const placement = { zone: "z", regionOf: () => "r", toleratedLosses: 1 };
-        return new JournalArchive(peers, this.store, placement, silentLogger);
+        return new JournalArchive(peers as never, this.store, placement, silentLogger);
     }
 
     /** Names of the servers that hold a turn. */
@@ -263,6 +270,21 @@
         expect([fleet.holders("t2"), fleet.stored.has("t2")]).toEqual([[], true]);
     });
 
+    // Guards against 503 for a turn that another front has saved on machines that this one has not heard of yet.
+    it("should find a turn on machines that were added since it last read the list of members", async () => {
+        const fleet = new FakeFleet();
+        const reader = fleet.archive();
+        fleet.journals = [];
+        fleet.listed = ["d:1", "e:1"];
+        const saver = fleet.archive();
+        await saver.load({ id: "t0", program: "p" }, new Progress(2_000));
+        fleet.isStoreDown = true;
+        await saver.save(toSave("t1"), new Progress(300));
+        fleet.isStoreDown = false;
+        expect(fleet.holders("t1").sort()).toEqual(["d:1", "e:1"]);
+        expect((await reader.load({ id: "t1", program: "p" }, new Progress(2_000)))?.id).toEqual("t1");
+    });
+
     it("should rule a turn out only if all but the tolerated machines are complete and respond in time", async () => {
         const fleet = new FakeFleet();
         expect(await load(fleet, "t9")).toEqual(undefined);
