Refuse an unreadable request only after the calls before it are answered

Callers that sent a whole request, and then a head or body that broke off or bytes that are no request on the same connection, got 400 or 431 as the answer to the first one, which ran; its own answer was lost. In a stream the refusal came between the events.

Cause: the refusal was written to the connection at once, whatever was still to be answered on it.

Why it works: the refusal waits for the responses to whole requests on its connection, so that answers are in the order of the requests.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -47,7 +47,8 @@
     private readonly progresses = new Set<Progress>();
     private readonly server: Server;
     private readonly app: Polka;
-    private readonly sockets = new Set<Socket>();
+    /** Open connections from callers, with the responses on them that have not been sent to their end. */
+    private readonly sockets = new Map<Socket, Set<ServerResponse>>();
 
     constructor(private readonly options: EntryServerOptions) {
         this.server = createServer({
@@ -58,7 +59,7 @@
         });
         this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
         this.server.on("connection", socket => {
-            this.sockets.add(socket);
+            this.sockets.set(socket, new Set());
             socket.on("close", () => this.sockets.delete(socket));
         });
         this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
@@ -104,6 +105,8 @@
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         this.active += 1;
         const isSent = new Promise(resolve => res.once("close", resolve));
+        const unsent = this.sockets.get(req.socket);
+        unsent?.add(res);
         const arrivedAt = performance.now();
         const trace: CallTrace = {};
         let progress: Progress | undefined;
@@ -123,7 +126,10 @@
             progress?.dispose();
             this.progresses.delete(progress!);
             this.recordCall(req, arrivedAt, trace);
-            void isSent.then(() => this.active -= 1);
+            void isSent.then(() => {
+                this.active -= 1;
+                unsent?.delete(res);
+            });
         }
     }
 
@@ -221,7 +227,16 @@
             "408 Request Timeout" :
             "400 Bad Request";
         this.options.log.info("request refused", { error: asError(err).message, code, status });
-        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        void this.refuse(socket, status);
+    }
+
+    /** Answers what is no request, after the whole requests before it: a caller takes answers in the order of its requests. */
+    private async refuse(socket: Socket, status: string): Promise<void> {
+        const unsent = [...this.sockets.get(socket) ?? []].filter(res => res.req.complete);
+        await Promise.all(unsent.map(res => new Promise(resolve => res.once("close", resolve))));
+        if (socket.writable) {
+            socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        }
     }
 }
 
--- /dev/null
+++ b/tests/platform/brokenRequests.test.ts
@@ -0,0 +1,80 @@
+import { expect } from "earl";
+import { connect } from "node:net";
+import { after, before, describe, it } from "node:test";
+
+import { Deployment } from "./deployment.js";
+
+const headOf = (path: string, id: string, framing: string): string =>
+    `POST ${path} HTTP/1.1\r\nHost: carts.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 2500\r\n${framing}\r\n\r\n`;
+const withLength = (path: string, id: string): string => `${headOf(path, id, "Content-Length: 2")}hi`;
+const inChunks = (path: string, id: string): string =>
+    `${headOf(path, id, "Transfer-Encoding: chunked")}2\r\nhi\r\n3\r\n you\r\n0\r\n\r\n`;
+
+/** Time within which a connection whose request is answered or refused must have ended. */
+const limitMs = 3_500;
+
+// Guards against a refusal of the next request that was sent as the answer to a call which runs, and its own answer lost.
+describe("requests that break off", () => {
+    let deployment: Deployment;
+    before(async () => {
+        deployment = await Deployment.start(1);
+        deployment.plainWorker.delayMs = 100;
+        deployment.streamingWorker.delayMs = 50;
+    });
+    after(() => deployment.close());
+
+    /** Sends bytes on one connection; resolves to all that arrives until the connection ends. */
+    const exchange = (first: string, second: string, closes: boolean): Promise<string> =>
+        new Promise((resolve, reject) => {
+            const socket = connect({ host: "127.0.0.1", port: deployment.gateways[0]!.port, allowHalfOpen: true });
+            const timer = setTimeout(() => reject(new Error("the connection did not end")), limitMs);
+            let received = "";
+            socket.on("data", (data: Buffer) => received += data.toString());
+            socket.on("error", reject);
+            socket.on("end", () => {
+                clearTimeout(timer);
+                socket.destroy();
+                resolve(received);
+            });
+            socket.write(first);
+            // The first call runs by then.
+            setTimeout(() => closes ? socket.end(second) : socket.write(second), 20);
+        });
+
+    /** Statuses of responses, in order. */
+    const statuses = (received: string): string[] =>
+        [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status!);
+
+    const unreadable: Readonly<Record<string, [status: string, bytes: string, closes: boolean]>> = {
+        "bytes that are no request": ["400", "\0\0\0\r\n\r\n", false],
+        "a head that breaks off": ["400", "POST /order/1 HTTP/1.1\r\nHost: carts", true],
+        "a head without end": ["431", `POST /order/1 HTTP/1.1\r\nX-Long: ${"x".repeat(200_000)}`, false],
+        "a body in chunks that breaks off": ["400", inChunks("/order/1", "broken-1").slice(0, -8), true],
+        "a chunk without a size": ["400", inChunks("/order/1", "broken-2").replace("\r\n3\r\n", "\r\nzz\r\n"), false],
+    };
+
+    for (const [name, [status, bytes, closes]] of Object.entries(unreadable)) {
+        it(`should answer a call that runs before it refuses what follows: ${name}`, async () => {
+            const id = deployment.newId();
+            const received = await exchange(withLength("/order/1", id), bytes, closes);
+            expect(statuses(received)).toEqual(["200", status]);
+            expect(received).toInclude(`answer to ${id}`);
+        });
+
+        it(`should end a stream that runs before it refuses what follows: ${name}`, async () => {
+            const id = deployment.newId();
+            const received = await exchange(withLength("/talk/1", id), bytes, closes);
+            expect(statuses(received)).toEqual(["200", status]);
+            expect(received).toInclude(`data: ${id}-2\n\n\r\n0\r\n\r\n`);
+        });
+    }
+
+    it("should pass on no request of which a part is missing", async () => {
+        const ranBefore = deployment.plainWorker.ran.length;
+        const whole = inChunks("/order/1", "part");
+        const parts = Array.from({ length: whole.length - 1 }, (_, cut) => whole.slice(0, cut + 1));
+        const received = await Promise.all(parts.map(part => exchange(part, "", true)));
+        expect(new Set(received.flatMap(statuses))).toEqual(new Set(["400"]));
+        expect(deployment.plainWorker.ran.length).toEqual(ranBefore);
+    });
+});
