--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -48,7 +48,8 @@
     private readonly progresses = new Set<Progress>();
     private readonly server: DrainableServer;
     private readonly app: Polka;
-    private readonly sockets = new Set<Socket>();
+    /** Open connections from callers, with the responses on them that have not been sent to their end. */
+    private readonly sockets = new Map<Socket, Set<ServerResponse>>();
     private readonly sequence = new RequestSequence();
 
     constructor(private readonly options: EntryServerOptions) {
@@ -60,7 +61,7 @@
         });
         this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
         this.server.on("connection", socket => {
-            this.sockets.add(socket);
+            this.sockets.set(socket, new Set());
             socket.on("close", () => this.sockets.delete(socket));
         });
         this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
@@ -105,6 +106,8 @@
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         this.active += 1;
         const isSent = new Promise(resolve => res.once("close", resolve));
+        const unsent = this.sockets.get(req.socket);
+        unsent?.add(res);
         const arrivedAt = performance.now();
         if (await this.sequence.enter(req, res)) {
             await this.serve(req, res, arrivedAt);
@@ -115,6 +118,7 @@
             this.options.log.info("request dropped", { method: req.method, path: req.url, waitedMs });
         }
         this.active -= 1;
+        unsent?.delete(res);
     }
 
     private async serve(req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
@@ -233,7 +237,16 @@
             "408 Request Timeout" :
             "400 Bad Request";
         this.options.log.info("request refused", { error: asError(err).message, code, status });
-        socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        void this.refuse(socket, status);
+    }
+
+    /** Answers what is no request, after the whole requests before it: a caller takes answers in the order of its requests. */
+    private async refuse(socket: Socket, status: string): Promise<void> {
+        const unsent = [...this.sockets.get(socket) ?? []].filter(res => res.req.complete);
+        await Promise.all(unsent.map(res => new Promise(resolve => res.once("close", resolve))));
+        if (socket.writable) {
+            socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        }
     }
 }
 
