Don't pass on a call whose caller left before it was read

The one front that was up at that moment logged 40 calls `caller_gone` 2 to 28 ms after it began with them: they had waited until their callers left, were passed on all the same, and kept the instance behind. Calls that must not run twice were passed on and ran, too.

Cause: a request was handled as soon as its head was parsed, but the end of its connection, which waits behind it, is read only in the next turn of the event loop. Fix: the input that was pending is read first (two turns of the event loop), and a call whose caller has left is not sent to an upstream.

Evidence: tests/platform/lateRequests.test.ts fails before (the worker gets the call, GET and POST) and passes after.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -114,6 +114,8 @@
             const ctx = this.createContext(req, res, arrivedAt, trace);
             progress = ctx.progress;
             this.progresses.add(progress);
+            await pendingInputRead();
+            ctx.checkCaller();
             await runChain(this.options.filters, ctx);
         }
         catch (err) {
@@ -178,6 +180,7 @@
             conversation: undefined,
             reservation: undefined,
             trace,
+            checkCaller: () => checkCaller(req, res),
             fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body),
         };
         return ctx;
@@ -225,6 +228,26 @@
     }
 }
 
+/**
+ * Resolves once the input has been read that was pending when the request was. Load pattern: more requests than the process can
+ * read at once, so that they wait, and the callers of many have left when their turn comes. The end of a connection is read only
+ * in the turn of the event loop after its last data.
+ */
+const pendingInputRead = async (): Promise<void> => {
+    await nextCheckPhase();
+    await nextCheckPhase();
+};
+
+const nextCheckPhase = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+/** Nobody waits for the answer any more, and to run the call would take time from those that others wait for. */
+const checkCaller = (req: IncomingMessage, res: ServerResponse): void => {
+    const isGone = req.socket.destroyed || req.socket.readableEnded || (res.closed && !res.writableFinished);
+    if (isGone) {
+        throw new ProblemError("caller_gone", "notRun", "The caller closed the connection before its call was sent.");
+    }
+};
+
 const checkHeaderBytes = (req: IncomingMessage, maxBytes: number): void => {
     const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
     if (headerBytes + (req.url?.length ?? 0) > maxBytes) {
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -57,6 +57,8 @@
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
     readonly trace: CallTrace;
+    /** Throws if the caller has closed the connection. To be used before anything is sent to an upstream. */
+    checkCaller(): void;
     /** Recognize the call if its caller sends it again. To be used only once the body has been read. */
     fingerprints(): Fingerprints;
 }
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -113,6 +113,7 @@
         let result: AttemptResult | undefined;
         Object.assign(ctx.trace, { upstream: lease.worker, attempts: previousAttempts + 1, sentMs: queuedMs });
         try {
+            ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
             this.options.blocker.check(ctx, mayHaveRun);
             return result = await this.send(ctx, lease);
