Take a success that ends with its connection before the first event as broken off

Callers of a stream got 200 with an empty stream framed as whole, and a turn without output was kept, if a worker sent a head without a length or chunks and closed in order.

Cause: a stream without framing counted as whole unless it stopped inside an event, also without any event, and it is passed on in chunks, whose end says that it is whole.

Why it works: where nothing but the end of the connection ends a success, a stream must have begun; heads that say that there is no body (length 0, 204, HEAD) are whole as before.

--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -48,7 +48,7 @@
         name: "a stream that ends inside an event counts as whole",
         seed: 105,
         file: `${gateway}/upstreams/attempt.ts`,
-        find: "this.result !== undefined || this.attempt.sink.isWhole ?",
+        find: "this.result !== undefined || this.attempt.sink.isWhole(endedWithConnection) ?",
         replace: "this.result !== undefined || this.attempt !== undefined ?",
     },
     {
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -7,7 +7,6 @@
 
 /** Buffers a response, which is sent only once it is complete. */
 export class BufferedResponse implements ResponseSink {
-    readonly isWhole = true;
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
     private head: ReplyHead | undefined;
@@ -26,6 +25,11 @@
         return this.chunks.length > 0;
     }
 
+    /** The end of the connection ends the response to the caller, too, who must judge. */
+    isWhole(): boolean {
+        return true;
+    }
+
     onHead(head: ReplyHead): void {
         this.head = head;
         this.chunks.length = 0;
@@ -74,9 +78,12 @@
         return this.firstDataAt !== undefined;
     }
 
-    /** An error that is answered in place of the stream has no events. */
-    get isWhole(): boolean {
-        return !this.isSuccess || !this.events.isInsideEvent;
+    /**
+     * An error that is answered in place of the stream has no events. A connection that ends before the first event has
+     * broken off: the caller gets chunks, and would take it for a whole stream.
+     */
+    isWhole(endedWithConnection: boolean): boolean {
+        return !this.isSuccess || (!this.events.isInsideEvent && (this.hasData || !endedWithConnection));
     }
 
     get isSuccess(): boolean {
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -32,8 +32,12 @@
     onLeaving(): void;
     onHead(head: ReplyHead): void;
     onData(chunk: Buffer): void;
-    /** Whether the body that has arrived can be the whole one. */
-    readonly isWhole: boolean;
+    /**
+     * Whether the body that has arrived can be the whole one.
+     *
+     * @param endedWithConnection Whether nothing but the end of the connection tells that the body has ended.
+     */
+    isWhole(endedWithConnection: boolean): boolean;
 }
 
 /** Size from which the body of a reply is taken for endless: faulty upstreams may send bytes until the caller closes. */
@@ -134,11 +138,11 @@
         return true;
     }
 
-    onEnd(): void {
+    onEnd(endedWithConnection: boolean): void {
         this.end(
-            this.result !== undefined || this.attempt.sink.isWhole ?
+            this.result !== undefined || this.attempt.sink.isWhole(endedWithConnection) ?
                 { kind: "complete" } :
-                this.broken("the stream ended inside an event"),
+                this.broken("the stream ended inside an event or before the first one"),
         );
     }
 
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -26,8 +26,12 @@
     onHead(status: number, rawHeaders: string[]): boolean;
     /** Returns false to abort the reply. */
     onData(chunk: Buffer): boolean;
-    /** The complete reply has arrived. */
-    onEnd(): void;
+    /**
+     * The complete reply has arrived.
+     *
+     * @param endedWithConnection Whether nothing but the end of the connection tells so.
+     */
+    onEnd(endedWithConnection: boolean): void;
     /** @param sent Whether any part of the call may have reached the upstream. */
     onError(err: Error, sent: boolean): void;
 }
@@ -176,7 +180,7 @@
             this.endOnce(() => this.listener.onError(new Error("the connection ended before the reply did"), true));
             return;
         }
-        this.endOnce(() => this.listener.onEnd());
+        this.endOnce(() => this.listener.onEnd(end === "closed"));
     }
 
     onResponseError(_: HttpDispatcher.DispatchController | undefined, err: Error): void {
--- a/tests/upstreams/brokenHeads.test.ts
+++ b/tests/upstreams/brokenHeads.test.ts
@@ -210,3 +210,67 @@
         });
     });
 });
+
+// Guards against a stream of which only a head without framing arrived, and that was passed on as an empty one framed as whole.
+describe("streams that break off right after a head without framing", () => {
+    const head = `HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nResponse-Signature: ${signature}\r\nConnection: close\r\n\r\n`;
+    const events = "id: 0\ndata: one\n\nid: 1\ndata: two\n\n";
+    let reply: RawReply = { bytes: head, end: "close" };
+    let deployment: Deployment;
+    const server = new RawServer(id => ({ ...reply, bytes: reply.bytes.replaceAll("ID", id) }));
+
+    before(async () => {
+        deployment = await Deployment.start(1);
+        await server.start();
+        deployment.store.put("servers/i-raw-brain", server.entry("brain"));
+        await waitUntil(() => deployment.gateways[0]!.upstreams.get("i-raw-brain") !== undefined);
+    });
+    after(() => {
+        server.close();
+        deployment.close();
+    });
+
+    const talk = (method: string): Promise<string> =>
+        send(deployment.gateways[0]!.port, method, "/talk/1", deployment.newId());
+
+    for (const end of ends) {
+        it(`should ask another worker, or answer that the call may have run: ${end}`, async () => {
+            reply = { bytes: head, end };
+            const results = await countResults(Array.from({ length: 20 }, () => () => talk("POST")));
+            const wrong = Object.keys(results).filter(result => !/^200 id: 0\n[^]*\n\n$/.test(result));
+            expect(wrong).toEqual([]);
+            deployment.streamingWorker.fault = "loseResponse";
+            const broken = await countResults(
+                Array.from({ length: 20 }, () => async () => (await talk("POST")).slice(0, "502".length)),
+            );
+            deployment.streamingWorker.fault = "none";
+            expect(broken).toEqual({ 502: 20 });
+        });
+    }
+
+    it("should keep no turn of it", async () => {
+        reply = { bytes: head, end: "close" };
+        deployment.streamingWorker.fault = "loseResponse";
+        const ids = Array.from({ length: 10 }, (_, index) => `empty-${index}`);
+        const statuses = await Promise.all(ids.map(async id => (await deployment.turn(`p-${id}`, id, "hello")).status));
+        expect(new Set(statuses)).toEqual(new Set([502]));
+        deployment.streamingWorker.fault = "none";
+        const next = await Promise.all(
+            ids.map(async id => (await deployment.turn(`p-${id}`, `${id}-next`, "again", id)).status),
+        );
+        expect(new Set(next)).toEqual(new Set([404]));
+    });
+
+    it("should pass on a whole stream without framing, and an answer that has no body", async () => {
+        deployment.streamingWorker.fault = "loseResponse";
+        reply = { bytes: head + events, end: "close" };
+        expect(await talk("POST")).toEqual(`200 ${events}`);
+        reply = { bytes: head, end: "close" };
+        expect(await talk("HEAD")).toEqual("200 ");
+        reply = { bytes: head.replace("200 OK", "204 No Content"), end: "close" };
+        expect(await talk("POST")).toEqual("204 ");
+        reply = { bytes: head.replace("Connection: close", "Content-Length: 0"), end: "keep" };
+        expect(await talk("POST")).toEqual("200 ");
+        deployment.streamingWorker.fault = "none";
+    });
+});
