--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import { mkdir, open, readdir, readFile, unlink } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
-import { join } from "node:path";
+import { dirname, join } from "node:path";
 import { crc32 } from "node:zlib";
 
 /** Size at which a segment is closed and a new one is created. */
@@ -58,7 +58,7 @@
      * @param newDiskIncompleteMs Time for which a disk counts as incomplete that has never held a log.
      */
     async open(newDiskIncompleteMs: number): Promise<LogContents> {
-        await mkdir(this.dir, { recursive: true });
+        await createDirectory(this.dir);
         const names = await readdir(this.dir);
         const segments = names.map(name => namePattern.exec(name)?.[1]).filter(text => text !== undefined).map(Number)
             .sort((a, b) => a - b);
@@ -122,6 +122,7 @@
         await file.write(`complete-at ${Date.now() + incompleteMs}\n`);
         await file.sync();
         await file.close();
+        await syncDirectory(this.dir);
     }
 
     private async writePending(): Promise<void> {
@@ -156,6 +157,7 @@
         const segment = this.nextSegment++;
         const file = await open(this.segmentPath(segment), "wx");
         await file.sync();
+        await syncDirectory(this.dir);
         return { segment, file, bytes: 0 };
     }
 
@@ -176,6 +178,28 @@
     }
 }
 
+/** Syncs a directory: not every file system keeps the name of a new file that was only synced itself. */
+const syncDirectory = async (dir: string): Promise<void> => {
+    const handle = await open(dir, "r");
+    try {
+        await handle.sync();
+    }
+    finally {
+        await handle.close();
+    }
+};
+
+/** Creates a directory with its parents, and syncs each directory that got a new name. */
+const createDirectory = async (dir: string): Promise<void> => {
+    const firstCreated = await mkdir(dir, { recursive: true });
+    if (firstCreated === undefined) {
+        return;
+    }
+    for (let path = dir; path.length >= firstCreated.length; path = dirname(path)) {
+        await syncDirectory(dirname(path));
+    }
+};
+
 /** Returns the Unix time in milliseconds; undefined if the text was torn by a loss of power. */
 const parseCompleteAt = (text: string): number | undefined => {
     const digits = /^complete-at (\d+)\n$/.exec(text)?.[1];
