Let instances that are stopped at once leave one after the other

Cause: each instance refused new connections 2.6 s after its own signal, whatever the others did. Fix: a stopping instance asks the others of its availability zone whether they take calls, and goes on to accept connections until at least half do, not counting those that stop and precede it; no longer than it can take calls with a limit of 2 s. Each call that it takes has to fit into the grace period, as before.

--- a/packages/gateway/src/drainController.ts
+++ b/packages/gateway/src/drainController.ts
@@ -6,10 +6,15 @@
 import type { RegionBudgets } from "./budgets/regionBudgets.js";
 import { DrainSchedule } from "./entry/drainSchedule.js";
 import type { EntryServer } from "./entry/entryServer.js";
+import type { Succession } from "./fleet/succession.js";
+import type { Standing } from "./peers/peerMessages.js";
 
 /** Interval at which a draining instance checks whether calls are still active. */
 const drainPollMs = 25;
 
+/** Interval at which a draining instance checks whether enough others take calls. */
+const successionPollMs = 200;
+
 /** Part of the grace period, at its end, by which all connections are closed. */
 const closeReserveMs = 200;
 
@@ -21,12 +26,14 @@
     readonly entry: EntryServer;
     readonly budgets: Pick<Budgets, "returnAllUnspent">;
     readonly regionBudgets: Pick<RegionBudgets, "stop">;
+    readonly succession: Pick<Succession, "mayLeave">;
 }
 
 /** Drains an instance once. */
 export class DrainController {
     /** Set from the stop signal on. */
     schedule: DrainSchedule | undefined;
+    private hasLeft = false;
 
     constructor(
         private readonly targets: () => DrainTargets,
@@ -34,6 +41,14 @@
         private readonly log: Logger,
     ) {}
 
+    /** @param isReady Whether the instance takes calls unless it is stopping. */
+    standing(isReady: boolean): Standing {
+        const { schedule } = this;
+        return schedule === undefined ?
+            { takesCalls: isReady, stoppingForMs: undefined } :
+            { takesCalls: !this.hasLeft, stoppingForMs: performance.now() - schedule.startedAt };
+    }
+
     /**
      * Continues to serve calls that end within the grace period until none are active, and refuses others; then returns the
      * unused budgets.
@@ -45,6 +60,9 @@
         regionBudgets.stop();
         this.log.info("stopping", { active: entry.active, connections: entry.connections });
         await delay(schedule.redirectedAt - startedAt);
+        await this.waitForOthers(schedule);
+        this.hasLeft = true;
+        this.log.info("leaving", { ms: Math.round(performance.now() - startedAt), active: entry.active });
         entry.stopAccepting();
         await this.waitUntilIdle(schedule.endsAt);
         schedule.close();
@@ -57,6 +75,14 @@
         this.log.info("stopped", { ms, givenUp, active: entry.active });
     }
 
+    /** Goes on to accept connections while too few other instances do. */
+    private async waitForOthers({ startedAt, leavesBy }: DrainSchedule): Promise<void> {
+        const { succession } = this.targets();
+        while (performance.now() < leavesBy && !await succession.mayLeave(performance.now() - startedAt)) {
+            await delay(Math.min(successionPollMs, Math.max(0, leavesBy - performance.now())));
+        }
+    }
+
     /** @param endsAt Monotonic time until which to wait at most. */
     private async waitUntilIdle(endsAt: number): Promise<void> {
         const { entry } = this.targets();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { PromptSizeFilter } from "./filters/promptSizeFilter.js";
 import { Duties } from "./fleet/duties.js";
+import { Succession } from "./fleet/succession.js";
 import { addGauges } from "./gatewayGauges.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
@@ -76,6 +77,7 @@
     private peerPort = 0;
     private readonly drainController: DrainController;
     readonly regionBudgets: RegionBudgets;
+    readonly succession: Succession;
     private readonly writer: BatchWriter;
     private readonly loadExchange: LoadExchange;
     private readonly facts: FactExchange;
@@ -128,6 +130,7 @@
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
         this.localInstance = { instance: options.instance, region: topology.region, address };
         this.duties = new Duties(this.localInstance, this.peers);
+        this.succession = new Succession(options, this.peers, log);
         this.loadExchange = new LoadExchange(
             this.localInstance,
             this.duties,
@@ -186,8 +189,12 @@
 
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
-        return this.drainController.schedule === undefined && this.activeConfig.table !== undefined &&
-            this.upstreamFollower.hasSnapshot;
+        return this.drainController.schedule === undefined && this.isInformed;
+    }
+
+    /** Whether the instance knows what it needs to serve callers. */
+    private get isInformed(): boolean {
+        return this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
     }
 
     async start(): Promise<void> {
@@ -241,6 +248,8 @@
 
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
         switch (request.kind) {
+            case "standing":
+                return this.drainController.standing(this.isInformed);
             case "returnBudget":
                 return await this.budgets.returnUnspent(request.program, progress);
             case "followed": {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./facts/factExchange.js";
 export * from "./facts/factTable.js";
 export * from "./fleet/duties.js";
+export * from "./fleet/succession.js";
 export * from "./gateway.js";
 export * from "./gatewayMetrics.js";
 export * from "./gatewayOptions.js";
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -125,6 +125,7 @@
             case "shareLoad":
             case "shareFacts":
             case "takePermits":
+            case "standing":
             case "returnBudget":
             case "reserveTokens":
             case "settleTokens":
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -78,6 +78,8 @@
     | { readonly kind: "loadTurn"; readonly id: string; readonly program: string; }
     /** Asks the peer to return its unspent tokens of a program's budget. */
     | { readonly kind: "returnBudget"; readonly program: string; }
+    /** Asks whether the peer takes calls. */
+    | { readonly kind: "standing"; }
     /** Reserves tokens of a program's budget for a turn of the sender. */
     | {
         readonly kind: "reserveTokens";
@@ -113,6 +115,13 @@
     readonly sharers: number;
 }
 
+/** Whether an instance takes calls. */
+export interface Standing {
+    readonly takesCalls: boolean;
+    /** Time since its stop signal; undefined if there was none. */
+    readonly stoppingForMs: number | undefined;
+}
+
 /** Responses to {@link PeerRequest} and {@link JournalRequest}, by kind. */
 export interface PeerResponses {
     get: StoredValue | undefined;
@@ -130,6 +139,8 @@
     /** `elsewhere` if the peer does not reserve tokens for others; the sender then reserves them itself. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
     settleTokens: boolean;
+    /** Undefined from instances that do not know the request. */
+    standing: Standing | undefined;
     /** False if the server currently accepts no turns. */
     keepTurn: boolean;
     findTurn: FindTurnResponse;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -133,6 +133,11 @@
         return [...new Set(fronts.map(({ address }) => address.region))];
     }
 
+    /** All other front instances. */
+    get fronts(): PeerClient[] {
+        return [...this.clients.values()].filter(({ address }) => !address.keepsTurns);
+    }
+
     /** All journal servers. */
     get journals(): PeerClient[] {
         return [...this.clients.values()].filter(({ address }) => address.keepsTurns);
