--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -143,6 +143,7 @@
             case "shareLoad":
             case "shareFacts":
             case "takePermits":
+            case "standing":
             case "returnBudget":
             case "reserveTokens":
             case "settleTokens":
