--- a/tests/upstreams/brokenHeads.test.ts
+++ b/tests/upstreams/brokenHeads.test.ts
@@ -146,6 +146,13 @@
         });
     }
 
+    // Guards against a success that was passed on without a receipt: its name had arrived, but no value.
+    it("should take no success for an answer if its signature has no value", async () => {
+        const unsigned = wholeReplies["200 the answer"]!.replace(signature, "");
+        const tasks = calls.map(([method, path]) => () => callWith(method, path, { bytes: unsigned, end: "keep" }));
+        expect(await countResults(tasks)).toEqual({ 502: tasks.length });
+    });
+
     for (const name of ["length", "early", "limit", "unchanged", "failed", "full"] as const) {
         it(`should not read a part of another head and the reply that follows it as one reply: ${name}`, async () => {
             const lateHead = heads[name]!.replaceAll("ID", "another-call");
