Don't take a connection's end for an answer that is due while the soak stalls

The fronts' logs show neither call. By the ids and times of the calls before, the calls were sent 0.1 and 0.5 s after the fronts' "stopped" line, so that the connections had been closed by then; the soak's own process was held up, saw the end later than it sent the call, and took the end for one that came 200 ms after the call.

The check now leaves out calls during which a timer of the soak itself was over 100 ms late.

--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -85,6 +85,7 @@
         record.violations.push(...new SoakChecks(record, fleet.workers).violations());
     }
     finally {
+        record.stalls.stop();
         await fleet.close();
     }
     const violations = [...record.violations, ...fleet.unexpectedExits];
--- a/bench/soak/soakChecks.ts
+++ b/bench/soak/soakChecks.ts
@@ -78,10 +78,15 @@
             !this.record.disturbances.overlaps(startedAt - bounds.contactMs, endedAt);
     }
 
-    /** A connection that ends in order has been read; one that ends with unread bytes is reset. */
-    private isDropped({ status, end, isLate, front, startedAt, sentAt, endedAt }: Attempt): boolean {
-        return isLate === true && status === undefined && end === "closed" && sentAt !== undefined &&
-            endedAt! - sentAt > bounds.lossSlackMs && !this.record.disturbances.overlaps(startedAt, endedAt!, front);
+    /**
+     * A connection that ends in order has been read; one that ends with unread bytes is reset. If this process was held up, the
+     * connection may have ended before the call was sent.
+     */
+    private isDropped({ status, end, isLate, front, startedAt, sentAt, endedAt = Infinity }: Attempt): boolean {
+        const isClosed = isLate === true && status === undefined && end === "closed";
+        const { disturbances, stalls } = this.record;
+        return isClosed && sentAt !== undefined && endedAt - sentAt > bounds.lossSlackMs &&
+            !disturbances.overlaps(startedAt, endedAt, front) && !stalls.overlaps(startedAt, endedAt);
     }
 
     private checkBudgets(): Violation[] {
--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -2,6 +2,7 @@
 import { Disturbances } from "./disturbances.js";
 import { turnKeepS, visitKeepS } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
+import { StallWatch } from "./stallWatch.js";
 
 /** One attempt of a caller. */
 export interface Attempt {
@@ -56,6 +57,7 @@
     readonly counts: Record<string, number> = {};
     readonly budgets = new Map<string, number>();
     readonly disturbances = new Disturbances();
+    readonly stalls = new StallWatch();
 
     begin(attempt: Attempt): void {
         this.attempts.set(attempt.id, attempt);
