--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -27,8 +27,8 @@
         name: "the caller is told that a call has not run when its answer was lost",
         seed: 102,
         file: `${gateway}/filters/forwardFilter.ts`,
-        find: "new ProblemError(\"upstream_failed\", \"mayHaveRun\"",
-        replace: "new ProblemError(\"no_upstream\", \"notRun\"",
+        find: "throw tries.runs > 0 ? asMayHaveRun(err) : err;",
+        replace: "throw tries.runs > 0 ? new ProblemError(\"no_upstream\", \"notRun\", String(err)) : err;",
     },
     {
         name: "a worker's promise that a call has not run is believed without its statement",
