Ask machines whose copies did not count again together, so that a burst does not use the questions up

Cause: each turn took the question to one machine that was due, although too few were due for the turn to be sent to any. Now a question is taken only if with it there are enough machines.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./journal/journalServer.js";
 export * from "./journal/lateServers.js";
 export * from "./journal/turnJournal.js";
+export * from "./journal/uncountedServers.js";
 export * from "./limits/permitGranter.js";
 export * from "./limits/permits.js";
 export * from "./peers/peerClient.js";
--- a/packages/gateway/src/journal/uncountedServers.ts
+++ b/packages/gateway/src/journal/uncountedServers.ts
@@ -36,23 +36,27 @@
         }
     }
 
-    /** Leaves out the servers whose copies do not count; one of the first `count` is tried again now and then, by one turn. */
+    /**
+     * Leaves out the servers whose copies do not count. One of the first `count` is tried again now and then, by one turn, if with
+     * those that are tried there are enough servers for the turn to be sent to any of them.
+     */
     select<T extends { readonly name: string; }>(servers: readonly T[], count: number): T[] {
+        const candidates = servers.filter(({ name }) => !this.has(name) || this.isDue(name));
+        const mayProbe = candidates.length >= count;
         const selected: T[] = [];
-        for (const server of servers) {
-            if (!this.has(server.name) || (selected.length < count && this.takeProbe(server.name))) {
+        for (const server of candidates) {
+            if (!this.has(server.name)) {
+                selected.push(server);
+            }
+            else if (mayProbe && selected.length < count) {
+                this.probeAt.set(server.name, performance.now() + probeIntervalMs);
                 selected.push(server);
             }
         }
         return selected;
     }
 
-    private takeProbe(name: string): boolean {
-        const now = performance.now();
-        if (now < this.probeAt.get(name)!) {
-            return false;
-        }
-        this.probeAt.set(name, now + probeIntervalMs);
-        return true;
+    private isDue(name: string): boolean {
+        return performance.now() >= this.probeAt.get(name)!;
     }
 }
