Read the disk of a machine that does not know yet whether it is to be emptied

Only taking further turns waits for the first read of the requests now. The new test does not find the turn on the code before, and does now.

--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -94,9 +94,9 @@
         while (!this.peers.isRegistered && !this.closed) {
             await new Promise(resolve => setTimeout(resolve, registrationPollMs));
         }
-        await this.options.mayTakeTurns;
         await this.journal.start(
             this.options.firstStart ? 0 : newDiskIncompleteMs,
+            this.options.mayTakeTurns,
             incompleteMs => this.standing.onOpened(incompleteMs > 0 ? newDiskIncompleteMs - incompleteMs : Infinity),
         );
     }
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -87,12 +87,17 @@
     }
 
     /**
-     * Recovers the turns on the disk and starts to accept turns.
+     * Recovers the turns on the disk, from then on finds and flushes them, and starts to accept turns.
      *
      * @param newDiskIncompleteMs Time for which a new disk may lack turns acknowledged by a previous disk of the machine.
+     * @param mayAccept Resolves once further turns may be accepted.
      * @param onOpened Called with what is left of that time before the first turn is accepted.
      */
-    async start(newDiskIncompleteMs: number, onOpened: (incompleteMs: number) => void = () => {}): Promise<void> {
+    async start(
+        newDiskIncompleteMs: number,
+        mayAccept: Promise<void> = Promise.resolve(),
+        onOpened: (incompleteMs: number) => void = () => {},
+    ): Promise<void> {
         const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
         segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
         for (const { segment, payload } of payloads) {
@@ -107,10 +112,11 @@
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
         onOpened(incompleteMs);
-        this.accepting = !this.isDraining;
         this.onOpened();
         this.timer = setInterval(() => void this.flushDue(), flushPollMs);
         this.log.info("journal is open", { read: payloads.length, unflushed: this.unflushed.size, incompleteMs });
+        await mayAccept;
+        this.accepting = !this.isDraining;
     }
 
     /** Resolves to true once the turn has been synced to disk, or to false if the journal accepts no turns now. */
--- a/tests/platform/emptiedMachine.test.ts
+++ b/tests/platform/emptiedMachine.test.ts
@@ -23,6 +23,13 @@
     }
 }
 
+/** A store that does not answer reads of the requests to empty machines, as to a machine that it turns away. */
+class SilentRequestsStore extends PlatformStore {
+    override range(...args: Parameters<PlatformStore["range"]>): ReturnType<PlatformStore["range"]> {
+        return args[0].startsWith("op/retire/") ? new Promise(() => {}) : super.range(...args);
+    }
+}
+
 const settingsOf = (dataDir: string, address: string) =>
     parseSettings(`
 node = "disk-1"
@@ -91,4 +98,43 @@
                 platform.close();
             }));
     }
+
+    // Guards against turns that are not found while a machine that has restarted can't learn whether it is to be emptied.
+    it("should find the turns on its disk after a restart before it knows whether that is requested", () =>
+        withDir(async dir => {
+            const platform = new PlatformStandin();
+            await platform.start();
+            const settings = { current: settingsOf(dir, platform.address) };
+            const run = async (store: PlatformStore, use: (client: PeerClient) => Promise<void>): Promise<void> => {
+                platform.remove(memberKey);
+                const machine = new StoreMachine({ settings, instance: "disk-1-1", store, log: silentLogger });
+                void machine.start();
+                await waitUntil(() => platform.state.get(memberKey) !== undefined);
+                const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
+                const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
+                const client = new PeerClient(address, () => key);
+                await use(client);
+                client.close();
+                await machine.stop();
+                await store.close();
+            };
+            await run(new PlatformStore(platform.address), async client => {
+                while (await keepOnce(client, "t1") !== true) {
+                    await new Promise(resolve => setTimeout(resolve, 50));
+                }
+            });
+            await run(new SilentRequestsStore(platform.address), async client => {
+                const endsAt = performance.now() + baseBounds.contactMs;
+                let found: { record?: unknown; } | undefined;
+                while (found?.record === undefined && performance.now() < endsAt) {
+                    const progress = new Progress(1_000);
+                    found = await client.ask({ kind: "findTurn", id: "t1" }, progress);
+                    progress.dispose();
+                    await new Promise(resolve => setTimeout(resolve, 50));
+                }
+                expect(found?.record).not.toEqual(undefined);
+                expect(await keepOnce(client, "t2")).toEqual(false);
+            });
+            platform.close();
+        }));
 });
