Pass nothing on from a connection that has been refused, and end it although its caller does not

A connection that has been ended takes no calls now, and is closed 1 s after the refusal. The new test fails before ('the condition did not hold': the connection stays), and passes now; the 408 itself has no test, as Node.js looks for it every 30 s only.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -29,6 +29,9 @@
 /** Time after which callers may retry if the instance has no configuration yet. */
 const notReadyRetryAfterSeconds = 0.5;
 
+/** Time for which a connection stays open after a refusal that ends it, so that the caller can read it. */
+const refusalLingerMs = 1_000;
+
 /** Settings and dependencies of an {@link EntryServer}. */
 export interface EntryServerOptions {
     readonly filters: readonly Filter<CallContext>[];
@@ -249,6 +252,8 @@
         await Promise.all(unsent.map(res => new Promise(resolve => res.once("close", resolve))));
         if (socket.writable) {
             socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+            // The caller may keep its side open, with a request on it that waits.
+            setTimeout(() => socket.destroy(), refusalLingerMs).unref();
         }
     }
 }
@@ -267,7 +272,10 @@
 
 /** Nobody waits for the answer any more, and to run the call would take time from those that others wait for. */
 const checkCaller = (req: IncomingMessage, res: ServerResponse): void => {
-    const isGone = req.socket.destroyed || req.socket.readableEnded || (res.closed && !res.writableFinished);
+    const { socket } = req;
+    // A connection that is half closed counts as closed; one that has been refused gets no further answer.
+    const isClosed = socket.destroyed || socket.readableEnded || socket.writableEnded;
+    const isGone = isClosed || (res.closed && !res.writableFinished);
     if (isGone) {
         throw new ProblemError("caller_gone", "notRun", "The caller closed the connection before its call was sent.");
     }
--- a/tests/platform/brokenRequests.test.ts
+++ b/tests/platform/brokenRequests.test.ts
@@ -91,6 +91,21 @@
         });
     }
 
+    // Guards against calls that count as active, and hold up a stop, as long as a caller that was refused keeps its connection.
+    it("should end the connection after a refusal although its caller keeps its side open", async () => {
+        const { entry, port } = deployment.gateways[0]!;
+        await waitUntil(() => entry.connections === 0);
+        const socket = connect({ host: "127.0.0.1", port, allowHalfOpen: true });
+        socket.on("error", () => {});
+        socket.write(`${withLength("/order/1", deployment.newId())}\0\0\0\r\n\r\n`);
+        let received = "";
+        socket.on("data", (data: Buffer) => received += data.toString());
+        await waitUntil(() => statuses(received).length === 2);
+        await waitUntil(() => entry.connections === 0, limitMs);
+        expect(entry.active).toEqual(0);
+        socket.destroy();
+    });
+
     it("should pass on no request of which a part is missing", async () => {
         const ranBefore = deployment.plainWorker.ran.length;
         const whole = inChunks("/order/1", "part");
