--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -51,7 +51,7 @@
     private readonly progresses = new Set<Progress>();
     private readonly server: DrainableServer;
     private readonly app: Polka;
-    /** Open connections from callers, with the responses on them that have not been sent to their end. */
+    /** Open connections from callers, with the responses on them that have not been sent to their end: a refusal waits for these. */
     private readonly sockets = new Map<Socket, Set<ServerResponse>>();
     private readonly sequence = new RequestSequence();
 
--- a/packages/gateway/src/entry/requestSequence.ts
+++ b/packages/gateway/src/entry/requestSequence.ts
@@ -10,7 +10,8 @@
     private readonly newest = new WeakMap<Socket, ServerResponse>();
 
     /**
-     * Waits until all earlier requests of the connection have been answered; resolves to false if it ends before that.
+     * Waits until all earlier requests of the connection have been answered; resolves to false if it ends before that. Keeps the
+     * answer before from ending the connection, if its head has not been sent.
      *
      * @example
      * if (!await sequence.enter(req, res)) {
@@ -21,6 +22,7 @@
         const { socket } = req;
         const previous = this.newest.get(socket);
         this.newest.set(socket, res);
+        // The server gives a response its connection when all before it have been sent.
         if (res.socket !== null) {
             return Promise.resolve(true);
         }
--- a/packages/gateway/src/journal/diskStanding.ts
+++ b/packages/gateway/src/journal/diskStanding.ts
@@ -20,7 +20,7 @@
 
     constructor(private readonly options: DiskStandingOptions) {}
 
-    /** @param diskAgeMs Time since the disk was new; Infinity if the machine has had it since the first start of the system. */
+    /** @param diskAgeMs Time since the disk was new; Infinity if it is older than is known, or of the first start of the system. */
     onOpened(diskAgeMs: number): void {
         this.countsAt = performance.now() + Math.max(0, this.options.catchUpMs - diskAgeMs);
     }
