Identify workspaces by API key, and keep their turns and budgets apart

The workspaces of the configuration were not read: keys were passed on to the upstreams, and any caller could continue any turn. A call on a route that is not public now needs a known key (401 otherwise, before its body is read); the upstream gets the workspace's name in place of the key. Turns and budgets are scoped by workspace. Without workspaces in the configuration nothing changes.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -38,4 +38,6 @@
     readonly leftMs: number | undefined;
     readonly prompt: PromptShape | undefined;
     readonly program: ProgramInfo | undefined;
+    /** Identifies the object that the call concerns; missing if the caller did not name one. */
+    readonly affinityKey: string | undefined;
 }
--- a/packages/gateway/src/crashes/fingerprint.ts
+++ b/packages/gateway/src/crashes/fingerprint.ts
@@ -12,7 +12,7 @@
 
 /** What identifies a call, without ids, deadlines and the conversation that the system adds. */
 export interface Fingerprints {
-    /** Digest of method, host, path, credentials and the whole body that the caller sent. */
+    /** Digest of method, host, path, credentials or workspace, and the whole body that the caller sent. */
     readonly whole: string;
     /**
      * Digests of the same with the first 256, 512, ... bytes of the body: a caller that sends the conversation itself
@@ -22,7 +22,7 @@
 }
 
 /**
- * Returns the fingerprints of a call.
+ * Returns the fingerprints of a call, in its workspace if there are any.
  *
  * @example
  * fingerprintsOf(ctx.req, ctx.body).whole === "P0qUwdG3o_JPDDp7";
@@ -30,9 +30,18 @@
 export const fingerprintsOf = (
     req: Pick<IncomingMessage, "method" | "url" | "headers">,
     body: Buffer,
+    workspace?: string,
 ): Fingerprints => {
     const hash = createHash("sha256");
-    for (const part of [req.method, req.headers.host, req.url, req.headers.authorization]) {
+    for (
+        const part of [
+            req.method,
+            req.headers.host,
+            req.url,
+            req.headers.authorization,
+            ...(workspace === undefined ? [] : [workspace]),
+        ]
+    ) {
         hash.update(`${part?.length ?? -1}:${part ?? ""}`);
     }
     const digest = (): string => hash.copy().digest().subarray(0, fingerprintBytes).toString("base64url");
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -12,7 +12,8 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { CallProtocol } from "../protocol.js";
 import { chooseTarget } from "../routes.js";
-import type { CallerLimits, RouteTable } from "../routes.js";
+import type { CallerLimits, Route, RouteTable } from "../routes.js";
+import type { Workspace } from "../workspaces.js";
 import { DrainableServer } from "./drainableServer.js";
 import type { DrainSchedule } from "./drainSchedule.js";
 import { RequestSequence } from "./requestSequence.js";
@@ -174,8 +175,9 @@
         if (head.id === undefined) {
             throw new ProblemError("invalid_request", "notRun", "The request has no id.");
         }
+        const workspace = identifyWorkspace(table, route, this.options.protocol.readApiKey(req.headers));
         const limitMs = Math.min(head.leftMs ?? Infinity, route.timeoutMs);
-        Object.assign(trace, { route: route.name, service: service.name, limitMs });
+        Object.assign(trace, { route: route.name, service: service.name, workspace: workspace?.name, limitMs });
         if (this.options.drainSchedule()?.takes(limitMs, arrivedAt) === false) {
             throw new ProblemError("draining", "notRun", "The instance is stopping.", { retryAfterSeconds: 0 });
         }
@@ -193,6 +195,9 @@
             id: head.id,
             route,
             service,
+            workspace,
+            caller: table.workspaces && { workspace: workspace?.name },
+            priority: workspace?.priority ?? route.priority,
             arrivedAt,
             progress,
             body: Buffer.alloc(0),
@@ -200,7 +205,7 @@
             reservation: undefined,
             trace,
             checkCaller: () => checkCaller(req, res),
-            fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body),
+            fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body, workspace?.name),
         };
         return ctx;
     }
@@ -281,6 +286,19 @@
     }
 };
 
+/**
+ * Assigns a call to the workspace that has its API key; undefined for callers that need none.
+ *
+ * @throws ProblemError `unauthorized` if the route needs a key, and this one is missing or unknown.
+ */
+const identifyWorkspace = (table: RouteTable, route: Route, key: string | undefined): Workspace | undefined => {
+    const workspace = table.workspaces?.identify(key);
+    if (table.workspaces !== undefined && workspace === undefined && !route.isPublic) {
+        throw new ProblemError("unauthorized", "notRun", "The API key is missing or unknown.");
+    }
+    return workspace;
+};
+
 const checkHeaderBytes = (req: IncomingMessage, maxBytes: number): void => {
     const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
     if (headerBytes + (req.url?.length ?? 0) > maxBytes) {
--- a/packages/gateway/src/filters/budgetFilter.ts
+++ b/packages/gateway/src/filters/budgetFilter.ts
@@ -2,6 +2,7 @@
 import type { Filter } from "@marigolddrift/common";
 
 import type { TokenReserver } from "../budgets/regionBudgets.js";
+import { scopedName } from "../workspaces.js";
 import type { CallContext } from "./callContext.js";
 
 /** Requires a token reservation for each turn of a program with a budget, and settles the tokens used afterwards. */
@@ -16,7 +17,7 @@
         }
         const startedAt = performance.now();
         ctx.reservation = await this.budgets.reserve(
-            program.id,
+            scopedName(ctx.workspace, program.id),
             program.tokenBudget,
             prompt.maxOutputTokens,
             ctx.progress,
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -5,8 +5,10 @@
 import type { Reservation } from "../budgets/budgets.js";
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
+import type { ForwardedCaller } from "../protocol.js";
 import type { Route, Service } from "../routes.js";
 import type { Conversation } from "../turns/turnRecord.js";
+import type { Workspace } from "../workspaces.js";
 
 /**
  * Fields that are logged when a call has ended. `sentMs` and `firstMs` are times since the headers arrived;
@@ -18,6 +20,7 @@
     turnOf?: string;
     /** Version of the configuration that the route was taken from. */
     config?: number;
+    workspace?: string;
     /** The earlier of the caller's deadline and the route's timeout, in milliseconds since the headers arrived. */
     limitMs?: number;
     route?: string;
@@ -49,6 +52,12 @@
     readonly id: string;
     readonly route: Route;
     readonly service: Service;
+    /** Undefined if the configuration has no workspaces, or if the caller needs none on this route. */
+    readonly workspace: Workspace | undefined;
+    /** What upstreams are told of the caller. */
+    readonly caller: ForwardedCaller | undefined;
+    /** Priority of the workspace, or else of the route; 0 is the highest. */
+    readonly priority: number;
     /** Monotonic time at which the call's headers had arrived. */
     readonly arrivedAt: number;
     /** Aborted at the caller's deadline or the route's timeout, or when the caller disconnects. */
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -20,6 +20,7 @@
 import type { AttemptResult } from "../upstreams/attempt.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
+import { scopedName } from "../workspaces.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
@@ -155,6 +156,7 @@
         const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
             upstream: upstream.entry.id,
             leftMs: Math.floor(ctx.progress.leftMs),
+            caller: ctx.caller,
             enginePriority: prompt === undefined ? undefined : enginePriority(ctx),
         });
         const body = outgoingBody(ctx);
@@ -219,9 +221,14 @@
         }
         const startedAt = performance.now();
         const keepMs = route.turnRetentionMs;
-        const content = { id: ctx.id, input: ctx.body, output: response.events.output(), keepMs };
+        const content = {
+            id: scopedName(ctx.workspace, ctx.id),
+            input: ctx.body,
+            output: response.events.output(),
+            keepMs,
+        };
         const turn = createTurn(content, conversation, Date.now());
-        await this.options.turns.save({ turn, program: program.id, keepMs }, ctx.progress);
+        await this.options.turns.save({ turn, program: scopedName(ctx.workspace, program.id), keepMs }, ctx.progress);
         ctx.trace.savedMs = Math.round(performance.now() - startedAt);
     }
 
@@ -249,10 +256,10 @@
         err;
 
 /**
- * Priority for the engine: by the route's priority first; at the same priority, programs that are already running
+ * Priority for the engine: by the priority of the workspace or route first; at the same priority, programs that are already running
  * precede new ones.
  */
 const enginePriority = (ctx: CallContext): number => {
     const isRunning = ctx.head.program?.previousTurnId !== undefined;
-    return Math.min(9, 2 * ctx.route.priority + (isRunning ? 2 : 3));
+    return Math.min(9, 2 * ctx.priority + (isRunning ? 2 : 3));
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -192,6 +192,11 @@
         return this.drainController.schedule === undefined && this.isInformed;
     }
 
+    /** Version of the configuration in force; undefined until one has been read. */
+    get configVersion(): number | undefined {
+        return this.activeConfig.table?.config.version;
+    }
+
     /** Whether the instance knows what it needs to serve callers. */
     private get isInformed(): boolean {
         return this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -47,3 +47,4 @@
 export * from "./upstreams/upstreamEntry.js";
 export * from "./upstreams/upstreamFollower.js";
 export * from "./upstreams/upstreams.js";
+export * from "./workspaces.js";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -44,7 +44,7 @@
         workspace: ctx.route.name,
         call: 0,
         attainedMs: 0,
-        priority: ctx.route.priority,
+        priority: ctx.priority,
         enqueuedAt: now,
         deadline: now + ctx.progress.leftMs,
         expectedMs: prompt === undefined ? defaultCallMs : expectedTokens * defaultEngineCost.decodeBaseMs,
--- a/packages/gateway/src/protocol.ts
+++ b/packages/gateway/src/protocol.ts
@@ -3,12 +3,20 @@
 
 import type { CallHead } from "./call.js";
 
+/** The caller's identity as an upstream is told, in place of the API key and of what the caller says itself. */
+export interface ForwardedCaller {
+    /** Undefined for a caller without an API key, on a route that needs none. */
+    readonly workspace: string | undefined;
+}
+
 /** Metadata that an instance adds to a call that it forwards. */
 export interface ForwardedCall {
     /** Id of the upstream process that the call is meant for; no other process may run it. */
     readonly upstream: string;
     /** Time left until the call's deadline. */
     readonly leftMs: number;
+    /** What the upstream is told of the caller; undefined if the configuration has no workspaces. */
+    readonly caller: ForwardedCaller | undefined;
     /** Priority for a model engine, from 0 (highest) to 9 (lowest); missing for plain services. */
     readonly enginePriority: number | undefined;
 }
@@ -37,6 +45,8 @@
 /** Translates between the wire format and the gateway's types. */
 export interface CallProtocol {
     parseCall(headers: IncomingHttpHeaders): CallHead;
+    /** Returns the caller's API key. It is not a part of the head, which outlives the look-up and may be logged. */
+    readApiKey(headers: IncomingHttpHeaders): string | undefined;
     /** Returns the headers for the upstream, as alternating names and values. */
     buildUpstreamHeaders(rawHeaders: readonly string[], call: ForwardedCall): string[];
     parseReply(status: number, rawHeaders: readonly string[]): ReplyHead;
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -1,4 +1,6 @@
-/** Routing configuration: routes, services and limits. */
+/** Routing configuration: routes, services, workspaces and limits. */
+import { WorkspaceTable } from "./workspaces.js";
+import type { Workspace } from "./workspaces.js";
 
 /** A service and its weight among the targets of a route. */
 export interface RouteTarget {
@@ -27,6 +29,10 @@
     readonly maxUpstreams: number;
     /** Time for which a turn can be continued; 0 if turns are not stored. */
     readonly turnRetentionMs: number;
+    /** Whether callers need no API key. */
+    readonly isPublic: boolean;
+    /** Whether calls about the same object are served faster by the upstream that served the last one. */
+    readonly isSticky: boolean;
 }
 
 /** Properties of a service's model engines. */
@@ -58,6 +64,8 @@
     readonly version: number;
     readonly routes: readonly Route[];
     readonly services: readonly Service[];
+    /** Undefined if callers need no API keys on any route. */
+    readonly workspaces: readonly Workspace[] | undefined;
     readonly limits: CallerLimits;
 }
 
@@ -65,9 +73,12 @@
 export class RouteTable {
     private readonly hosts = new Map<string, Map<string, Route>>();
     private readonly services: ReadonlyMap<string, Service>;
+    /** Undefined if callers need no API keys on any route. */
+    readonly workspaces: WorkspaceTable | undefined;
 
     constructor(readonly config: RoutingConfig) {
         this.services = new Map(config.services.map(service => [service.name, service]));
+        this.workspaces = config.workspaces && new WorkspaceTable(config.workspaces);
         for (const route of config.routes) {
             const host = route.host.toLowerCase();
             const prefixes = this.hosts.get(host) ?? new Map<string, Route>();
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -20,6 +20,8 @@
     priority: 0,
     maxUpstreams: 1,
     turnRetentionMs: 0,
+    isPublic: false,
+    isSticky: false,
 });
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headersTimeoutMs: 1, idleTimeoutMs: 1 };
 
@@ -29,7 +31,7 @@
         route("deep", "a.example", "/x/y/"),
         route("b", "b.example", "/x/"),
     ];
-    const table = new RouteTable({ version: 1, services: [], limits, routes });
+    const table = new RouteTable({ version: 1, services: [], workspaces: undefined, limits, routes });
 
     it("should select the longest matching prefix among the host's routes", () => {
         const match = (host: string, path: string): string | undefined => table.match(host, path)?.name;
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -84,6 +84,7 @@
         const headers = callHeaders.buildUpstreamHeaders(raw, {
             upstream: "i-1",
             leftMs: 900,
+            caller: undefined,
             enginePriority: undefined,
         });
         expect(headers).toEqual(["X-End", "2", "Deadline-Ms", "900", "Expect-Instance", "i-1"]);
