Decide on quotas from lent shares

A workspace's limit must hold over all instances without agreement between them. Adds the pure decisions: a token bucket scaled by the lent shares, the leases of the shares, and the pacing of new programs.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -13,5 +13,8 @@
 export * from "./pauseModel.js";
 export * from "./placement.js";
 export * from "./prefixView.js";
+export * from "./quota/programPacing.js";
+export * from "./quota/quotaBucket.js";
+export * from "./quota/shareLease.js";
 export * from "./retention.js";
 export * from "./retryBudget.js";
