Enforce the quotas of workspaces over all instances

Workspaces had quotas in the configuration that nothing enforced. Each instance lends its share to the instances that grant permits, a call takes a permit before each send, and a call that the quota has no room for gets 429 quota_exceeded. Without the settings of quotas nothing changes.

--- a/packages/common/src/verdict.ts
+++ b/packages/common/src/verdict.ts
@@ -49,6 +49,7 @@
     turn_limit: [422, "Open a new program; this one made as many calls as its agent allows."],
     idempotency_key_required: [428, "Send an Idempotency-Key with a call that must not be repeated."],
     overloaded: [429, "Wait for Retry-After and send it again."],
+    quota_exceeded: [429, "Wait for Retry-After and send it again; the workspace is over its quota."],
     headers_too_large: [431, "Send fewer or shorter headers."],
     caller_gone: [499, "The connection closed before the answer was complete."],
     internal: [500, "Report it with the log lines of this request."],
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -203,6 +203,7 @@
             body: Buffer.alloc(0),
             conversation: undefined,
             reservation: undefined,
+            permit: undefined,
             trace,
             checkCaller: () => checkCaller(req, res),
             fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body, workspace?.name),
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -6,6 +6,7 @@
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { ForwardedCaller } from "../protocol.js";
+import type { CallPermit } from "../quotas/callPermit.js";
 import type { Route, Service } from "../routes.js";
 import type { Conversation } from "../turns/turnRecord.js";
 import type { Workspace } from "../workspaces.js";
@@ -30,6 +31,8 @@
     attempts?: number;
     /** Number of times that a chosen upstream was at the limit that it names. */
     permitsRefused?: number;
+    /** Time for which the call waited for its first permit under the quota, beyond what it had to wait for anyway. */
+    quotaMs?: number;
     historyMs?: number;
     budgetMs?: number;
     sentMs?: number;
@@ -65,6 +68,8 @@
     body: Buffer;
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
+    /** Undefined if the call counts towards no quota. */
+    permit: CallPermit | undefined;
     readonly trace: CallTrace;
     /** Throws if the caller has closed the connection. To be used before anything is sent to an upstream. */
     checkCaller(): void;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -69,6 +69,7 @@
 
     async handle(ctx: CallContext): Promise<void> {
         const tries: Tries = { excluded: new Set(), refusals: 0, runs: 0 };
+        await this.admit(ctx);
         try {
             while (!await this.tryOnce(ctx, tries)) {
                 // The attempt failed in a way that allows another one.
@@ -79,6 +80,15 @@
         }
     }
 
+    /** Refuses a call that the quota has no room for before it waits for an upstream. */
+    private async admit(ctx: CallContext): Promise<void> {
+        if (ctx.permit !== undefined) {
+            const startedAt = performance.now();
+            await ctx.permit.admitted(ctx.progress);
+            ctx.trace.quotaMs = Math.round(performance.now() - startedAt);
+        }
+    }
+
     /** Resolves to whether the call is complete. */
     private async tryOnce(ctx: CallContext, tries: Tries): Promise<boolean> {
         const result = await this.runAttempt(ctx, tries.excluded, tries.runs > 0);
@@ -107,19 +117,25 @@
         if (!await this.takePermit(ctx, lease)) {
             return { kind: "noPermit" };
         }
+        await this.takeQuota(ctx, lease);
         excluded.add(lease.worker);
         const startedAt = performance.now();
         const previousAttempts = ctx.trace.attempts ?? 0;
         const queuedMs = Math.round(startedAt - ctx.arrivedAt);
         let result: AttemptResult | undefined;
+        let isSent = false;
         Object.assign(ctx.trace, { upstream: lease.worker, attempts: previousAttempts + 1, sentMs: queuedMs });
         try {
             ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
             this.options.blocker.check(ctx, mayHaveRun);
+            isSent = true;
             return result = await this.send(ctx, lease);
         }
         finally {
+            if (!isSent || result?.kind === "notRun") {
+                ctx.permit?.refund();
+            }
             const isComplete = result?.kind === "complete";
             dispatcher.recordServiceTime(ctx.service.name, performance.now() - startedAt, isComplete);
             lease.release();
@@ -142,6 +158,17 @@
         return permitted;
     }
 
+    /** Takes the permit of the workspace's quota; releases the upstream if there is none. */
+    private async takeQuota(ctx: CallContext, lease: DispatchLease): Promise<void> {
+        try {
+            await ctx.permit?.take(ctx.progress);
+        }
+        catch (err) {
+            lease.release();
+            throw err;
+        }
+    }
+
     private async send(ctx: CallContext, lease: DispatchLease): Promise<AttemptResult> {
         const upstream = this.options.upstreams.get(lease.worker);
         if (upstream === undefined) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,12 +12,8 @@
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
-import { BlockFilter } from "./filters/blockFilter.js";
-import { BodyFilter } from "./filters/bodyFilter.js";
-import { BudgetFilter } from "./filters/budgetFilter.js";
+import { createCallFilters } from "./filters/callFilters.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
-import { HistoryFilter } from "./filters/historyFilter.js";
-import { PromptSizeFilter } from "./filters/promptSizeFilter.js";
 import { Duties } from "./fleet/duties.js";
 import { Succession } from "./fleet/succession.js";
 import { addGauges } from "./gatewayGauges.js";
@@ -35,6 +31,8 @@
 import { handleStoreRequest, RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { QueuedCall } from "./placement.js";
+import { Quotas } from "./quotas/quotas.js";
+import type { RoutingConfig } from "./routes.js";
 import { StallMonitor } from "./stallMonitor.js";
 import { ActiveConfig } from "./state/activeConfig.js";
 import { BatchWriter } from "./state/batchWriter.js";
@@ -49,21 +47,12 @@
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import { ReplyMemory } from "./upstreams/replyMemory.js";
 import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
-import { Upstreams } from "./upstreams/upstreams.js";
+import { connectionsPerInstance, Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
 
-/** Number of instances assumed to share an upstream's connection limit. */
-const assumedInstanceCount = 8;
-
-/** Maximum number of connections from one instance to an upstream. */
-const maxConnectionsPerUpstream = 24;
-
-/** Time for which writes are collected into a batch before it is sent. */
+/** Time for which writes are collected into a batch. */
 const batchDelayMs = 3;
 
-/** Limit on the body size until a configuration has been loaded. */
-const defaultMaxBodyBytes = 1024 * 1024;
-
 /** An instance that serves callers. */
 export class Gateway {
     readonly metrics = new GatewayMetrics();
@@ -85,6 +74,8 @@
     private readonly permits: Permits;
     private readonly blocker: CallBlocker;
     private readonly permitGranter: PermitGranter;
+    /** Undefined if no quotas are enforced. */
+    private readonly quotas: Quotas | undefined;
     private readonly storeArchive: StoreArchive;
     private readonly journalArchive: JournalArchive;
     private readonly localInstance: LocalInstance;
@@ -108,9 +99,8 @@
         this.stallMonitor = new StallMonitor(log);
         this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes);
         this.drainController = new DrainController(() => this, options.graceMs, log);
-        this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
+        this.activeConfig = new ActiveConfig(layout, config => this.onConfig(config), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
-        const store = this.store;
         this.peers = this.createPeers();
         this.peerServer = new PeerServer(
             () => this.peers.key,
@@ -124,13 +114,16 @@
                 this.limits.forget(upstream);
             },
             () => this.activeConfig.table,
-            maxConnections => Math.min(maxConnectionsPerUpstream, Math.floor(maxConnections / assumedInstanceCount)),
+            connectionsPerInstance,
             log,
         );
         const address = (): string => peerName({ host: options.host, port: this.peerPort });
         this.localInstance = { instance: options.instance, region: topology.region, address };
         this.duties = new Duties(this.localInstance, this.peers);
         this.succession = new Succession(options, this.peers, log);
+        const { duties, localInstance, metrics, peers } = this;
+        const fleet = { localInstance, duties, peers, metrics, random, log };
+        this.quotas = options.quotas && new Quotas({ settings: options.quotas, ...fleet });
         this.loadExchange = new LoadExchange(
             this.localInstance,
             this.duties,
@@ -147,19 +140,22 @@
         this.facts = new FactExchange(this.localInstance, this.duties, this.peers, factClock, sources, log);
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
         const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits);
-        this.writer = new BatchWriter(store, batchDelayMs, log);
-        this.storeArchive = new StoreArchive(store, this.writer, log);
+        this.writer = new BatchWriter(this.store, batchDelayMs, log);
+        this.storeArchive = new StoreArchive(this.store, this.writer, log);
         this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
         this.turns = new TurnStore(this.journalArchive, log);
-        this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
+        this.budgets = new Budgets(options.instance, this.writer, this.store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
-        const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
-        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
+        this.upstreamFollower = new UpstreamFollower(
+            this.upstreams,
+            layout,
+            () => this.dispatcher.dispatchAllQueued(),
+            log,
+        );
         this.entry = this.createEntry(pool, random);
-        const { duties, localInstance, peers } = this;
-        const watchOptions = { ...options, store, localInstance, duties, peers };
+        const watchOptions = { ...options, store: this.store, localInstance, duties, peers };
         const outages = {
             onDisconnected: () => this.upstreamFollower.onStoreLost(),
             onReconnected: () => this.upstreamFollower.onStoreRegained(),
@@ -228,6 +224,7 @@
         this.loadExchange.close();
         this.facts.close();
         this.permitGranter.close();
+        this.quotas?.close();
         this.blocker.close();
         this.peers.stop();
         this.peerServer.close();
@@ -248,7 +245,17 @@
                 this.duties.likelyCarriers([layout.configKey, layout.upstreamsPrefix]),
                 this.duties.partners(),
             ] as const;
-        return new Peers(machine, localAddress, this.store, this.log, recordTraffic, neededFronts);
+        const detectsRestart = this.options.quotas !== undefined;
+        return new Peers(
+            machine,
+            localAddress,
+            this.store,
+            this.log,
+            recordTraffic,
+            neededFronts,
+            undefined,
+            detectsRestart,
+        );
     }
 
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
@@ -268,6 +275,8 @@
                 return await this.facts.onRequest(request, progress);
             case "takePermits":
                 return await this.permits.onRequest(request, progress);
+            case "takeQuota":
+                return this.quotas?.onRequest(request);
             case "loadTurn": {
                 const turn = await this.journalArchive.loadForPeer(request, progress);
                 return turn && packTurn(turn);
@@ -305,16 +314,15 @@
             recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
         });
-        const maxBytes = (): number => this.activeConfig.table?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
         return new EntryServer({
-            filters: [
-                new BodyFilter(maxBytes),
-                new BlockFilter(this.blocker),
-                new PromptSizeFilter(),
-                new HistoryFilter(turns),
-                new BudgetFilter(this.regionBudgets),
+            filters: createCallFilters({
+                maxBodyBytes: () => this.activeConfig.maxBodyBytes,
+                blocker: this.blocker,
+                requestPermit: this.quotas?.requestPermit,
+                turns,
+                budgets: this.regionBudgets,
                 forward,
-            ],
+            }),
             protocol,
             routes: () => this.activeConfig.table,
             drainSchedule: () => this.drainController.schedule,
@@ -329,6 +337,11 @@
         this.options.recordTraffic?.({ ...exchange, link: isNear ? "region" : "otherRegion" });
     }
 
+    private onConfig({ limits, workspaces }: RoutingConfig): void {
+        this.entry.applyLimits(limits);
+        this.quotas?.applyWorkspaces(workspaces);
+    }
+
     private onConfigChanges(changes: readonly StoreChange[]): void {
         const puts = changes.filter(change => change.kind === "put");
         puts.forEach(({ stored }) => this.activeConfig.apply(stored, this.config.reader.source));
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -3,6 +3,7 @@
 import type { VersionedStore } from "@marigolddrift/store";
 
 import type { CallProtocol } from "./protocol.js";
+import type { QuotaSettings } from "./quotas/quotaSettings.js";
 import type { RoutingConfig } from "./routes.js";
 import type { TrafficRecorder } from "./trafficMeter.js";
 import type { UpstreamEntry } from "./upstreams/upstreamEntry.js";
@@ -42,6 +43,8 @@
     readonly graceMs: number;
     /** Memory for the replies of all calls in progress. */
     readonly maxReplyMemoryBytes: number;
+    /** Bounds of the workspaces' quotas; without them, no quotas are enforced. */
+    readonly quotas?: QuotaSettings | undefined;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -143,6 +143,7 @@
             case "shareLoad":
             case "shareFacts":
             case "takePermits":
+            case "takeQuota":
             case "standing":
             case "returnBudget":
             case "reserveTokens":
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -74,6 +74,15 @@
         /** Whether another instance passes the request on, which may be done only once. */
         readonly relayed: boolean;
     }
+    /** Asks a granting instance for permits of workspaces, and renews the lease of the sender's share. */
+    | {
+        readonly kind: "takeQuota";
+        readonly renewal: QuotaRenewal;
+        /** Missing if there are none. */
+        readonly asks?: readonly QuotaAsk[];
+        /** What the sender, a granting instance itself, would borrow of what is idle here; missing if there is nothing. */
+        readonly borrows?: readonly QuotaBorrow[];
+    }
     /** Looks up a turn for an instance that cannot reach the journal servers. */
     | { readonly kind: "loadTurn"; readonly id: string; readonly program: string; }
     /** Asks the peer to return its unspent tokens of a program's budget. */
@@ -115,6 +124,61 @@
     readonly sharers: number;
 }
 
+/** Who asks for permits, and the share that is lent with it. */
+export type QuotaRenewal = readonly [
+    /** Name of the sender. */
+    from: string,
+    /** Number of front instances that the sender knows, including itself. */
+    members: number,
+    /** Bit mask of the slots whose share the sender lends by accepting the offer. */
+    slots: number,
+    /** The latest offer of the granting instance; missing if nothing is lent. */
+    ...offer: PackedOffer | [],
+];
+
+/** A {@link ShareOffer}. */
+export type PackedOffer = readonly [issuer: number, until: number, leaseMs: number];
+
+/** Permits of one workspace that an instance asks for and returns. Encoded without names, as each is sent several times a second. */
+export type QuotaAsk = readonly [
+    workspace: string,
+    /** Permits for calls that wait, except those of programs that the sender does not know. */
+    count: number,
+    /** Digests of the programs that the sender does not know, one for each of their waiting calls. */
+    programs: readonly number[],
+    /** Permits for calls that are expected soon. */
+    ahead: number,
+    /** Permits that are returned unused. */
+    returned: number,
+];
+
+/** Response to a {@link QuotaAsk}. */
+export type QuotaAnswer = readonly [
+    /** Permits granted for waiting calls, and in advance. */
+    granted: number,
+    /** Indexes of the programs whose call was granted a permit. */
+    programs: readonly number[],
+    /** Time after which the first call that was refused may be served, and further time for each one after it. */
+    retryInMs: number,
+    spacingMs: number,
+    /** Time for which new programs are held back; 0 if they are not. */
+    startRetryInMs: number,
+    /** Time after which permits are expected, for which calls should wait instead of being refused; 0 if there is none. */
+    waitMs: number,
+];
+
+/** Permits that a granting instance asks another region's for. */
+export type QuotaBorrow = readonly [workspace: string, count: number];
+
+/** Response of a granting instance. */
+export interface QuotaResponse {
+    readonly offer: PackedOffer;
+    /** In the order of the asks; missing if there were none. */
+    readonly answers?: readonly QuotaAnswer[];
+    /** Permits lent, and the time after which there may be more, in the order of the borrows; missing if there were none. */
+    readonly lent?: readonly (readonly [count: number, retryInMs: number])[];
+}
+
 /** Whether an instance takes calls. */
 export interface Standing {
     readonly takesCalls: boolean;
@@ -136,6 +200,8 @@
     /** Undefined from instances that do not know the request. */
     shareFacts: FactBatch | undefined;
     takePermits: PermitResponse | undefined;
+    /** Undefined from instances that do not know the request. */
+    takeQuota: QuotaResponse | undefined;
     /** `elsewhere` if the peer does not reserve tokens for others; the sender then reserves them itself. */
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
     settleTokens: boolean;
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -26,6 +26,9 @@
 /** Minimum time between reads of the member list for peers that are not known. */
 const newPeerRefreshMs = 1_000;
 
+/** Time after the first registration until the other instances have found this one in the member list. */
+const settlingMs = 10_000;
+
 const callTimeoutMs = 1_000;
 
 /** Interval at which connections are checked while all needed ones are open. */
@@ -65,6 +68,8 @@
     private registered = false;
     private stopped = false;
     private refreshedAt = -Infinity;
+    private restarted = false;
+    private membersReadAt: number | undefined;
     private refreshTimer: NodeJS.Timeout | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
 
@@ -77,6 +82,8 @@
         /** Returns the names of the front instances that are connected in advance: urgent ones, then the others. */
         private readonly neededFronts: () => readonly [readonly string[], readonly string[]] = () => [[], []],
         private readonly random: () => number = Math.random,
+        /** Whether to find out if another process of this machine was registered before. */
+        private readonly detectsRestart = false,
     ) {}
 
     /** Whether this instance has been added to the member list. */
@@ -84,6 +91,15 @@
         return this.registered;
     }
 
+    /**
+     * Whether the member list is known to include all instances that may count on this one. After a restart they know the machine;
+     * otherwise they learn of it with their next refresh.
+     */
+    get isSettled(): boolean {
+        const readAt = this.membersReadAt;
+        return readAt !== undefined && (this.restarted || performance.now() - readAt >= settlingMs);
+    }
+
     /** Shared key, which proves that a peer can read the same store. */
     get key(): string | undefined {
         return this.sharedKey;
@@ -192,6 +208,7 @@
             await progress.race(this.register(progress));
             const { values } = await progress.race(this.store.range(membersPrefix, progress, { mayBeStale: true }));
             this.applyMembers(values);
+            this.membersReadAt ??= performance.now();
         }
         catch (err) {
             this.log.info("failed to refresh peers", { error: asError(err).message, known: this.clients.size });
@@ -258,8 +275,14 @@
         if (this.registered) {
             return;
         }
-        const value = Buffer.from(JSON.stringify(this.localAddress()));
-        await this.store.txn([], [{ key: `${membersPrefix}${this.machine}`, value }], progress);
+        const local = this.localAddress();
+        const key = `${membersPrefix}${this.machine}`;
+        if (this.detectsRestart) {
+            const stored = await this.store.get(key, progress);
+            const previous = stored && parseAddress(stored.value);
+            this.restarted ||= previous !== undefined && previous.instance !== local.instance;
+        }
+        await this.store.txn([], [{ key, value: Buffer.from(JSON.stringify(local)) }], progress);
         this.registered = true;
         this.log.info("registered", { machine: this.machine });
     }
--- /dev/null
+++ b/packages/gateway/src/quotas/callPermit.ts
@@ -0,0 +1,102 @@
+/** The permit of one call under the quota of its workspace. */
+import type { Progress } from "@marigolddrift/common";
+
+/** A permit that was granted to this instance. */
+export interface GrantedPermit {
+    /** Monotonic time until which a call may be sent with it. */
+    readonly expiresAt: number;
+    /** Name of the instance that granted it. */
+    readonly granter: string;
+}
+
+/** Asks for and takes back the permits of one workspace. */
+export interface PermitPool {
+    /** Resolves to a permit. @throws ProblemError `quota_exceeded` if there is none. */
+    request(program: number | undefined): Promise<GrantedPermit>;
+    /** Takes back a permit with which nothing was run. */
+    giveBack(permit: GrantedPermit): void;
+}
+
+/**
+ * Holds a permit from the arrival of a call until it is sent. A permit that has expired by then is returned, and another one is
+ * asked for.
+ */
+export class CallPermit {
+    private held: GrantedPermit | undefined;
+    private taken: GrantedPermit | undefined;
+    private asking: Promise<void>;
+    private isReleased = false;
+
+    /**
+     * @param program Digest of the program if this may be its first call.
+     * @param onGranted Called when a permit was granted.
+     */
+    constructor(
+        private readonly pool: PermitPool,
+        program: number | undefined,
+        private readonly onGranted: () => void = () => {},
+    ) {
+        this.asking = this.request(program);
+    }
+
+    /** Resolves once there is a permit. @throws ProblemError `quota_exceeded` if the call is refused. */
+    async admitted(progress: Progress): Promise<void> {
+        await progress.race(this.asking);
+    }
+
+    /** Takes the permit for one attempt; to be used immediately before the call is sent. */
+    async take(progress: Progress): Promise<void> {
+        for (;;) {
+            await this.admitted(progress);
+            const permit = this.held;
+            this.held = undefined;
+            if (permit !== undefined && performance.now() < permit.expiresAt) {
+                this.taken = permit;
+                return;
+            }
+            if (permit !== undefined) {
+                this.pool.giveBack(permit);
+            }
+            this.asking = this.request(undefined);
+        }
+    }
+
+    /** Takes back the permit of the last attempt, which the upstream did not run. */
+    refund(): void {
+        const permit = this.taken;
+        this.taken = undefined;
+        if (permit === undefined) {
+            return;
+        }
+        if (this.isReleased || this.held !== undefined) {
+            this.pool.giveBack(permit);
+        }
+        else {
+            this.held = permit;
+        }
+    }
+
+    /** Returns what was not used; the call has ended. */
+    release(): void {
+        this.isReleased = true;
+        if (this.held !== undefined) {
+            this.pool.giveBack(this.held);
+            this.held = undefined;
+        }
+    }
+
+    private request(program: number | undefined): Promise<void> {
+        const asking = this.pool.request(program).then(permit => {
+            this.onGranted();
+            if (this.isReleased) {
+                this.pool.giveBack(permit);
+            }
+            else {
+                this.held = permit;
+            }
+        });
+        // A call that ends before it is sent does not wait for the answer.
+        asking.catch(() => {});
+        return asking;
+    }
+}
--- a/packages/gateway/src/state/activeConfig.ts
+++ b/packages/gateway/src/state/activeConfig.ts
@@ -6,6 +6,9 @@
 import { RouteTable } from "../routes.js";
 import type { RoutingConfig } from "../routes.js";
 
+/** Limit on the body size until a configuration has been loaded. */
+const defaultMaxBodyBytes = 1024 * 1024;
+
 /** Takes each newer version of the configuration; an older one, an unchanged one or an invalid one changes nothing. */
 export class ActiveConfig {
     private routeTable: RouteTable | undefined;
@@ -21,6 +24,11 @@
         return this.routeTable;
     }
 
+    /** Limit on the size of a body. */
+    get maxBodyBytes(): number {
+        return this.routeTable?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
+    }
+
     /**
      * Applies a stored value if it is a newer version of the configuration.
      *
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -18,6 +18,16 @@
 /** Weight of a new measurement in the moving average of the duration of calls. */
 const durationSmoothing = 0.1;
 
+/** Number of instances assumed to share an upstream's connection limit. */
+const assumedInstanceCount = 8;
+
+/** Maximum number of connections from one instance to an upstream. */
+const maxConnectionsPerUpstream = 24;
+
+/** Number of connections that one instance opens to an upstream that accepts `maxConnections` from all together. */
+export const connectionsPerInstance = (maxConnections: number): number =>
+    Math.min(maxConnectionsPerUpstream, Math.floor(maxConnections / assumedInstanceCount));
+
 /** A known upstream and its load from this instance. */
 export class Upstream {
     inFlight = 0;
