--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -142,8 +142,10 @@
 /** Permits of one workspace that an instance asks for and returns. Encoded without names, as each is sent several times a second. */
 export type QuotaAsk = readonly [
     workspace: string,
-    /** Permits for calls that wait, except those of programs that the sender does not know. */
-    count: number,
+    /** Permits for waiting calls of programs that have started. */
+    continued: number,
+    /** Permits for waiting calls of no program. */
+    plain: number,
     /** Digests of the programs that the sender does not know, one for each of their waiting calls. */
     programs: readonly number[],
     /** Permits for calls that are expected soon. */
@@ -154,7 +156,7 @@
 
 /** Response to a {@link QuotaAsk}. */
 export type QuotaAnswer = readonly [
-    /** Permits granted for waiting calls, and in advance. */
+    /** Permits granted for calls of programs that have started, then for those of no program, then in advance. */
     granted: number,
     /** Indexes of the programs whose call was granted a permit. */
     programs: readonly number[],
--- a/packages/gateway/src/quotas/callPermit.ts
+++ b/packages/gateway/src/quotas/callPermit.ts
@@ -9,10 +9,13 @@
     readonly granter: string;
 }
 
+/** The program of a call: its digest if this may be its first call, `started` if it is not, undefined if there is none. */
+export type ProgramMark = number | "started" | undefined;
+
 /** Asks for and takes back the permits of one workspace. */
 export interface PermitPool {
     /** Resolves to a permit. @throws ProblemError `quota_exceeded` if there is none. */
-    request(program: number | undefined): Promise<GrantedPermit>;
+    request(program: ProgramMark): Promise<GrantedPermit>;
     /** Takes back a permit with which nothing was run. */
     giveBack(permit: GrantedPermit): void;
 }
@@ -28,12 +31,11 @@
     private isReleased = false;
 
     /**
-     * @param program Digest of the program if this may be its first call.
      * @param onGranted Called when a permit was granted.
      */
     constructor(
         private readonly pool: PermitPool,
-        program: number | undefined,
+        program: ProgramMark,
         private readonly onGranted: () => void = () => {},
     ) {
         this.asking = this.request(program);
@@ -85,7 +87,7 @@
         }
     }
 
-    private request(program: number | undefined): Promise<void> {
+    private request(program: ProgramMark): Promise<void> {
         const asking = this.pool.request(program).then(permit => {
             this.onGranted();
             if (this.isReleased) {
--- a/packages/gateway/src/quotas/grantedWorkspace.ts
+++ b/packages/gateway/src/quotas/grantedWorkspace.ts
@@ -3,9 +3,12 @@
     createPacing,
     createQuotaBucket,
     cutQuota,
-    recordRequests,
-    recordStarts,
+    isBusy,
+    recordContinued,
+    recordPlain,
+    recordStart,
     refillQuota,
+    requestsPerProgram,
     returnQuota,
     scaleQuota,
     startDelayMs,
@@ -15,10 +18,14 @@
 
 import { permitTtlMs } from "./quotaSettings.js";
 import type { QuotaSettings } from "./quotaSettings.js";
+import { RecentCount } from "./recentCount.js";
 
 /** Time over which the demand is averaged. */
 const demandMemoryMs = 500;
 
+/** Time over which the use of the quota is averaged. */
+const servedMemoryMs = 5_000;
+
 /** Time of demand that is kept back when another region borrows. */
 const reserveMs = 150;
 
@@ -36,10 +43,12 @@
     private pacing: ProgramPacing;
     private scaled: ScaledQuota;
     private borrowed: { readonly count: number; readonly until: number; }[] = [];
-    /** Requests in the last half second, weighted by age, and the time of that sum. */
-    private demand = { count: 0, at: 0 };
+    private readonly demand = new RecentCount(demandMemoryMs);
+    private readonly served = new RecentCount(servedMemoryMs);
+    private readonly lentHere = new RecentCount(servedMemoryMs);
     /** Time at which the last refused caller can be served. */
     private queuedUntil = -Infinity;
+    private startsQueuedUntil = -Infinity;
     private shortAt = -Infinity;
 
     /** @param mayHoldWhole Whether this instance may hold a whole permit with a small share. */
@@ -79,7 +88,9 @@
     take(count: number, now: number): number {
         const own = takeQuota(this.bucket, this.scaled, count, 0, now);
         this.bucket = own.bucket;
-        return own.granted + this.takeBorrowed(count - own.granted, now);
+        const granted = own.granted + this.takeBorrowed(count - own.granted, now);
+        this.served.add(granted, now);
+        return granted;
     }
 
     giveBack(count: number, now: number): void {
@@ -100,19 +111,19 @@
     }
 
     /** Adds permits that were borrowed, which may be granted until a time. */
-    addBorrowed(count: number, until: number): void {
+    addBorrowed(count: number, until: number, now: number): void {
         this.borrowed.push({ count, until });
+        this.lentHere.add(count, now);
     }
 
     /** Records requests, whether or not they are granted. */
     recordDemand(count: number, now: number): void {
-        this.demand = { count: this.demandIn(demandMemoryMs, now) + count, at: now };
+        this.demand.add(count, now);
     }
 
     /** Expected number of requests in a time. */
     demandIn(ms: number, now: number): number {
-        const weight = Math.exp(-Math.max(0, now - this.demand.at) / demandMemoryMs);
-        return this.demand.count * weight * ms / demandMemoryMs;
+        return this.demand.perSecond(now) * ms / 1_000;
     }
 
     /**
@@ -137,15 +148,52 @@
     /** Time for which a new program is held back; 0 if it may start. Below the limit, it always may. */
     startDelayMs(now: number): number {
         const isUnderPressure = now - this.shortAt < pressureWindows * this.settings.windowMs;
-        return isUnderPressure ? startDelayMs(this.pacing, this.scaled.perSecond, this.settings.windowMs, now) : 0;
+        const perSecond = this.pacedRate(now);
+        if (!isUnderPressure || !isBusy(this.served.perSecond(now), perSecond)) {
+            return 0;
+        }
+        const { windowMs } = this.settings;
+        const delayMs = Math.max(startDelayMs(this.pacing, perSecond, windowMs, now), this.reserveDelayMs(now));
+        if (delayMs > 0) {
+            // While programs are held back, there may be no other shortage.
+            this.shortAt = now;
+            return this.queueStart(delayMs, perSecond, now);
+        }
+        return 0;
+    }
+
+    recordStart(now: number): void {
+        this.pacing = recordStart(this.pacing, this.pacedRate(now), this.settings.windowMs, now);
+    }
+
+    /** Records requests of programs that have started. */
+    recordContinued(asked: number, served: number): void {
+        this.pacing = recordContinued(this.pacing, asked, served);
+    }
+
+    /** Records requests of no program. */
+    recordPlain(served: number): void {
+        this.pacing = recordPlain(this.pacing, served, this.scaled.perSecond, this.settings.windowMs);
+    }
+
+    /** Time until half of the bucket is there, which is kept for the next requests of programs that have started. */
+    private reserveDelayMs(now: number): number {
+        const { capacity, perSecond } = this.scaled;
+        const missing = 1 + Math.min(capacity / 2, capacity - 1) - refillQuota(this.bucket, this.scaled, now).level;
+        return missing <= 0 ? 0 : Math.min(maxQueueMs, missing * 1_000 / perSecond);
     }
 
-    recordStarts(count: number, now: number): void {
-        this.pacing = recordStarts(this.pacing, count, this.scaled.perSecond, this.settings.windowMs, now);
+    /** Places a program behind those held back before, so that their callers do not return together. */
+    private queueStart(delayMs: number, perSecond: number, now: number): number {
+        const first = Math.max(now + delayMs, this.startsQueuedUntil);
+        const spacingMs = requestsPerProgram(this.pacing) * 1_000 / Math.max(perSecond, 1 / maxQueueMs);
+        this.startsQueuedUntil = Math.min(now + maxQueueMs, first + spacingMs);
+        return first - now;
     }
 
-    recordRequests(count: number): void {
-        this.pacing = recordRequests(this.pacing, count);
+    /** Rate of the lent shares and of what is borrowed. */
+    private pacedRate(now: number): number {
+        return this.scaled.perSecond + this.lentHere.perSecond(now);
     }
 
     private takeBorrowed(count: number, now: number): number {
--- a/packages/gateway/src/quotas/quotaClient.ts
+++ b/packages/gateway/src/quotas/quotaClient.ts
@@ -5,7 +5,7 @@
 import type { ShareOffer } from "@marigolddrift/policy";
 
 import type { PackedOffer, QuotaAnswer, QuotaResponse } from "../peers/peerMessages.js";
-import type { GrantedPermit } from "./callPermit.js";
+import type { GrantedPermit, ProgramMark } from "./callPermit.js";
 import type { QuotaWorkspace } from "./quotaGranter.js";
 import type { AskedCalls, QuotaBatch, QuotaLink, QuotaWaiter } from "./quotaLink.js";
 import { QuotaRefusals } from "./quotaRefusals.js";
@@ -80,7 +80,7 @@
     }
 
     /** Takes an idle permit, or asks for one. @throws ProblemError `quota_exceeded` if there is none. */
-    request(name: string, program: number | undefined): Promise<GrantedPermit> {
+    request(name: string, program: ProgramMark): Promise<GrantedPermit> {
         const workspace = this.workspaces.get(name);
         const now = performance.now();
         if (workspace === undefined) {
@@ -88,7 +88,7 @@
             return Promise.resolve({ expiresAt: Infinity, granter: this.options.localName() });
         }
         workspace.recordUse(now);
-        const idle = program === undefined ? workspace.takeIdle(now) : undefined;
+        const idle = typeof program !== "number" ? workspace.takeIdle(now) : undefined;
         if (idle !== undefined) {
             return Promise.resolve(idle);
         }
--- a/packages/gateway/src/quotas/quotaGranter.ts
+++ b/packages/gateway/src/quotas/quotaGranter.ts
@@ -113,7 +113,7 @@
         };
     }
 
-    private answer([name, count, programs, ahead, returned]: QuotaAsk, now: number): QuotaAnswer {
+    private answer([name, continued, plain, programs, ahead, returned]: QuotaAsk, now: number): QuotaAnswer {
         const workspace = this.workspaces.get(name);
         if (workspace === undefined) {
             return [0, [], unknownRetryMs, 0, 0, startWaitMs];
@@ -121,22 +121,30 @@
         if (returned > 0) {
             workspace.giveBack(returned, now);
         }
+        const count = continued + plain;
         workspace.recordDemand(count + programs.length, now);
+        // Programs that have started take precedence, so that what they were served is not in vain.
         const granted = workspace.take(count, now);
-        workspace.recordRequests(granted);
+        const served = Math.min(continued, granted);
+        workspace.recordPlain(granted - served);
         const { started, startRetryInMs, refused } = this.grantPrograms(workspace, programs, now);
         const short = count - granted + refused;
+        // Calls that wait ask again, and count when they are served or refused.
+        const finish = (isRefusal: boolean): void => workspace.recordContinued(isRefusal ? continued : served, served);
         if (short === 0) {
+            finish(true);
             return [granted + workspace.take(ahead, now), started, 0, 0, startRetryInMs, 0];
         }
         if (workspace.hasNoShare || this.borrow(workspace, short, now)) {
             const waitMs = workspace.hasNoShare ? startWaitMs : borrowWaitMs;
+            finish(false);
             const { retryInMs, spacingMs } = workspace.queue(0, now);
             return [granted, started, retryInMs, spacingMs, startRetryInMs, waitMs];
         }
         const { retryInMs, spacingMs } = workspace.queue(short, now);
         workspace.recordShortage(now);
         const waitMs = retryInMs <= maxRefillWaitMs ? Math.max(1, Math.ceil(retryInMs)) : 0;
+        finish(waitMs === 0);
         return [granted, started, retryInMs, spacingMs, startRetryInMs, waitMs];
     }
 
@@ -163,10 +171,10 @@
                 started.push(index);
                 this.programs.use(`${workspace.name}:${programs[index]}`, now);
                 if (isKnown[index]) {
-                    workspace.recordRequests(1);
+                    workspace.recordContinued(1, 1);
                 }
                 else {
-                    workspace.recordStarts(1, now);
+                    workspace.recordStart(now);
                 }
             }
         }
@@ -203,7 +211,7 @@
         const now = performance.now();
         const [granted, retryInMs] = result ?? [0, unansweredDryMs];
         if (granted > 0) {
-            workspace.addBorrowed(granted, sentAt + permitTtlMs(this.options.settings) / 2);
+            workspace.addBorrowed(granted, sentAt + permitTtlMs(this.options.settings) / 2, now);
             this.options.onBorrowed(granted);
         }
         else {
--- a/packages/gateway/src/quotas/quotaLink.ts
+++ b/packages/gateway/src/quotas/quotaLink.ts
@@ -2,13 +2,12 @@
 import type { ShareOffer } from "@marigolddrift/policy";
 
 import type { PeerRequest, QuotaAsk, QuotaBorrow, QuotaResponse } from "../peers/peerMessages.js";
-import type { GrantedPermit } from "./callPermit.js";
+import type { GrantedPermit, ProgramMark } from "./callPermit.js";
 
 /** A call that waits for a permit; it may be asked for at several granting instances. */
 export interface QuotaWaiter {
     readonly workspace: string;
-    /** Digest of the program, if this may be its first call. */
-    readonly program: number | undefined;
+    readonly program: ProgramMark;
     /** Monotonic time until which the call may wait. */
     readonly waitUntil: number;
     /** Number of requests that may still bring a permit. */
@@ -29,7 +28,9 @@
 /** The waiting calls of one workspace in a request. */
 export interface AskedCalls {
     readonly workspace: string;
+    /** Calls of programs that have started, then those of no program. */
     readonly ordinary: readonly QuotaWaiter[];
+    /** Calls of programs that may be new. */
     readonly programs: readonly QuotaWaiter[];
 }
 
@@ -93,12 +94,15 @@
         const asks: QuotaAsk[] = [];
         for (const workspace of names) {
             const waiters = (this.waiters.get(workspace) ?? []).filter(waiter => !this.skip(waiter));
-            const ordinary = waiters.filter(({ program }) => program === undefined);
-            const programs = waiters.filter(({ program }) => program !== undefined);
+            const continued = waiters.filter(({ program }) => program === "started");
+            const plain = waiters.filter(({ program }) => program === undefined);
+            const programs = waiters.filter(({ program }) => typeof program === "number");
+            const digests = programs.map(({ program }) => program as number);
+            const ordinary = [...continued, ...plain];
             const ahead = ordinary.length > 0 ? aheadOf(workspace) : 0;
             const returned = this.returns.get(workspace) ?? 0;
             calls.push({ workspace, ordinary, programs });
-            asks.push([workspace, ordinary.length, programs.map(({ program }) => program!), ahead, returned]);
+            asks.push([workspace, continued.length, plain.length, digests, ahead, returned]);
             this.waiters.delete(workspace);
             this.returns.delete(workspace);
         }
--- a/packages/gateway/src/quotas/quotas.ts
+++ b/packages/gateway/src/quotas/quotas.ts
@@ -11,6 +11,7 @@
 import { scopedName } from "../workspaces.js";
 import type { Workspace } from "../workspaces.js";
 import { CallPermit } from "./callPermit.js";
+import type { ProgramMark } from "./callPermit.js";
 import { ProgramTable } from "./programTable.js";
 import { QuotaClient } from "./quotaClient.js";
 import { QuotaGranter } from "./quotaGranter.js";
@@ -93,7 +94,7 @@
         }
         const { name } = workspace;
         const pool = {
-            request: (of: number | undefined) => this.client.request(name, of),
+            request: (of: ProgramMark) => this.client.request(name, of),
             giveBack: (permit: Parameters<QuotaClient["giveBack"]>[1]) => this.client.giveBack(name, permit),
         };
         if (program === undefined) {
@@ -103,7 +104,7 @@
         const now = performance.now();
         const isKnown = program.previousTurnId !== undefined || this.programs.has(id, now);
         const onGranted = (): void => this.programs.use(id, performance.now());
-        return new CallPermit(pool, isKnown ? undefined : hash32("program", id), onGranted);
+        return new CallPermit(pool, isKnown ? "started" : hash32("program", id), onGranted);
     };
 
     /** Handles the request of another instance. */
--- a/packages/gateway/src/quotas/workspacePermits.ts
+++ b/packages/gateway/src/quotas/workspacePermits.ts
@@ -2,6 +2,7 @@
 import type { QuotaTerms } from "@marigolddrift/policy";
 
 import type { GrantedPermit } from "./callPermit.js";
+import { RecentCount } from "./recentCount.js";
 
 /** Time over which the use of permits is averaged. */
 const useMemoryMs = 1_000;
@@ -18,7 +19,7 @@
 /** The idle permits of one workspace, its recent use, and its refusals. */
 export class WorkspacePermits {
     private idle: GrantedPermit[] = [];
-    private uses = { count: 0, at: 0 };
+    private readonly uses = new RecentCount(useMemoryMs);
     private refusals = 0;
     private loggedAt = -Infinity;
 
@@ -50,15 +51,13 @@
     }
 
     recordUse(now: number): void {
-        const weight = Math.exp(-Math.max(0, now - this.uses.at) / useMemoryMs);
-        this.uses = { count: this.uses.count * weight + 1, at: now };
+        this.uses.add(1, now);
     }
 
     /** Number of permits to ask for in advance; 0 unless the workspace is busy here. */
     wantedAhead(now: number): number {
-        const weight = Math.exp(-Math.max(0, now - this.uses.at) / useMemoryMs);
         const usable = this.idle.filter(({ expiresAt }) => expiresAt - now > minLeftMs).length;
-        return Math.max(0, Math.floor(this.uses.count * weight * aheadMs / useMemoryMs) - usable);
+        return Math.max(0, Math.floor(this.uses.perSecond(now) * aheadMs / 1_000) - usable);
     }
 
     recordRefusal(): void {
