Model the lent shares of quotas, with four mutants

The rule must hold in splits, restarts and while the limit is lowered; tests play single faults only.

--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -8,6 +8,7 @@
 import { mutants } from "./mutants.js";
 import type { Mutation } from "./mutants.js";
 import { protocolSteps } from "./protocolModel.js";
+import { initialQuotaWorlds, quotaInvariants, quotaSteps } from "./quotaModel.js";
 import { scopes } from "./state.js";
 
 const maxStates = 1_000_000;
@@ -18,10 +19,8 @@
 const exploreBundles = (mutation: Mutation): Exploration =>
     explore(initialBundleWorld, world => bundleSteps(world, mutation), bundleInvariants, maxStates);
 
-const exploreLimits = (mutation: Mutation): Exploration => {
-    const results = initialLimitWorlds.map(world =>
-        explore(world, from => limitSteps(from, mutation), limitInvariants, maxStates)
-    );
+const exploreAll = <W>(worlds: readonly W[], exploreOne: (world: W) => Exploration): Exploration => {
+    const results = worlds.map(exploreOne);
     return {
         states: results.reduce((sum, { states }) => sum + states, 0),
         depth: Math.max(...results.map(({ depth }) => depth)),
@@ -30,6 +29,18 @@
     };
 };
 
+const exploreLimits = (mutation: Mutation): Exploration =>
+    exploreAll(
+        initialLimitWorlds,
+        world => explore(world, from => limitSteps(from, mutation), limitInvariants, maxStates),
+    );
+
+const exploreQuotas = (mutation: Mutation): Exploration =>
+    exploreAll(
+        initialQuotaWorlds,
+        world => explore(world, from => quotaSteps(from, mutation), quotaInvariants, maxStates),
+    );
+
 const exploreCrashes = (mutation: Mutation): Exploration =>
     explore(initialCrashWorld, world => crashSteps(world, mutation), crashInvariants(mutation), maxStates);
 
@@ -39,6 +50,8 @@
             return exploreBundles(mutation);
         case "crashes":
             return exploreCrashes(mutation);
+        case "quotas":
+            return exploreQuotas(mutation);
         case "limits":
             return exploreLimits(mutation);
         case "leases":
@@ -65,14 +78,15 @@
         bundles: exploreBundles({}),
         limits: exploreLimits({}),
         crashes: exploreCrashes({}),
+        quotas: exploreQuotas({}),
     };
     for (const [name, result] of Object.entries(results)) {
         print(name, result);
         result.violation?.trace.forEach(step => console.log(`    ${step}`));
     }
-    [...invariants, ...bundleInvariants, ...limitInvariants, ...crashInvariants({})].forEach(({ name }) =>
-        console.log(`  checked: ${name}`)
-    );
+    [...invariants, ...bundleInvariants, ...limitInvariants, ...crashInvariants({}), ...quotaInvariants].forEach((
+        { name },
+    ) => console.log(`  checked: ${name}`));
     return Object.values(results).every(result => result.complete);
 };
 
--- a/spec/mutants.ts
+++ b/spec/mutants.ts
@@ -44,6 +44,14 @@
     readonly keepAnswered?: boolean;
     /** Crashes that a blocked call explains count against the calls beside it. */
     readonly ignoreExplained?: boolean;
+    /** An instance lends its share while another one may still spend it. */
+    readonly lendTwice?: boolean;
+    /** A permit is used after it has expired. */
+    readonly useExpiredPermits?: boolean;
+    /** A granting instance goes on with shares whose leases have ended. */
+    readonly keepExpiredLeases?: boolean;
+    /** An instance that is lent a share, for example after a restart, assumes that nothing of it was spent. */
+    readonly startFull?: boolean;
 }
 
 /** Mutants by name, with the scope in which each must be detected. */
@@ -51,7 +59,7 @@
     Record<
         string,
         {
-            readonly world: "leases" | "deadlines" | "budget" | "bundles" | "limits" | "crashes";
+            readonly world: "leases" | "deadlines" | "budget" | "bundles" | "limits" | "crashes" | "quotas";
             readonly mutation: Mutation;
         }
     >
@@ -82,5 +90,9 @@
     "count the end of an upstream once for each instance": { world: "crashes", mutation: { countPerInstance: true } },
     "keep the crashes of an answered call": { world: "crashes", mutation: { keepAnswered: true } },
     "count crashes that a blocked call explains": { world: "crashes", mutation: { ignoreExplained: true } },
+    "lend a share twice": { world: "quotas", mutation: { lendTwice: true } },
+    "use a permit that has outlived its time": { world: "quotas", mutation: { useExpiredPermits: true } },
+    "go on with lent shares while the limit is lowered": { world: "quotas", mutation: { keepExpiredLeases: true } },
+    "start with a full bucket": { world: "quotas", mutation: { startFull: true } },
     "serve an older bundle than peers do": { world: "bundles", mutation: { ignorePeers: true } },
 };
