--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,6 +176,7 @@
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
+            quotas: this.quotas,
             activeConfig: this.activeConfig,
             stallMonitor: this.stallMonitor,
             config: this.config.watcher,
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -15,6 +15,8 @@
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size">;
     readonly blocker: Pick<CallBlocker, "blocked">;
+    /** Undefined if no quotas are enforced. */
+    readonly quotas: { readonly lenders: number; } | undefined;
     readonly activeConfig: Pick<ActiveConfig, "table">;
     readonly stallMonitor: Pick<StallMonitor, "lastStallMs">;
     readonly config: Pick<PrefixWatcher, "ageMs">;
@@ -28,6 +30,10 @@
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
+    if (of.quotas !== undefined) {
+        const { quotas } = of;
+        metrics.addGauge("quota_lenders", "Instances that lend their share of quotas", () => quotas.lenders);
+    }
     metrics.addGauge("config_version", "Version in force", () => of.activeConfig.table?.config.version ?? 0);
     metrics.addGauge(
         "stall_milliseconds",
