Order and admit calls by workspace where the configuration has workspaces

Calls of the gateway waited until their deadline in one order over all routes, so that a workspace with many times its usual load took the room of the others. Queues are now ordered by urgency and by start-time fair queueing over workspaces in slot time, and a call that is not expected to get room in time is refused at once. Deployments without workspaces keep the previous order.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -57,8 +57,24 @@
 /** Returns the index of the queued call to dispatch next. */
 export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
 
+/** A queue with an order of its own, which knows the calls that it has ordered; see `FairQueue`. */
+export interface CallQueue<R extends DispatchRequest> {
+    readonly size: number;
+    add(call: R, now: number): void;
+    /** Returns the call to dispatch next; undefined if none waits. */
+    next(now: number): R | undefined;
+    /** Removes a call that is no longer to be dispatched. */
+    remove(call: R, now: number): void;
+    /** Removes a call that is being dispatched. */
+    onSent(call: R, now: number): void;
+    /** Called when a dispatched call has released its worker. */
+    onEnded(call: R, tookMs: number): void;
+}
+
 interface QueuedCall<R extends DispatchRequest> {
     readonly req: R;
+    /** The queue that orders the call, if it is not {@link DispatcherOptions.order}. */
+    ordered: CallQueue<R> | undefined;
     resolve(lease: DispatchLease): void;
     reject(err: Error): void;
 }
@@ -81,10 +97,12 @@
 const maxLoggedScores = 5;
 
 /** Options of a {@link Dispatcher}. */
-export interface DispatcherOptions {
+export interface DispatcherOptions<R extends DispatchRequest = DispatchRequest> {
     readonly place: PlacementFunction;
     /** Defaults to {@link nextCall}. */
     readonly order?: OrderFunction;
+    /** Returns the queue that orders the calls of a model in place of `order`; undefined while `order` decides. */
+    readonly queueOf?: (model: string) => CallQueue<R> | undefined;
     /** Whether calls are rejected that are not expected to meet their deadline. */
     readonly admission: boolean;
     readonly random: () => number;
@@ -98,7 +116,7 @@
 
     constructor(
         private readonly target: DispatchTarget<R>,
-        private readonly options: DispatcherOptions,
+        private readonly options: DispatcherOptions<R>,
         private readonly log: Logger,
         private readonly metrics: Metrics,
     ) {}
@@ -139,8 +157,9 @@
         const queue = this.queue(req.model);
         let entry: QueuedCall<R> | undefined;
         const granted = new Promise<DispatchLease>((resolve, reject) => {
-            entry = { req, resolve, reject };
+            entry = { req, ordered: this.options.queueOf?.(req.model), resolve, reject };
             queue.waiting.push(entry);
+            entry.ordered?.add(req, performance.now());
         });
         this.dispatchQueued(req.model);
         try {
@@ -149,7 +168,7 @@
         catch (err) {
             const index = queue.waiting.indexOf(entry!);
             if (index >= 0) {
-                queue.waiting.splice(index, 1);
+                removeAt(queue.waiting, index);
             }
             else {
                 void granted.then(lease => lease.release(), () => {});
@@ -187,11 +206,11 @@
     private dispatchQueued(model: string): void {
         const queue = this.queue(model);
         while (queue.waiting.length > 0) {
-            const index = this.chooseNext(queue.waiting);
+            const index = this.chooseNext(model, queue.waiting);
             const entry = queue.waiting[index]!;
             const views = this.target.views(entry.req);
             if (views.length === 0) {
-                queue.waiting.splice(index, 1);
+                removeAt(queue.waiting, index);
                 entry.reject(noWorkerError(entry.req));
                 continue;
             }
@@ -205,7 +224,11 @@
         }
     }
 
-    private chooseNext(waiting: readonly QueuedCall<R>[]): number {
+    private chooseNext(model: string, waiting: readonly QueuedCall<R>[]): number {
+        const ordered = this.options.queueOf?.(model);
+        if (ordered !== undefined) {
+            return chooseOrdered(ordered, waiting);
+        }
         const calls = waiting.map(entry => ({
             ...entry.req,
             workspaceLoad: this.runningInWorkspace(entry.req.workspace),
@@ -227,6 +250,8 @@
             ) => [name, Math.round(expectedMs)]),
         });
         this.metrics.timing("dispatch.queued", performance.now() - req.enqueuedAt);
+        const assignedAt = performance.now();
+        entry.ordered?.onSent(req, assignedAt);
         this.target.onAssigned(worker);
         this.running.set(req.workspace, this.runningInWorkspace(req.workspace) + 1);
         let released = false;
@@ -235,6 +260,7 @@
                 released = true;
                 this.running.set(req.workspace, this.runningInWorkspace(req.workspace) - 1);
                 this.target.onReleased(worker);
+                entry.ordered?.onEnded(req, performance.now() - assignedAt);
                 this.dispatchQueued(req.model);
             }
         };
@@ -249,6 +275,30 @@
     }
 }
 
+/** Calls that were queued before the queue with an order of its own came into use are added to it. */
+const chooseOrdered = <R extends DispatchRequest>(
+    ordered: CallQueue<R>,
+    waiting: readonly QueuedCall<R>[],
+): number => {
+    const now = performance.now();
+    if (ordered.size !== waiting.length) {
+        for (const entry of waiting) {
+            if (entry.ordered !== ordered) {
+                entry.ordered?.remove(entry.req, now);
+                entry.ordered = ordered;
+                ordered.add(entry.req, now);
+            }
+        }
+    }
+    const call = ordered.next(now);
+    return waiting.findIndex(({ req }) => req === call);
+};
+
+const removeAt = <R extends DispatchRequest>(waiting: QueuedCall<R>[], index: number): void => {
+    const [entry] = waiting.splice(index, 1);
+    entry?.ordered?.remove(entry.req, performance.now());
+};
+
 const noWorkerError = (req: DispatchRequest): ProblemError =>
     new ProblemError("no_upstream", "notRun", `No worker of model "${req.model}" can be used now.`, {
         retryAfterSeconds: 2,
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -33,6 +33,14 @@
     historyMs?: number;
     budgetMs?: number;
     sentMs?: number;
+    /** Time for which a call waited for room before it was refused for lack of it. */
+    queuedMs?: number;
+    /** Time that such a call was expected to wait. */
+    expectedWaitMs?: number;
+    /** Number of calls that waited for the service when such a call was refused. */
+    waiting?: number;
+    /** Share of the workspace's calls that got room lately, relative to that of all calls, when such a call was refused. */
+    share?: number;
     firstMs?: number;
     savedMs?: number;
     /** Number of tokens sent to the caller. */
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -8,7 +8,8 @@
 
 import type { CallBlocker } from "../crashes/callBlocker.js";
 import type { CrashDetector } from "../crashes/crashDetector.js";
-import type { LimitAdmission } from "../limits/limitAdmission.js";
+import type { Fairness } from "../fairness/fairness.js";
+import type { CallAdmission } from "../limits/limitAdmission.js";
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
 import type { QueuedCall } from "../placement.js";
 import { createQueuedCall } from "../placement.js";
@@ -36,7 +37,8 @@
     readonly dispatcher: Dispatcher<QueuedCall>;
     readonly upstreams: Upstreams;
     readonly limits: UpstreamLimits;
-    readonly admission: LimitAdmission;
+    readonly admission: CallAdmission;
+    readonly fairness: Fairness;
     readonly crashes: CrashDetector;
     readonly blocker: CallBlocker;
     readonly protocol: CallProtocol;
@@ -121,6 +123,7 @@
         }
         finally {
             const isComplete = result?.kind === "complete";
+            this.options.fairness.onAttemptEnded(ctx, performance.now() - startedAt, isComplete);
             dispatcher.recordServiceTime(ctx.service.name, performance.now() - startedAt, isComplete);
             lease.release();
         }
@@ -157,7 +160,7 @@
             upstream: upstream.entry.id,
             leftMs: Math.floor(ctx.progress.leftMs),
             caller: ctx.caller,
-            enginePriority: prompt === undefined ? undefined : enginePriority(ctx),
+            enginePriority: prompt === undefined ? undefined : this.options.fairness.urgencyOf(ctx),
         });
         const body = outgoingBody(ctx);
         const hasBody = body.length > 0 || ctx.req.headers["content-length"] !== undefined;
@@ -254,12 +257,3 @@
     err instanceof ProblemError && err.verdict === "notRun" ?
         new ProblemError("upstream_failed", "mayHaveRun", err.message, { cause: err }) :
         err;
-
-/**
- * Priority for the engine: by the priority of the workspace or route first; at the same priority, programs that are already running
- * precede new ones.
- */
-const enginePriority = (ctx: CallContext): number => {
-    const isRunning = ctx.head.program?.previousTurnId !== undefined;
-    return Math.min(9, 2 * ctx.priority + (isRunning ? 2 : 3));
-};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { createPlacement, nextCall } from "@marigolddrift/policy";
+import type { FairQueue } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
@@ -12,6 +13,8 @@
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
+import { FairAdmission } from "./fairness/fairAdmission.js";
+import { Fairness } from "./fairness/fairness.js";
 import { BlockFilter } from "./filters/blockFilter.js";
 import { BodyFilter } from "./filters/bodyFilter.js";
 import { BudgetFilter } from "./filters/budgetFilter.js";
@@ -93,6 +96,7 @@
     private readonly upstreamEntries: WatchedPrefix;
     private readonly upstreamFollower: UpstreamFollower;
     private readonly dispatcher: Dispatcher<QueuedCall>;
+    private readonly fairness: Fairness;
     private readonly peers: Peers;
     private readonly duties: Duties;
     private readonly peerServer: PeerServer;
@@ -153,7 +157,10 @@
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
+        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces);
+        const queueOf = (service: string): FairQueue<QueuedCall> | undefined => this.fairness.queueOf(service);
+        const place = createPlacement("expectedFinishSampled");
+        const policy = { place, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
         this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
@@ -295,7 +302,13 @@
             dispatcher,
             upstreams,
             limits: this.limits,
-            admission: new LimitAdmission(dispatcher, pool, random),
+            admission: new FairAdmission(new LimitAdmission(dispatcher, pool, random), {
+                fairness: this.fairness,
+                pool,
+                random,
+                metrics: this.metrics,
+            }),
+            fairness: this.fairness,
             crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
             blocker: this.blocker,
             protocol,
--- a/packages/gateway/src/limits/limitAdmission.ts
+++ b/packages/gateway/src/limits/limitAdmission.ts
@@ -9,8 +9,13 @@
 /** Shortest time after which a refused caller may return. */
 const minRetryAfterMs = 100;
 
+/** Assigns calls to upstreams, or refuses them. */
+export interface CallAdmission {
+    acquire(call: QueuedCall, ctx: CallContext): Promise<DispatchLease>;
+}
+
 /** Assigns calls to upstreams; bounds the wait of calls whose service has upstreams that limit their requests. */
-export class LimitAdmission {
+export class LimitAdmission implements CallAdmission {
     constructor(
         private readonly dispatcher: Dispatcher<QueuedCall>,
         private readonly pool: Pick<UpstreamPool, "isLimited" | "isExhausted">,
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,16 +1,16 @@
 /** Adapts the known upstreams to the dispatcher. */
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
 import { expectedRoundTripMs, PrefixView } from "@marigolddrift/policy";
-import type { CostModel, WorkerView } from "@marigolddrift/policy";
+import type { CostModel, FairCall, WorkerView } from "@marigolddrift/policy";
 
-import type { PromptPart } from "./call.js";
+import type { PromptPart, PromptShape } from "./call.js";
 import type { CallContext } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
 
 /** Assumed cost model of a model engine; the maximum batch size is taken from the upstream's entry. */
-const defaultEngineCost = {
+export const defaultEngineCost = {
     prefillMsPerToken: 0.017,
     decodeBaseMs: 2.6,
     decodePerSequenceMs: 0.02,
@@ -18,7 +18,7 @@
 };
 
 /** Assumed duration of a call to a plain service until one has been measured. */
-const defaultCallMs = 30;
+export const defaultCallMs = 30;
 
 /** Share of the maximum output that a turn is assumed to generate if the caller gives no estimate. */
 const expectedOutputShare = 0.3;
@@ -26,18 +26,25 @@
 /** Maximum number of calls in flight on an upstream, as a multiple of its slots. */
 const maxInFlightPerSlot = 1.5;
 
+/** Age from which on the calls of other instances are no sign that an upstream is full. */
+const maxPeerLoadAgeMs = 1_000;
+
 /** A call that is queued for an upstream. */
-export interface QueuedCall extends DispatchRequest {
+export interface QueuedCall extends DispatchRequest, FairCall {
     readonly promptParts: readonly PromptPart[];
 }
 
+/** Number of tokens that a turn is expected to generate. */
+export const expectedOutputTokens = (prompt: PromptShape): number =>
+    prompt.expectedOutputTokens ?? prompt.maxOutputTokens * expectedOutputShare;
+
 /** Creates the dispatcher's request for a call; calls are queued by service. */
 export const createQueuedCall = (ctx: CallContext, excluded: ReadonlySet<string>): QueuedCall => {
     const { program, prompt } = ctx.head;
     const now = performance.now();
-    const expectedTokens = prompt === undefined ?
-        1 :
-        prompt.expectedOutputTokens ?? prompt.maxOutputTokens * expectedOutputShare;
+    const expectedTokens = prompt === undefined ? 1 : expectedOutputTokens(prompt);
+    const deadline = now + ctx.progress.leftMs;
+    const expectedMs = prompt === undefined ? defaultCallMs : expectedTokens * defaultEngineCost.decodeBaseMs;
     return {
         model: ctx.service.name,
         program: program?.id ?? ctx.id,
@@ -46,11 +53,17 @@
         attainedMs: 0,
         priority: ctx.priority,
         enqueuedAt: now,
-        deadline: now + ctx.progress.leftMs,
-        expectedMs: prompt === undefined ? defaultCallMs : expectedTokens * defaultEngineCost.decodeBaseMs,
+        deadline,
+        expectedMs,
         workspaceLoad: 0,
         shape: { promptTokens: prompt?.promptTokens ?? 0, expectedTokens },
         firstCall: program?.previousTurnId === undefined,
+        cost: expectedMs,
+        isContinuation: program?.previousTurnId !== undefined,
+        weight: 1,
+        firstArrivedAt: now,
+        isReturning: false,
+        startBy: deadline,
         excluded,
         bytes: ctx.body.length,
         promptParts: prompt?.parts ?? [],
@@ -106,6 +119,15 @@
         return usable.length > 0 && usable.every(upstream => this.limits.isClosed(upstream));
     }
 
+    /** Whether any upstream of a service takes a further call at once, as far as is known here. */
+    hasRoom(service: string): boolean {
+        return this.upstreams.usable(service).some(upstream => {
+            const { calls, ageMs } = this.peerLoadOf(upstream.entry.id);
+            const inFlight = upstream.inFlight + (ageMs < maxPeerLoadAgeMs ? calls : 0);
+            return inFlight < upstream.entry.slots * maxInFlightPerSlot && !this.limits.isClosed(upstream);
+        });
+    }
+
     /** Whether any upstream of a service limits its requests. */
     isLimited(service: string): boolean {
         return this.upstreams.usable(service).some(upstream => this.limits.rateOf(upstream) !== undefined);
--- a/packages/gateway/src/workspaces.ts
+++ b/packages/gateway/src/workspaces.ts
@@ -40,11 +40,19 @@
 export const scopedName = (workspace: Workspace | undefined, name: string): string =>
     workspace === undefined ? name : `${name}@${digest("workspace", workspace.name).slice(0, scopeLength)}`;
 
+/** Limits of the weight of a workspace, so that an odd quota neither silences others nor itself. */
+const minWeight = 1 / 8;
+const maxWeight = 8;
+
 /** Finds workspaces by API key. A look-up takes the same time whatever the number of keys. */
 export class WorkspaceTable {
     private readonly byKeyDigest = new Map<string, Workspace>();
+    /** Mean of the quotas, in requests a second; undefined if there are none. */
+    private readonly meanQuota: number | undefined;
 
     constructor(workspaces: readonly Workspace[]) {
+        const quotas = workspaces.flatMap(({ quota }) => quota === undefined ? [] : [quota.perSecond]);
+        this.meanQuota = quotas.length === 0 ? undefined : quotas.reduce((sum, rate) => sum + rate, 0) / quotas.length;
         for (const workspace of workspaces) {
             workspace.keyDigests.forEach(keyDigest => this.byKeyDigest.set(keyDigest, workspace));
         }
@@ -59,4 +67,17 @@
     identify(key: string | undefined): Workspace | undefined {
         return key === undefined ? undefined : this.byKeyDigest.get(keyDigest(key));
     }
+
+    /**
+     * Returns the share of the upstreams that a workspace is due relative to others: its quota, or 1 without one.
+     *
+     * @example
+     * table.weightOf(ctx.workspace) === 1;
+     */
+    weightOf(workspace: Workspace | undefined): number {
+        const weight = workspace?.quota === undefined || this.meanQuota === undefined ?
+            1 :
+            workspace.quota.perSecond / this.meanQuota;
+        return Math.min(maxWeight, Math.max(minWeight, weight));
+    }
 }
--- /dev/null
+++ b/packages/policy/src/fairQueue.ts
@@ -0,0 +1,290 @@
+/**
+ * Order of waiting calls by urgency and by workspace. Load pattern: one workspace sends many times its usual load, or a flood of
+ * urgent calls comes, while the upstreams are full.
+ */
+import { DecayingSum } from "./decayingSum.js";
+import { DrainRate } from "./drainRate.js";
+import { FairFlow, shareTauMs } from "./fairFlow.js";
+import type { FairCall } from "./fairFlow.js";
+
+/** Number of urgencies; calls of lower priority share the last one. */
+const urgencies = 10;
+
+/**
+ * Served share, relative to that of all calls, below which a workspace gets room ahead of urgency. A quarter is required;
+ * the rest is a margin for calls that wait or expire.
+ */
+const minServedShare = 0.3;
+
+/** Multiple of its fair share up to which a workspace gets room ahead of urgency, so that a flood does not earn it more. */
+const maxPreferredShare = 2;
+
+/** Part of all slot time that goes to calls ahead of the order, so that many workspaces with few calls do not take all of it. */
+const maxPreferredCost = 0.35;
+
+/** Part of its time that a call waits before it gets room ahead of urgency. */
+const preferredAfter = 0.1;
+
+/** Number of workspaces that are remembered by urgency; above it, idle ones are dropped. */
+const maxFlows = 2_000;
+
+/** Number of running calls from which on the share of a workspace can be told from chance. */
+const minRunningForShare = 4;
+
+/** Wait above which a call counts as one that found no room. */
+const noRoomWaitMs = 1;
+
+/**
+ * The calls that wait for the upstreams of one service. Urgencies are served in strict order, except that a workspace whose
+ * served share falls far below that of all calls comes first. Within one urgency: start-time fair queueing over the
+ * workspaces, in expected slot time, corrected when a call has ended.
+ *
+ * @example
+ * queue.add(call, now);
+ * const next = queue.next(now);
+ */
+export class FairQueue<C extends FairCall = FairCall> {
+    private readonly flows = new Map<string, FairFlow<C>>();
+    private readonly active = new Set<FairFlow<C>>();
+    private readonly backlogged = new Set<FairFlow<C>>();
+    private readonly virtualTimes = new Array<number>(urgencies).fill(0);
+    private readonly offered = new DecayingSum(shareTauMs);
+    private readonly sent = new DecayingSum(shareTauMs);
+    private readonly sentCost = new DecayingSum(shareTauMs);
+    private readonly preferredCost = new DecayingSum(shareTauMs);
+    private readonly drain = new DrainRate();
+    private count = 0;
+
+    /** Number of waiting calls. */
+    get size(): number {
+        return this.count;
+    }
+
+    /** Number of workspaces that are remembered, by urgency. */
+    get flowCount(): number {
+        return this.flows.size;
+    }
+
+    /** Counts a call that a caller sent, whether or not it will be queued. One that was refused before is not counted again. */
+    countOffered(call: C, now: number): void {
+        this.flowOf(call).offered.add(1, now);
+        this.offered.add(1, now);
+    }
+
+    add(call: C, now: number): void {
+        this.drain.advance(this.count > 0, now);
+        const flow = this.flowOf(call);
+        if (flow.waiting.length === 0) {
+            // A workspace that was idle has no claim to the time in which it sent nothing.
+            flow.start = Math.max(flow.start, this.virtualTimes[flow.urgency]!);
+        }
+        flow.add(call);
+        this.count += 1;
+        this.updateSets(flow);
+    }
+
+    /** Removes a waiting call; returns whether it was there. */
+    remove(call: C, now: number): boolean {
+        this.drain.advance(this.count > 0, now);
+        const flow = this.flowOf(call);
+        const isRemoved = flow.remove(call);
+        this.count -= isRemoved ? 1 : 0;
+        this.updateSets(flow);
+        return isRemoved;
+    }
+
+    /** Returns the call that gets the next room; undefined if none waits. Takes time in the number of waiting workspaces. */
+    next(now: number): C | undefined {
+        return (this.findUnderserved(now) ?? this.findFirst())?.waiting[0];
+    }
+
+    /** Removes a call that is being sent, and charges its workspace. */
+    onSent(call: C, now: number): void {
+        const flow = this.flowOf(call);
+        const { start, urgency } = flow;
+        const first = this.findFirst();
+        const waited = now - call.enqueuedAt > noRoomWaitMs || this.count > 1;
+        if (this.remove(call, now)) {
+            const lowest = Math.min(start, this.lowestStart(urgency));
+            this.virtualTimes[urgency] = Math.max(this.virtualTimes[urgency]!, lowest);
+        }
+        if (waited) {
+            this.drain.onSent(urgency, call.cost, now);
+        }
+        if (first !== undefined && precedes(first, flow)) {
+            this.preferredCost.add(call.cost, now);
+        }
+        flow.start = start + call.cost / flow.weight;
+        flow.running += 1;
+        flow.sent.add(1, now);
+        flow.sentCost.add(call.cost, now);
+        this.sent.add(1, now);
+        this.sentCost.add(call.cost, now);
+        this.updateSets(flow);
+    }
+
+    /** Corrects the charge of a call that has ended by the slot time that it took. */
+    onEnded(call: C, tookMs: number): void {
+        const flow = this.flowOf(call);
+        flow.start += (tookMs - call.cost) / flow.weight;
+        flow.running = Math.max(0, flow.running - 1);
+        this.updateSets(flow);
+    }
+
+    /**
+     * Expected cost of the waiting calls that get room before a call that would be added now, if no others come.
+     *
+     * @param withMoreUrgent Whether calls of more urgent workspaces are included.
+     */
+    costAhead(call: C, withMoreUrgent: boolean): number {
+        const own = this.flowOf(call);
+        const ownCost = own.costBefore(call);
+        const start = Math.max(own.start, this.virtualTimes[own.urgency]!) + ownCost / own.weight;
+        let ahead = ownCost;
+        for (const flow of this.backlogged) {
+            if (flow !== own && flow.urgency === own.urgency) {
+                ahead += Math.min(flow.waitingCost, Math.max(0, start - flow.start) * flow.weight);
+            }
+            else if (flow.urgency < own.urgency && withMoreUrgent) {
+                ahead += flow.waitingCost;
+            }
+        }
+        return ahead;
+    }
+
+    /** Slot time per millisecond that calls as urgent as this one, or less, got lately; undefined if it is not known well. */
+    drainRate(call: C, now: number): number | undefined {
+        this.drain.advance(this.count > 0, now);
+        return this.drain.rate(this.flowOf(call).urgency, now);
+    }
+
+    /** Number of waiting calls of the workspace and urgency of a call. */
+    waitingOf(call: C): number {
+        return this.flowOf(call).waiting.length;
+    }
+
+    /** Share of the workspace's calls that were sent lately, relative to that of all calls. */
+    servedShare(call: C, now: number): number {
+        return this.servedShareOf(this.flowOf(call), now);
+    }
+
+    /** Whether the workspace is served so rarely that its waiting calls get room ahead of urgency. */
+    isUnderserved(call: C, now: number): boolean {
+        const flow = this.flowOf(call);
+        return this.servedShareOf(flow, now) < minServedShare &&
+            this.mayBePreferred(flow, this.backloggedWeight(), now);
+    }
+
+    /**
+     * Running calls of a workspace as a multiple of its fair share of all running calls; 0 if it has too few to tell, 1 if no
+     * other has calls.
+     */
+    runningShare(workspace: string): number {
+        let running = 0;
+        let weight = 0;
+        let own = 0;
+        let ownWeight = 0;
+        for (const flow of this.active) {
+            running += flow.running;
+            weight += flow.weight;
+            if (flow.workspace === workspace) {
+                own += flow.running;
+                ownWeight += flow.weight;
+            }
+        }
+        return own < minRunningForShare ? 0 : own / running / (ownWeight / weight);
+    }
+
+    private findUnderserved(now: number): FairFlow<C> | undefined {
+        if (this.preferredCost.at(now) > maxPreferredCost * this.sentCost.at(now)) {
+            return undefined;
+        }
+        const weight = this.backloggedWeight();
+        let found: FairFlow<C> | undefined;
+        let lowest = minServedShare;
+        for (const flow of this.backlogged) {
+            const share = this.servedShareOf(flow, now);
+            if (share < lowest && hasWaited(flow.waiting[0]!, now) && this.mayBePreferred(flow, weight, now)) {
+                lowest = share;
+                found = flow;
+            }
+        }
+        return found;
+    }
+
+    private servedShareOf(flow: FairFlow<C>, now: number): number {
+        const offered = flow.offered.at(now);
+        const all = this.sent.at(now) / Math.max(this.offered.at(now), Number.MIN_VALUE);
+        return offered <= 0 || all <= 0 ? 1 : flow.sent.at(now) / offered / all;
+    }
+
+    private mayBePreferred(flow: FairFlow<C>, weight: number, now: number): boolean {
+        const fairShare = flow.weight / Math.max(weight, flow.weight);
+        return flow.sentCost.at(now) <= maxPreferredShare * fairShare * this.sentCost.at(now);
+    }
+
+    private backloggedWeight(): number {
+        let sum = 0;
+        this.backlogged.forEach(({ weight }) => sum += weight);
+        return sum;
+    }
+
+    private findFirst(): FairFlow<C> | undefined {
+        let first: FairFlow<C> | undefined;
+        for (const flow of this.backlogged) {
+            if (first === undefined || precedes(flow, first)) {
+                first = flow;
+            }
+        }
+        return first;
+    }
+
+    /** Lowest virtual start time of the waiting workspaces of an urgency. */
+    private lowestStart(urgency: number): number {
+        let lowest = Infinity;
+        for (const flow of this.backlogged) {
+            lowest = flow.urgency === urgency ? Math.min(lowest, flow.start) : lowest;
+        }
+        return lowest;
+    }
+
+    private flowOf(call: C): FairFlow<C> {
+        const urgency = Math.min(urgencies - 1, Math.max(0, Math.floor(call.priority)));
+        const key = `${urgency} ${call.workspace}`;
+        let flow = this.flows.get(key);
+        if (flow === undefined) {
+            this.dropIdleFlow();
+            flow = new FairFlow(call.workspace, urgency, call.weight);
+            this.flows.set(key, flow);
+        }
+        flow.weight = call.weight;
+        return flow;
+    }
+
+    private dropIdleFlow(): void {
+        if (this.flows.size >= maxFlows) {
+            const idle = [...this.flows].find(([, flow]) => !flow.isActive);
+            this.flows.delete(idle?.[0] ?? "");
+        }
+    }
+
+    private updateSets(flow: FairFlow<C>): void {
+        include(this.backlogged, flow, flow.waiting.length > 0);
+        include(this.active, flow, flow.isActive);
+    }
+}
+
+const include = <T>(set: Set<T>, item: T, isIncluded: boolean): void => {
+    if (isIncluded) {
+        set.add(item);
+    }
+    else {
+        set.delete(item);
+    }
+};
+
+const precedes = (a: FairFlow, b: FairFlow): boolean =>
+    a.urgency < b.urgency || (a.urgency === b.urgency && a.start < b.start);
+
+const hasWaited = ({ firstArrivedAt, deadline }: FairCall, now: number): boolean =>
+    now - firstArrivedAt >= preferredAfter * (deadline - firstArrivedAt);
