--- a/packages/gateway/src/fairness/fairAdmission.ts
+++ b/packages/gateway/src/fairness/fairAdmission.ts
@@ -3,7 +3,7 @@
 import type { Metrics } from "@marigolddrift/common";
 import type { DispatchLease } from "@marigolddrift/dispatch";
 import { admitFairly, fairRetryAfterMs } from "@marigolddrift/policy";
-import type { FairDecision, FairQueue } from "@marigolddrift/policy";
+import type { FairDecision, FairQueue, FairRequest } from "@marigolddrift/policy";
 
 import type { CallContext } from "../filters/callContext.js";
 import type { CallAdmission } from "../limits/limitAdmission.js";
@@ -63,7 +63,7 @@
     }
 
     private decide(call: QueuedCall, ctx: CallContext, queue: FairQueue<QueuedCall>, now: number): FairDecision {
-        const { fairness, pool } = this.options;
+        const { pool } = this.options;
         const drainRate = queue.drainRate(call, now);
         const load = {
             hasRoom: queue.size === 0 || pool.hasRoom(call.model),
@@ -74,12 +74,16 @@
             drainRate,
             capacity: pool.capacity(call.model, call.cost),
         };
-        return admitFairly(load, {
+        return admitFairly(load, this.request(call, ctx));
+    }
+
+    private request(call: QueuedCall, ctx: CallContext): FairRequest {
+        return {
             isContinuation: call.isContinuation,
             isReturning: call.isReturning,
             leftMs: ctx.progress.leftMs,
-            expectedMs: fairness.isCostKnown(ctx) ? call.cost : undefined,
-        });
+            expectedMs: this.options.fairness.isCostKnown(ctx) ? call.cost : undefined,
+        };
     }
 
     /** Waits no longer than the call could still end in time. */
@@ -124,7 +128,7 @@
         ctx.trace.expectedWaitMs = Math.round(Math.min(waitMs, maxLoggedWaitMs));
         ctx.trace.waiting = queue.size;
         ctx.trace.share = Math.round(queue.servedShare(call, now) * 100) / 100;
-        const retryAfterMs = fairRetryAfterMs(waitMs, this.options.random());
+        const retryAfterMs = fairRetryAfterMs(waitMs, this.request(call, ctx), this.options.random());
         return new ProblemError("overloaded", "notRun", `All upstreams are busy: ${reason}.`, {
             retryAfterSeconds: Math.round(retryAfterMs) / 1_000,
         });
--- a/packages/policy/src/fairAdmission.ts
+++ b/packages/policy/src/fairAdmission.ts
@@ -58,6 +58,12 @@
 /** Longest time that a refused caller is told; a longer queue does not predict the room at its end. */
 const maxRetryAfterMs = 30_000;
 
+/**
+ * Part of their remaining time after which callers return at the latest, whatever they are told. Longer times would make those
+ * that were refused together return together.
+ */
+const honouredShare = 1 / 3;
+
 /**
  * Decides whether a call may wait. Without a solid estimate, it may.
  *
@@ -92,10 +98,17 @@
     leftMs * (isContinuation ? begunWaitShare : isReturning ? returningWaitShare : firstCallWaitShare);
 
 /**
- * Time after which a refused caller finds room. Callers that were refused at the same moment return spread over as long again as
- * the wait, which is the rate at which room for them becomes free.
+ * Time after which a refused caller returns: when the expected wait will have fallen to what a returning caller may wait, and
+ * spread from there over the time in which those ahead get room, so that callers return at the rate at which they can be served.
  *
  * @param random In [0, 1).
+ * @example
+ * const retryAfterSeconds = fairRetryAfterMs(decision.waitMs, request, Math.random()) / 1_000;
  */
-export const fairRetryAfterMs = (waitMs: number, random: number): number =>
-    Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs)) * (1 + random);
+export const fairRetryAfterMs = (waitMs: number, req: FairRequest, random: number): number => {
+    const latest = Math.min(maxRetryAfterMs, req.leftMs * honouredShare);
+    const excessMs = Math.max(minRetryAfterMs, waitMs - maxFairWaitMs({ ...req, isReturning: true }));
+    const from = Math.min(excessMs, latest / 3);
+    const to = Math.min(latest, Math.max(2 * excessMs, waitMs));
+    return from + random * (to - from);
+};
