Hold back a workspace that fills a region through many instances

An instance of a large fleet has one or two waiting calls of any workspace, so that its own queue cannot tell one that sends many times its usual load. Load reports now name the busiest workspaces, at most 8 in a report and 16 in an answer, and calls of one with 4 times the usual load come after the others of their urgency.

--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -1,5 +1,14 @@
 /** State of fair queueing on this instance: the queues by service, and what is known of the durations and the programs of calls. */
-import { CallCosts, engineUrgency, FairQueue, RecentKeys } from "@marigolddrift/policy";
+import {
+    addLoads,
+    CallCosts,
+    engineUrgency,
+    FairQueue,
+    RecentKeys,
+    relativeLoad,
+    usualLoad,
+} from "@marigolddrift/policy";
+import type { WorkspaceLoad } from "@marigolddrift/policy";
 
 import type { CallContext } from "../filters/callContext.js";
 import { defaultCallMs, defaultEngineCost, expectedOutputTokens } from "../placement.js";
@@ -18,6 +27,9 @@
 /** Time after its last call for which a program is known to have begun. */
 const programTtlMs = 60_000;
 
+/** Time for which the sum of the loads of this instance and its peers is used; reports come every 200 ms. */
+const regionalLoadTtlMs = 50;
+
 /** Name under which the calls of callers without a key share the room; no workspace has an empty name. */
 const noWorkspace = "";
 
@@ -27,9 +39,16 @@
     readonly refused = new RecentKeys(maxRefused, refusedTtlMs);
     private readonly queues = new Map<string, FairQueue<QueuedCall>>();
     private readonly costs = new CallCosts();
+    private regionalLoad: WorkspaceLoad = {};
+    private usualLoad = 0;
+    private regionalLoadAt = -Infinity;
     private readonly programs = new RecentKeys(maxPrograms, programTtlMs);
 
-    constructor(private readonly workspaces: () => WorkspaceTable | undefined) {}
+    /** @param loadOfPeers Running calls of the other instances of the region, for the busiest workspaces. */
+    constructor(
+        private readonly workspaces: () => WorkspaceTable | undefined,
+        private readonly loadOfPeers: () => WorkspaceLoad,
+    ) {}
 
     get isActive(): boolean {
         return this.workspaces() !== undefined;
@@ -42,12 +61,21 @@
         }
         let queue = this.queues.get(service);
         if (queue === undefined) {
-            queue = new FairQueue<QueuedCall>();
+            queue = new FairQueue<QueuedCall>((workspace, weight) => this.relativeLoadOf(workspace, weight));
             this.queues.set(service, queue);
         }
         return queue;
     }
 
+    /** Returns the calls of this instance that run by workspace. */
+    running(): WorkspaceLoad {
+        const running: Record<string, number> = {};
+        if (this.isActive) {
+            this.queues.forEach(queue => queue.addRunning(running));
+        }
+        return running;
+    }
+
     /** Adds to a call what fair queueing goes by. */
     describe(call: QueuedCall, ctx: CallContext): QueuedCall {
         const { program } = ctx.head;
@@ -75,10 +103,12 @@
     urgencyOf(ctx: CallContext): number {
         const waitedMs = performance.now() - ctx.arrivedAt;
         const queue = this.queueOf(ctx.service.name);
+        const name = ctx.workspace?.name ?? noWorkspace;
+        const weight = this.workspaces()?.weightOf(ctx.workspace) ?? 1;
         return engineUrgency({
             priority: ctx.priority,
             isContinuation: queue === undefined ? continuesTurn(ctx) : this.hasBegun(ctx),
-            runningShare: queue?.runningShare(ctx.workspace?.name ?? noWorkspace),
+            runningShare: queue && Math.max(queue.runningShare(name), this.relativeLoadOf(name, weight)),
             waitedShare: waitedMs / Math.max(1, waitedMs + ctx.progress.leftMs),
         });
     }
@@ -98,6 +128,16 @@
         }
     }
 
+    private relativeLoadOf(workspace: string, weight: number): number {
+        const now = performance.now();
+        if (now - this.regionalLoadAt >= regionalLoadTtlMs) {
+            this.regionalLoadAt = now;
+            this.regionalLoad = addLoads(this.loadOfPeers(), this.running());
+            this.usualLoad = usualLoad(this.regionalLoad);
+        }
+        return relativeLoad(this.regionalLoad[workspace] ?? 0, weight, this.usualLoad);
+    }
+
     /**
      * Whether the program of a call has begun. A tool call without a program seen here belongs to one that has: programs begin
      * with a turn.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { createPlacement, nextCall } from "@marigolddrift/policy";
-import type { FairQueue } from "@marigolddrift/policy";
+import type { FairQueue, WorkspaceLoad } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
@@ -141,6 +141,7 @@
             this.peers,
             () => this.upstreams.localLoad(),
             log,
+            () => this.fairness.running(),
         );
         this.permitGranter = new PermitGranter(random);
         this.permits = new Permits(this.localInstance, this.duties, this.peers, this.permitGranter, this.metrics, log);
@@ -157,7 +158,8 @@
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces);
+        const loadOfPeers = (): WorkspaceLoad => this.loadExchange.workspacesOfPeers;
+        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, loadOfPeers);
         const queueOf = (service: string): FairQueue<QueuedCall> | undefined => this.fairness.queueOf(service);
         const place = createPlacement("expectedFinishSampled");
         const policy = { place, order: nextCall, queueOf, admission: true, random };
@@ -297,18 +299,14 @@
 
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
         const { protocol, log } = this.options;
-        const { dispatcher, upstreams, turns } = this;
+        const { dispatcher, fairness, metrics, upstreams, turns } = this;
+        const sources = { fairness, metrics, pool, random };
         const forward = new ForwardFilter({
             dispatcher,
             upstreams,
             limits: this.limits,
-            admission: new FairAdmission(new LimitAdmission(dispatcher, pool, random), {
-                fairness: this.fairness,
-                pool,
-                random,
-                metrics: this.metrics,
-            }),
-            fairness: this.fairness,
+            admission: new FairAdmission(new LimitAdmission(dispatcher, pool, random), sources),
+            fairness,
             crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
             blocker: this.blocker,
             protocol,
@@ -332,7 +330,7 @@
             routes: () => this.activeConfig.table,
             drainSchedule: () => this.drainController.schedule,
             random,
-            metrics: this.metrics,
+            metrics,
             log,
         });
     }
--- a/packages/gateway/src/upstreams/loadExchange.ts
+++ b/packages/gateway/src/upstreams/loadExchange.ts
@@ -1,8 +1,8 @@
-/** Exchanges the number of calls in flight on each upstream with the other instances of the region. */
+/** Exchanges the number of calls in flight on each upstream, and of the busiest workspaces, with the other instances of the region. */
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import { LoadAggregator } from "@marigolddrift/policy";
-import type { WorkerLoad } from "@marigolddrift/policy";
+import { largestLoads, LoadAggregator, maxKnownWorkspaces, maxReportedWorkspaces } from "@marigolddrift/policy";
+import type { WorkerLoad, WorkspaceLoad } from "@marigolddrift/policy";
 
 import { duties } from "../fleet/duties.js";
 import type { Duties } from "../fleet/duties.js";
@@ -16,9 +16,15 @@
 /** Time for which an instance without calls continues to report. */
 const idleReportingMs = 2_000;
 
+/** Age from which on the load by workspace is not used. */
+const maxWorkspacesAgeMs = 1_000;
+
 /** Timeout for a report to the aggregator. */
 const reportTimeoutMs = 400;
 
+/** Begins the names of workspaces in a report. Ids of upstreams contain no space. */
+const workspacePrefix = "workspace ";
+
 /** Calls of the other instances on an upstream. */
 export interface PeerLoad {
     readonly calls: number;
@@ -36,6 +42,7 @@
     private lastBusyAt = -Infinity;
     private isReporting = false;
     private aggregatorName: string | undefined;
+    private peerWorkspaces: WorkspaceLoad = {};
     private readonly timer: NodeJS.Timeout;
 
     constructor(
@@ -44,6 +51,8 @@
         private readonly peers: Pick<Peers, "isReachable" | "getByName">,
         private readonly localLoad: () => WorkerLoad,
         private readonly log: Logger,
+        /** Running calls by workspace; empty if the configuration has none. */
+        private readonly localWorkspaces: () => WorkspaceLoad = () => ({}),
     ) {
         this.timer = setInterval(() => void this.reportLoad(), reportIntervalMs);
     }
@@ -53,11 +62,17 @@
         return { calls: this.peerLoads[upstream] ?? 0, ageMs: performance.now() - this.updatedAt };
     }
 
-    /** Records the report of an instance and returns the load of all others. */
+    /** Returns the last known load of the other instances by workspace, for the busiest ones; empty once it is too old. */
+    get workspacesOfPeers(): WorkspaceLoad {
+        return performance.now() - this.updatedAt < maxWorkspacesAgeMs ? this.peerWorkspaces : {};
+    }
+
+    /** Records the report of an instance and returns the load of all others, as far as it says of workspaces of the busiest. */
     onReport(instance: string, load: WorkerLoad): WorkerLoad {
         const now = performance.now();
         this.loadAggregator.report(instance, load, now);
-        return this.loadAggregator.loadOfOthers(instance, now);
+        const { upstreams, workspaces } = splitLoad(this.loadAggregator.loadOfOthers(instance, now));
+        return joinLoad(upstreams, largestLoads(workspaces, maxKnownWorkspaces));
     }
 
     close(): void {
@@ -65,7 +80,7 @@
     }
 
     private async reportLoad(): Promise<void> {
-        const load = this.localLoad();
+        const load = joinLoad(this.localLoad(), largestLoads(this.localWorkspaces(), maxReportedWorkspaces));
         const now = performance.now();
         if (Object.keys(load).length > 0) {
             this.lastBusyAt = now;
@@ -99,7 +114,9 @@
     }
 
     private setPeerLoads(loads: WorkerLoad): void {
-        this.peerLoads = loads;
+        const { upstreams, workspaces } = splitLoad(loads);
+        this.peerLoads = upstreams;
+        this.peerWorkspaces = workspaces;
         this.updatedAt = performance.now();
     }
 
@@ -115,3 +132,22 @@
         return name === undefined || name === localName ? undefined : this.peers.getByName(name);
     }
 }
+
+const joinLoad = (upstreams: WorkerLoad, workspaces: WorkspaceLoad): WorkerLoad => ({
+    ...upstreams,
+    ...Object.fromEntries(Object.entries(workspaces).map(([name, calls]) => [workspacePrefix + name, calls])),
+});
+
+const splitLoad = (load: WorkerLoad): { upstreams: WorkerLoad; workspaces: WorkspaceLoad; } => {
+    const upstreams: Record<string, number> = {};
+    const workspaces: Record<string, number> = {};
+    for (const [name, calls] of Object.entries(load)) {
+        if (name.startsWith(workspacePrefix)) {
+            workspaces[name.slice(workspacePrefix.length)] = calls;
+        }
+        else {
+            upstreams[name] = calls;
+        }
+    }
+    return { upstreams, workspaces };
+};
--- a/packages/policy/src/fairFlow.ts
+++ b/packages/policy/src/fairFlow.ts
@@ -29,6 +29,8 @@
     waitingCost = 0;
     /** Virtual time at which the next call starts: slot time taken so far, divided by the weight. */
     start = 0;
+    /** Whether the workspace has far more calls running in the region than usual ones. */
+    isOver = false;
     /** Number of calls that have been sent and have not ended. */
     running = 0;
     readonly offered = new DecayingSum(shareTauMs);
--- a/packages/policy/src/fairQueue.ts
+++ b/packages/policy/src/fairQueue.ts
@@ -31,6 +31,12 @@
 /** Number of running calls from which on the share of a workspace can be told from chance. */
 const minRunningForShare = 4;
 
+/**
+ * Multiple of the usual load of a workspace in the region from which on its calls come after the others of their urgency. It is
+ * above what chance makes of equal loads, and far below the multiples that it is to stop.
+ */
+const overLoad = 4;
+
 /** Wait above which a call counts as one that found no room. */
 const noRoomWaitMs = 1;
 
@@ -55,6 +61,9 @@
     private readonly drain = new DrainRate();
     private count = 0;
 
+    /** @param relativeLoadOf Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
+    constructor(private readonly relativeLoadOf: (workspace: string, weight: number) => number = () => 0) {}
+
     /** Number of waiting calls. */
     get size(): number {
         return this.count;
@@ -195,6 +204,15 @@
         return own < minRunningForShare ? 0 : own / running / (ownWeight / weight);
     }
 
+    /** Adds the running calls to those by workspace. */
+    addRunning(running: Record<string, number>): void {
+        for (const flow of this.active) {
+            if (flow.running > 0) {
+                running[flow.workspace] = (running[flow.workspace] ?? 0) + flow.running;
+            }
+        }
+    }
+
     private findUnderserved(now: number): FairFlow<C> | undefined {
         if (this.preferredCost.at(now) > maxPreferredCost * this.sentCost.at(now)) {
             return undefined;
@@ -232,6 +250,7 @@
     private findFirst(): FairFlow<C> | undefined {
         let first: FairFlow<C> | undefined;
         for (const flow of this.backlogged) {
+            flow.isOver = this.relativeLoadOf(flow.workspace, flow.weight) >= overLoad;
             if (first === undefined || precedes(flow, first)) {
                 first = flow;
             }
@@ -283,8 +302,10 @@
     }
 };
 
-const precedes = (a: FairFlow, b: FairFlow): boolean =>
-    a.urgency < b.urgency || (a.urgency === b.urgency && a.start < b.start);
+const precedes = (a: FairFlow, b: FairFlow): boolean => {
+    const byClass = a.urgency - b.urgency || Number(a.isOver) - Number(b.isOver);
+    return byClass < 0 || byClass === 0 && a.start < b.start;
+};
 
 const hasWaited = ({ firstArrivedAt, deadline }: FairCall, now: number): boolean =>
     now - firstArrivedAt >= preferredAfter * (deadline - firstArrivedAt);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -23,3 +23,4 @@
 export * from "./recentKeys.js";
 export * from "./retention.js";
 export * from "./retryBudget.js";
+export * from "./workspaceLoad.js";
--- /dev/null
+++ b/packages/policy/src/workspaceLoad.ts
@@ -0,0 +1,43 @@
+/**
+ * Running calls by workspace over all instances of a region. Load pattern: a workspace sends its calls through dozens of instances,
+ * each of which has one or two of them waiting, about as many as of any other workspace.
+ */
+
+/** Number of calls in flight by workspace. */
+export type WorkspaceLoad = Readonly<Record<string, number>>;
+
+/** Number of running calls in a region from which on the share of a workspace can be told from chance. */
+const minRunning = 8;
+
+/** Number of workspaces of which an instance knows the load of the others. */
+export const maxKnownWorkspaces = 16;
+
+/** Number of workspaces that an instance reports. */
+export const maxReportedWorkspaces = 8;
+
+/** Returns the entries with the most calls. */
+export const largestLoads = (load: WorkspaceLoad, count: number): Record<string, number> =>
+    Object.fromEntries(Object.entries(load).sort(([, a], [, b]) => b - a).slice(0, count));
+
+/** Returns the sum of two loads by workspace. */
+export const addLoads = (a: WorkspaceLoad, b: WorkspaceLoad): Record<string, number> => {
+    const sum = { ...a };
+    Object.entries(b).forEach(([name, calls]) => sum[name] = (sum[name] ?? 0) + calls);
+    return sum;
+};
+
+/**
+ * Returns the calls of a usual workspace: the median of the busiest ones; 0 if there are fewer than two.
+ *
+ * @param load The busiest workspaces of the region.
+ * @example
+ * usualLoad({ north: 40, south: 5, east: 4 }) === 5;
+ */
+export const usualLoad = (load: WorkspaceLoad): number => {
+    const busiest = Object.values(load).sort((a, b) => a - b).slice(-maxKnownWorkspaces);
+    return busiest.length < 2 ? 0 : busiest[Math.floor((busiest.length - 1) / 2)]!;
+};
+
+/** Running calls of a workspace as a multiple of those of a usual one; 0 if it has too few calls to tell. */
+export const relativeLoad = (calls: number, weight: number, usual: number): number =>
+    calls < minRunning || usual === 0 ? 0 : calls / weight / usual;
