--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -61,7 +61,7 @@
 export interface CallQueue<R extends DispatchRequest> {
     readonly size: number;
     add(call: R, now: number): void;
-    /** Returns the call to dispatch next; undefined if none waits. */
+    /** Returns the call to dispatch next; undefined if none is to be dispatched now. */
     next(now: number): R | undefined;
     /** Removes a call that is no longer to be dispatched. */
     remove(call: R, now: number): void;
@@ -207,7 +207,11 @@
         const queue = this.queue(model);
         while (queue.waiting.length > 0) {
             const index = this.chooseNext(model, queue.waiting);
-            const entry = queue.waiting[index]!;
+            const entry = queue.waiting[index];
+            if (entry === undefined) {
+                this.scheduleRetry();
+                return;
+            }
             const views = this.target.views(entry.req);
             if (views.length === 0) {
                 removeAt(queue.waiting, index);
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -48,6 +48,7 @@
     constructor(
         private readonly workspaces: () => WorkspaceTable | undefined,
         private readonly loadOfPeers: () => WorkspaceLoad,
+        private readonly hasFreeSlot: (service: string) => boolean,
     ) {}
 
     get isActive(): boolean {
@@ -61,7 +62,10 @@
         }
         let queue = this.queues.get(service);
         if (queue === undefined) {
-            queue = new FairQueue<QueuedCall>((workspace, weight) => this.relativeLoadOf(workspace, weight));
+            queue = new FairQueue<QueuedCall>({
+                relativeLoadOf: (workspace, weight) => this.relativeLoadOf(workspace, weight),
+                hasFreeSlot: () => this.hasFreeSlot(service),
+            });
             this.queues.set(service, queue);
         }
         return queue;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,7 @@
 import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
 import { Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
+import type { WorkspaceTable } from "./workspaces.js";
 
 /** Number of instances assumed to share an upstream's connection limit. */
 const assumedInstanceCount = 8;
@@ -159,7 +160,8 @@
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         const loadOfPeers = (): WorkspaceLoad => this.loadExchange.workspacesOfPeers;
-        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, loadOfPeers);
+        const workspaces = (): WorkspaceTable | undefined => this.activeConfig.table?.workspaces;
+        this.fairness = new Fairness(workspaces, loadOfPeers, service => pool.hasRoom(service, 1));
         const queueOf = (service: string): FairQueue<QueuedCall> | undefined => this.fairness.queueOf(service);
         const place = createPlacement("expectedFinishSampled");
         const policy = { place, order: nextCall, queueOf, admission: true, random };
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -42,6 +42,7 @@
 export * from "./turns/turnStore.js";
 export * from "./upstreams/classifyReply.js";
 export * from "./upstreams/framing.js";
+export { LoadExchange } from "./upstreams/loadExchange.js";
 export * from "./upstreams/replyMemory.js";
 export * from "./upstreams/upstreamConnections.js";
 export * from "./upstreams/upstreamEntry.js";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -119,12 +119,16 @@
         return usable.length > 0 && usable.every(upstream => this.limits.isClosed(upstream));
     }
 
-    /** Whether any upstream of a service takes a further call at once, as far as is known here. */
-    hasRoom(service: string): boolean {
+    /**
+     * Whether any upstream of a service takes a further call at once, as far as is known here.
+     *
+     * @param perSlot Calls in flight on an upstream for each of its slots from which on it takes none.
+     */
+    hasRoom(service: string, perSlot = maxInFlightPerSlot): boolean {
         return this.upstreams.usable(service).some(upstream => {
             const { calls, ageMs } = this.peerLoadOf(upstream.entry.id);
             const inFlight = upstream.inFlight + (ageMs < maxPeerLoadAgeMs ? calls : 0);
-            return inFlight < upstream.entry.slots * maxInFlightPerSlot && !this.limits.isClosed(upstream);
+            return inFlight < upstream.entry.slots * perSlot && !this.limits.isClosed(upstream);
         });
     }
 
--- a/packages/policy/src/fairQueue.ts
+++ b/packages/policy/src/fairQueue.ts
@@ -32,11 +32,19 @@
 const minRunningForShare = 4;
 
 /**
- * Multiple of the usual load of a workspace in the region from which on its calls come after the others of their urgency. It is
+ * Multiple of the usual load of a workspace in the region from which on its calls get only slots that nobody else uses. It is
  * above what chance makes of equal loads, and far below the multiples that it is to stop.
  */
 const overLoad = 4;
 
+/** What the other instances of the region run. */
+export interface RegionView {
+    /** Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
+    relativeLoadOf(workspace: string, weight: number): number;
+    /** Whether an upstream would run a further call at once, rather than keep it in its own queue. */
+    hasFreeSlot(): boolean;
+}
+
 /** Wait above which a call counts as one that found no room. */
 const noRoomWaitMs = 1;
 
@@ -61,8 +69,7 @@
     private readonly drain = new DrainRate();
     private count = 0;
 
-    /** @param relativeLoadOf Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
-    constructor(private readonly relativeLoadOf: (workspace: string, weight: number) => number = () => 0) {}
+    constructor(private readonly region: RegionView = { relativeLoadOf: () => 0, hasFreeSlot: () => true }) {}
 
     /** Number of waiting calls. */
     get size(): number {
@@ -102,9 +109,18 @@
         return isRemoved;
     }
 
-    /** Returns the call that gets the next room; undefined if none waits. Takes time in the number of waiting workspaces. */
+    /**
+     * Returns the call that gets the next room; undefined if none waits, or only workspaces that take far more than usual in the
+     * region, and no slot is free. Takes time in the number of waiting workspaces.
+     */
     next(now: number): C | undefined {
-        return (this.findUnderserved(now) ?? this.findFirst())?.waiting[0];
+        const underserved = this.findUnderserved(now);
+        if (underserved !== undefined) {
+            return underserved.waiting[0];
+        }
+        const first = this.findFirst();
+        const isHeldBack = first !== undefined && first.isOver && !this.region.hasFreeSlot();
+        return (isHeldBack ? this.findFirst(flow => !flow.isOver) : first)?.waiting[0];
     }
 
     /** Removes a call that is being sent, and charges its workspace. */
@@ -247,11 +263,11 @@
         return sum;
     }
 
-    private findFirst(): FairFlow<C> | undefined {
+    private findFirst(isEligible: (flow: FairFlow<C>) => boolean = () => true): FairFlow<C> | undefined {
         let first: FairFlow<C> | undefined;
         for (const flow of this.backlogged) {
-            flow.isOver = this.relativeLoadOf(flow.workspace, flow.weight) >= overLoad;
-            if (first === undefined || precedes(flow, first)) {
+            flow.isOver = this.region.relativeLoadOf(flow.workspace, flow.weight) >= overLoad;
+            if (isEligible(flow) && (first === undefined || precedes(flow, first))) {
                 first = flow;
             }
         }
--- a/packages/policy/src/workspaceLoad.ts
+++ b/packages/policy/src/workspaceLoad.ts
@@ -7,7 +7,7 @@
 export type WorkspaceLoad = Readonly<Record<string, number>>;
 
 /** Number of running calls in a region from which on the share of a workspace can be told from chance. */
-const minRunning = 8;
+const minRunning = 4;
 
 /** Number of workspaces of which an instance knows the load of the others. */
 export const maxKnownWorkspaces = 16;
