Hold back the calls of a workspace that fills a region to its instance's part of the free slots

Without that, all instances of a region filled the same free slot at once, and the calls of usual workspaces at the other instances found none.

--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -33,6 +33,16 @@
 /** Name under which the calls of callers without a key share the room; no workspace has an empty name. */
 const noWorkspace = "";
 
+/** What is known of the other instances and the upstreams. */
+export interface Region {
+    /** Running calls of the other instances of the region, for the busiest workspaces. */
+    loadOfPeers(): WorkspaceLoad;
+    /** Slots of a service's upstreams in which no call runs. */
+    freeSlots(service: string): number;
+    /** Number of instances in the region. */
+    instances(): number;
+}
+
 /** What fair queueing knows on this instance. Used only while the configuration has workspaces. */
 export class Fairness {
     /** Times at which refused calls first arrived. */
@@ -44,12 +54,7 @@
     private regionalLoadAt = -Infinity;
     private readonly programs = new RecentKeys(maxPrograms, programTtlMs);
 
-    /** @param loadOfPeers Running calls of the other instances of the region, for the busiest workspaces. */
-    constructor(
-        private readonly workspaces: () => WorkspaceTable | undefined,
-        private readonly loadOfPeers: () => WorkspaceLoad,
-        private readonly hasFreeSlot: (service: string) => boolean,
-    ) {}
+    constructor(private readonly workspaces: () => WorkspaceTable | undefined, private readonly region: Region) {}
 
     get isActive(): boolean {
         return this.workspaces() !== undefined;
@@ -64,7 +69,8 @@
         if (queue === undefined) {
             queue = new FairQueue<QueuedCall>({
                 relativeLoadOf: (workspace, weight) => this.relativeLoadOf(workspace, weight),
-                hasFreeSlot: () => this.hasFreeSlot(service),
+                freeSlots: () => this.region.freeSlots(service),
+                instances: () => this.region.instances(),
             });
             this.queues.set(service, queue);
         }
@@ -136,7 +142,7 @@
         const now = performance.now();
         if (now - this.regionalLoadAt >= regionalLoadTtlMs) {
             this.regionalLoadAt = now;
-            this.regionalLoad = addLoads(this.loadOfPeers(), this.running());
+            this.regionalLoad = addLoads(this.region.loadOfPeers(), this.running());
             this.usualLoad = usualLoad(this.regionalLoad);
         }
         return relativeLoad(this.regionalLoad[workspace] ?? 0, weight, this.usualLoad);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,6 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { createPlacement, nextCall } from "@marigolddrift/policy";
-import type { FairQueue, WorkspaceLoad } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
@@ -54,7 +53,6 @@
 import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
 import { Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
-import type { WorkspaceTable } from "./workspaces.js";
 
 /** Number of instances assumed to share an upstream's connection limit. */
 const assumedInstanceCount = 8;
@@ -159,10 +157,12 @@
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        const loadOfPeers = (): WorkspaceLoad => this.loadExchange.workspacesOfPeers;
-        const workspaces = (): WorkspaceTable | undefined => this.activeConfig.table?.workspaces;
-        this.fairness = new Fairness(workspaces, loadOfPeers, service => pool.hasRoom(service, 1));
-        const queueOf = (service: string): FairQueue<QueuedCall> | undefined => this.fairness.queueOf(service);
+        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, {
+            loadOfPeers: () => this.loadExchange.workspacesOfPeers,
+            freeSlots: service => pool.freeSlots(service),
+            instances: () => this.peers.namesInRegion(topology.region).length + 1,
+        });
+        const queueOf = this.fairness.queueOf.bind(this.fairness);
         const place = createPlacement("expectedFinishSampled");
         const policy = { place, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -119,17 +119,19 @@
         return usable.length > 0 && usable.every(upstream => this.limits.isClosed(upstream));
     }
 
-    /**
-     * Whether any upstream of a service takes a further call at once, as far as is known here.
-     *
-     * @param perSlot Calls in flight on an upstream for each of its slots from which on it takes none.
-     */
-    hasRoom(service: string, perSlot = maxInFlightPerSlot): boolean {
-        return this.upstreams.usable(service).some(upstream => {
-            const { calls, ageMs } = this.peerLoadOf(upstream.entry.id);
-            const inFlight = upstream.inFlight + (ageMs < maxPeerLoadAgeMs ? calls : 0);
-            return inFlight < upstream.entry.slots * perSlot && !this.limits.isClosed(upstream);
-        });
+    /** Whether any upstream of a service takes a further call at once, as far as is known here. */
+    hasRoom(service: string): boolean {
+        return this.upstreams.usable(service).some(upstream =>
+            this.knownInFlight(upstream) < upstream.entry.slots * maxInFlightPerSlot && !this.limits.isClosed(upstream)
+        );
+    }
+
+    /** Slots of a service's upstreams in which no call runs, as far as is known here. */
+    freeSlots(service: string): number {
+        return this.upstreams.usable(service).reduce(
+            (sum, upstream) => sum + Math.max(0, upstream.entry.slots - this.knownInFlight(upstream)),
+            0,
+        );
     }
 
     /** Whether any upstream of a service limits its requests. */
@@ -155,6 +157,11 @@
         return true;
     }
 
+    private knownInFlight({ entry, inFlight }: Upstream): number {
+        const { calls, ageMs } = this.peerLoadOf(entry.id);
+        return inFlight + (ageMs < maxPeerLoadAgeMs ? calls : 0);
+    }
+
     /** An upstream that is out of permits; its cached prompts are left out, so that no call is bound to wait for it. */
     private createClosedView(upstream: Upstream, req: QueuedCall): WorkerView {
         return { ...this.createView(upstream, req), cachedTokens: 0, maxInFlight: 0 };
--- a/packages/policy/src/fairQueue.ts
+++ b/packages/policy/src/fairQueue.ts
@@ -2,26 +2,15 @@
  * Order of waiting calls by urgency and by workspace. Load pattern: one workspace sends many times its usual load, or a flood of
  * urgent calls comes, while the upstreams are full.
  */
-import { DecayingSum } from "./decayingSum.js";
 import { DrainRate } from "./drainRate.js";
-import { FairFlow, shareTauMs } from "./fairFlow.js";
+import { FairFlow } from "./fairFlow.js";
 import type { FairCall } from "./fairFlow.js";
+import { ServedShares } from "./servedShares.js";
+import { SpareSlots } from "./spareSlots.js";
 
 /** Number of urgencies; calls of lower priority share the last one. */
 const urgencies = 10;
 
-/**
- * Served share, relative to that of all calls, below which a workspace gets room ahead of urgency. A quarter is required;
- * the rest is a margin for calls that wait or expire.
- */
-const minServedShare = 0.3;
-
-/** Multiple of its fair share up to which a workspace gets room ahead of urgency, so that a flood does not earn it more. */
-const maxPreferredShare = 2;
-
-/** Part of all slot time that goes to calls ahead of the order, so that many workspaces with few calls do not take all of it. */
-const maxPreferredCost = 0.35;
-
 /** Part of its time that a call waits before it gets room ahead of urgency. */
 const preferredAfter = 0.1;
 
@@ -41,10 +30,15 @@
 export interface RegionView {
     /** Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
     relativeLoadOf(workspace: string, weight: number): number;
-    /** Whether an upstream would run a further call at once, rather than keep it in its own queue. */
-    hasFreeSlot(): boolean;
+    /** Slots of the upstreams in which no call runs. */
+    freeSlots(): number;
+    /** Number of instances in the region, which share the free slots. */
+    instances(): number;
 }
 
+/** For a service with one instance in front of it. */
+const unknownRegion: RegionView = { relativeLoadOf: () => 0, freeSlots: () => 0, instances: () => 1 };
+
 /** Wait above which a call counts as one that found no room. */
 const noRoomWaitMs = 1;
 
@@ -62,14 +56,12 @@
     private readonly active = new Set<FairFlow<C>>();
     private readonly backlogged = new Set<FairFlow<C>>();
     private readonly virtualTimes = new Array<number>(urgencies).fill(0);
-    private readonly offered = new DecayingSum(shareTauMs);
-    private readonly sent = new DecayingSum(shareTauMs);
-    private readonly sentCost = new DecayingSum(shareTauMs);
-    private readonly preferredCost = new DecayingSum(shareTauMs);
+    private readonly served = new ServedShares();
     private readonly drain = new DrainRate();
+    private readonly spare = new SpareSlots();
     private count = 0;
 
-    constructor(private readonly region: RegionView = { relativeLoadOf: () => 0, hasFreeSlot: () => true }) {}
+    constructor(private readonly region: RegionView = unknownRegion) {}
 
     /** Number of waiting calls. */
     get size(): number {
@@ -83,8 +75,7 @@
 
     /** Counts a call that a caller sent, whether or not it will be queued. One that was refused before is not counted again. */
     countOffered(call: C, now: number): void {
-        this.flowOf(call).offered.add(1, now);
-        this.offered.add(1, now);
+        this.served.onOffered(this.flowOf(call), now);
     }
 
     add(call: C, now: number): void {
@@ -119,7 +110,7 @@
             return underserved.waiting[0];
         }
         const first = this.findFirst();
-        const isHeldBack = first !== undefined && first.isOver && !this.region.hasFreeSlot();
+        const isHeldBack = first !== undefined && first.isOver && !this.mayTakeSpare(now);
         return (isHeldBack ? this.findFirst(flow => !flow.isOver) : first)?.waiting[0];
     }
 
@@ -128,6 +119,7 @@
         const flow = this.flowOf(call);
         const { start, urgency } = flow;
         const first = this.findFirst();
+        const isPreferred = first !== undefined && precedes(first, flow);
         const waited = now - call.enqueuedAt > noRoomWaitMs || this.count > 1;
         if (this.remove(call, now)) {
             const lowest = Math.min(start, this.lowestStart(urgency));
@@ -136,15 +128,12 @@
         if (waited) {
             this.drain.onSent(urgency, call.cost, now);
         }
-        if (first !== undefined && precedes(first, flow)) {
-            this.preferredCost.add(call.cost, now);
-        }
         flow.start = start + call.cost / flow.weight;
         flow.running += 1;
-        flow.sent.add(1, now);
-        flow.sentCost.add(call.cost, now);
-        this.sent.add(1, now);
-        this.sentCost.add(call.cost, now);
+        if (flow.isOver) {
+            this.spare.onTaken();
+        }
+        this.served.onSent(flow, call.cost, isPreferred, now);
         this.updateSets(flow);
     }
 
@@ -190,14 +179,13 @@
 
     /** Share of the workspace's calls that were sent lately, relative to that of all calls. */
     servedShare(call: C, now: number): number {
-        return this.servedShareOf(this.flowOf(call), now);
+        return this.served.shareOf(this.flowOf(call), now);
     }
 
     /** Whether the workspace is served so rarely that its waiting calls get room ahead of urgency. */
     isUnderserved(call: C, now: number): boolean {
         const flow = this.flowOf(call);
-        return this.servedShareOf(flow, now) < minServedShare &&
-            this.mayBePreferred(flow, this.backloggedWeight(), now);
+        return this.served.isUnderserved(flow, this.backloggedWeight(), now);
     }
 
     /**
@@ -229,16 +217,20 @@
         }
     }
 
+    private mayTakeSpare(now: number): boolean {
+        return this.spare.mayTake(this.region.freeSlots(), this.region.instances(), now);
+    }
+
     private findUnderserved(now: number): FairFlow<C> | undefined {
-        if (this.preferredCost.at(now) > maxPreferredCost * this.sentCost.at(now)) {
+        if (!this.served.mayPrefer(now)) {
             return undefined;
         }
         const weight = this.backloggedWeight();
         let found: FairFlow<C> | undefined;
-        let lowest = minServedShare;
+        let lowest = Infinity;
         for (const flow of this.backlogged) {
-            const share = this.servedShareOf(flow, now);
-            if (share < lowest && hasWaited(flow.waiting[0]!, now) && this.mayBePreferred(flow, weight, now)) {
+            const share = this.served.shareOf(flow, now);
+            if (share < lowest && hasWaited(flow.waiting[0]!, now) && this.served.isUnderserved(flow, weight, now)) {
                 lowest = share;
                 found = flow;
             }
@@ -246,17 +238,6 @@
         return found;
     }
 
-    private servedShareOf(flow: FairFlow<C>, now: number): number {
-        const offered = flow.offered.at(now);
-        const all = this.sent.at(now) / Math.max(this.offered.at(now), Number.MIN_VALUE);
-        return offered <= 0 || all <= 0 ? 1 : flow.sent.at(now) / offered / all;
-    }
-
-    private mayBePreferred(flow: FairFlow<C>, weight: number, now: number): boolean {
-        const fairShare = flow.weight / Math.max(weight, flow.weight);
-        return flow.sentCost.at(now) <= maxPreferredShare * fairShare * this.sentCost.at(now);
-    }
-
     private backloggedWeight(): number {
         let sum = 0;
         this.backlogged.forEach(({ weight }) => sum += weight);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -23,4 +23,6 @@
 export * from "./recentKeys.js";
 export * from "./retention.js";
 export * from "./retryBudget.js";
+export * from "./servedShares.js";
+export * from "./spareSlots.js";
 export * from "./workspaceLoad.js";
--- a/tests/policy/fairQueue.test.ts
+++ b/tests/policy/fairQueue.test.ts
@@ -114,10 +114,11 @@
     // Guards against a workspace that comes through many instances, with a call or two at each.
     it("should serve a workspace with far more than usual calls in the region after the others", () => {
         const load: Record<string, number> = { hot: 80, north: 9, south: 10, east: 8 };
-        let hasFreeSlot = true;
+        let freeSlots = 9;
         const queue = new FairQueue({
             relativeLoadOf: (workspace, weight) => relativeLoad(load[workspace] ?? 0, weight, usualLoad(load)),
-            hasFreeSlot: () => hasFreeSlot,
+            freeSlots: () => freeSlots,
+            instances: () => 1,
         });
         add(queue, callOf("hot"), callOf("north"), callOf("south"), callOf("hot", { priority: 0 }));
         expect(drain(queue).map(({ workspace, priority }) => `${workspace} ${priority}`)).toEqual([
@@ -126,7 +127,7 @@
             "south 1",
             "hot 1",
         ]);
-        hasFreeSlot = false;
+        freeSlots = 0;
         add(queue, callOf("hot", { priority: 0 }), callOf("north"));
         expect(drain(queue).map(({ workspace }) => workspace)).toEqual(["north"]);
         expect(queue.size).toEqual(1);
--- a/tests/policy/fairRegion.test.ts
+++ b/tests/policy/fairRegion.test.ts
@@ -48,7 +48,8 @@
             queue: new FairQueue({
                 relativeLoadOf: (workspace, weight) =>
                     isLoadShared ? relativeLoad(reported[workspace] ?? 0, weight, usual) : 0,
-                hasFreeSlot: () => knownInFlight(instance) < slots,
+                freeSlots: () => Math.max(0, slots - knownInFlight(instance)),
+                instances: () => instances,
             }),
             inFlight: 0,
             inFlightAtReport: 0,
