Let a workspace that is held back take again the slots that its own calls have left

Loads of workspaces now include waiting calls: those that get no room were invisible, and the hot workspace was taken for the only one.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -68,7 +68,7 @@
     /** Removes a call that is being dispatched. */
     onSent(call: R, now: number): void;
     /** Called when a dispatched call has released its worker. */
-    onEnded(call: R, tookMs: number): void;
+    onEnded(call: R, tookMs: number, now: number): void;
 }
 
 interface QueuedCall<R extends DispatchRequest> {
@@ -264,7 +264,8 @@
                 released = true;
                 this.running.set(req.workspace, this.runningInWorkspace(req.workspace) - 1);
                 this.target.onReleased(worker);
-                entry.ordered?.onEnded(req, performance.now() - assignedAt);
+                const now = performance.now();
+                entry.ordered?.onEnded(req, now - assignedAt, now);
                 this.dispatchQueued(req.model);
             }
         };
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -8,7 +8,7 @@
     relativeLoad,
     usualLoad,
 } from "@marigolddrift/policy";
-import type { WorkspaceLoad } from "@marigolddrift/policy";
+import type { RegionSlots, WorkspaceLoad } from "@marigolddrift/policy";
 
 import type { CallContext } from "../filters/callContext.js";
 import { defaultCallMs, defaultEngineCost, expectedOutputTokens } from "../placement.js";
@@ -35,12 +35,9 @@
 
 /** What is known of the other instances and the upstreams. */
 export interface Region {
-    /** Running calls of the other instances of the region, for the busiest workspaces. */
+    /** Calls of the other instances of the region, for the busiest workspaces. */
     loadOfPeers(): WorkspaceLoad;
-    /** Slots of a service's upstreams in which no call runs. */
-    freeSlots(service: string): number;
-    /** Number of instances in the region. */
-    instances(): number;
+    slots(service: string): RegionSlots;
 }
 
 /** What fair queueing knows on this instance. Used only while the configuration has workspaces. */
@@ -69,21 +66,20 @@
         if (queue === undefined) {
             queue = new FairQueue<QueuedCall>({
                 relativeLoadOf: (workspace, weight) => this.relativeLoadOf(workspace, weight),
-                freeSlots: () => this.region.freeSlots(service),
-                instances: () => this.region.instances(),
+                slots: () => this.region.slots(service),
             });
             this.queues.set(service, queue);
         }
         return queue;
     }
 
-    /** Returns the calls of this instance that run by workspace. */
-    running(): WorkspaceLoad {
-        const running: Record<string, number> = {};
+    /** Returns the running and waiting calls of this instance by workspace. */
+    localLoad(): WorkspaceLoad {
+        const calls: Record<string, number> = {};
         if (this.isActive) {
-            this.queues.forEach(queue => queue.addRunning(running));
+            this.queues.forEach(queue => queue.addCalls(calls));
         }
-        return running;
+        return calls;
     }
 
     /** Adds to a call what fair queueing goes by. */
@@ -142,7 +138,7 @@
         const now = performance.now();
         if (now - this.regionalLoadAt >= regionalLoadTtlMs) {
             this.regionalLoadAt = now;
-            this.regionalLoad = addLoads(this.region.loadOfPeers(), this.running());
+            this.regionalLoad = addLoads(this.region.loadOfPeers(), this.localLoad());
             this.usualLoad = usualLoad(this.regionalLoad);
         }
         return relativeLoad(this.regionalLoad[workspace] ?? 0, weight, this.usualLoad);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -140,7 +140,7 @@
             this.peers,
             () => this.upstreams.localLoad(),
             log,
-            () => this.fairness.running(),
+            () => this.fairness.localLoad(),
         );
         this.permitGranter = new PermitGranter(random);
         this.permits = new Permits(this.localInstance, this.duties, this.peers, this.permitGranter, this.metrics, log);
@@ -159,8 +159,7 @@
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, {
             loadOfPeers: () => this.loadExchange.workspacesOfPeers,
-            freeSlots: service => pool.freeSlots(service),
-            instances: () => this.peers.namesInRegion(topology.region).length + 1,
+            slots: service => pool.slots(service, this.peers.namesInRegion(topology.region).length + 1),
         });
         const queueOf = this.fairness.queueOf.bind(this.fairness);
         const place = createPlacement("expectedFinishSampled");
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,7 +1,7 @@
 /** Adapts the known upstreams to the dispatcher. */
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
 import { expectedRoundTripMs, PrefixView } from "@marigolddrift/policy";
-import type { CostModel, FairCall, WorkerView } from "@marigolddrift/policy";
+import type { CostModel, FairCall, RegionSlots, WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart, PromptShape } from "./call.js";
 import type { CallContext } from "./filters/callContext.js";
@@ -126,12 +126,14 @@
         );
     }
 
-    /** Slots of a service's upstreams in which no call runs, as far as is known here. */
-    freeSlots(service: string): number {
-        return this.upstreams.usable(service).reduce(
-            (sum, upstream) => sum + Math.max(0, upstream.entry.slots - this.knownInFlight(upstream)),
-            0,
-        );
+    /** Slots of a service's upstreams and the calls in flight on them, as far as is known here. */
+    slots(service: string, instances: number): RegionSlots {
+        const usable = this.upstreams.usable(service);
+        return {
+            slots: usable.reduce((sum, { entry }) => sum + entry.slots, 0),
+            inFlight: usable.reduce((sum, upstream) => sum + this.knownInFlight(upstream), 0),
+            instances,
+        };
     }
 
     /** Whether any upstream of a service limits its requests. */
--- a/packages/gateway/src/upstreams/loadExchange.ts
+++ b/packages/gateway/src/upstreams/loadExchange.ts
@@ -51,7 +51,7 @@
         private readonly peers: Pick<Peers, "isReachable" | "getByName">,
         private readonly localLoad: () => WorkerLoad,
         private readonly log: Logger,
-        /** Running calls by workspace; empty if the configuration has none. */
+        /** Running and waiting calls by workspace; empty if the configuration has none. */
         private readonly localWorkspaces: () => WorkspaceLoad = () => ({}),
     ) {
         this.timer = setInterval(() => void this.reportLoad(), reportIntervalMs);
--- a/packages/policy/src/fairQueue.ts
+++ b/packages/policy/src/fairQueue.ts
@@ -7,6 +7,7 @@
 import type { FairCall } from "./fairFlow.js";
 import { ServedShares } from "./servedShares.js";
 import { SpareSlots } from "./spareSlots.js";
+import type { RegionSlots } from "./spareSlots.js";
 
 /** Number of urgencies; calls of lower priority share the last one. */
 const urgencies = 10;
@@ -30,14 +31,15 @@
 export interface RegionView {
     /** Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
     relativeLoadOf(workspace: string, weight: number): number;
-    /** Slots of the upstreams in which no call runs. */
-    freeSlots(): number;
-    /** Number of instances in the region, which share the free slots. */
-    instances(): number;
+    /** The slots of the upstreams. */
+    slots(): RegionSlots;
 }
 
 /** For a service with one instance in front of it. */
-const unknownRegion: RegionView = { relativeLoadOf: () => 0, freeSlots: () => 0, instances: () => 1 };
+const unknownRegion: RegionView = {
+    relativeLoadOf: () => 0,
+    slots: () => ({ slots: 0, inFlight: 0, instances: 1 }),
+};
 
 /** Wait above which a call counts as one that found no room. */
 const noRoomWaitMs = 1;
@@ -110,7 +112,7 @@
             return underserved.waiting[0];
         }
         const first = this.findFirst();
-        const isHeldBack = first !== undefined && first.isOver && !this.mayTakeSpare(now);
+        const isHeldBack = first !== undefined && first.isOver && !this.spare.mayTake(this.region.slots(), now);
         return (isHeldBack ? this.findFirst(flow => !flow.isOver) : first)?.waiting[0];
     }
 
@@ -138,10 +140,13 @@
     }
 
     /** Corrects the charge of a call that has ended by the slot time that it took. */
-    onEnded(call: C, tookMs: number): void {
+    onEnded(call: C, tookMs: number, now: number): void {
         const flow = this.flowOf(call);
         flow.start += (tookMs - call.cost) / flow.weight;
         flow.running = Math.max(0, flow.running - 1);
+        if (flow.isOver) {
+            this.spare.onLeft(now);
+        }
         this.updateSets(flow);
     }
 
@@ -208,19 +213,13 @@
         return own < minRunningForShare ? 0 : own / running / (ownWeight / weight);
     }
 
-    /** Adds the running calls to those by workspace. */
-    addRunning(running: Record<string, number>): void {
-        for (const flow of this.active) {
-            if (flow.running > 0) {
-                running[flow.workspace] = (running[flow.workspace] ?? 0) + flow.running;
-            }
+    /** Adds the running and waiting calls to those by workspace. */
+    addCalls(calls: Record<string, number>): void {
+        for (const { workspace, running, waiting } of this.active) {
+            calls[workspace] = (calls[workspace] ?? 0) + running + waiting.length;
         }
     }
 
-    private mayTakeSpare(now: number): boolean {
-        return this.spare.mayTake(this.region.freeSlots(), this.region.instances(), now);
-    }
-
     private findUnderserved(now: number): FairFlow<C> | undefined {
         if (!this.served.mayPrefer(now)) {
             return undefined;
--- a/packages/policy/src/workspaceLoad.ts
+++ b/packages/policy/src/workspaceLoad.ts
@@ -1,12 +1,12 @@
 /**
- * Running calls by workspace over all instances of a region. Load pattern: a workspace sends its calls through dozens of instances,
+ * Running and waiting calls by workspace over all instances of a region. Load pattern: a workspace sends its calls through dozens of instances,
  * each of which has one or two of them waiting, about as many as of any other workspace.
  */
 
-/** Number of calls in flight by workspace. */
+/** Number of running and waiting calls by workspace. Waiting ones are included, since a workspace without room has no others. */
 export type WorkspaceLoad = Readonly<Record<string, number>>;
 
-/** Number of running calls in a region from which on the share of a workspace can be told from chance. */
+/** Number of calls in a region from which on the share of a workspace can be told from chance. */
 const minRunning = 4;
 
 /** Number of workspaces of which an instance knows the load of the others. */
@@ -38,6 +38,6 @@
     return busiest.length < 2 ? 0 : busiest[Math.floor((busiest.length - 1) / 2)]!;
 };
 
-/** Running calls of a workspace as a multiple of those of a usual one; 0 if it has too few calls to tell. */
+/** Calls of a workspace as a multiple of those of a usual one; 0 if it has too few calls to tell. */
 export const relativeLoad = (calls: number, weight: number, usual: number): number =>
     calls < minRunning || usual === 0 ? 0 : calls / weight / usual;
--- a/tests/policy/fairQueue.test.ts
+++ b/tests/policy/fairQueue.test.ts
@@ -107,18 +107,17 @@
         const long = callOf("north");
         add(queue, long, ...times(9, () => callOf("north")), ...times(9, () => callOf("south")));
         expect(drain(queue, 1)).toEqual([long]);
-        queue.onEnded(long, 500);
+        queue.onEnded(long, 500, 0);
         expect(drain(queue, 5).map(({ workspace }) => workspace)).toEqual(Array.from({ length: 5 }, () => "south"));
     });
 
     // Guards against a workspace that comes through many instances, with a call or two at each.
     it("should serve a workspace with far more than usual calls in the region after the others", () => {
         const load: Record<string, number> = { hot: 80, north: 9, south: 10, east: 8 };
-        let freeSlots = 9;
+        let inFlight = 1;
         const queue = new FairQueue({
             relativeLoadOf: (workspace, weight) => relativeLoad(load[workspace] ?? 0, weight, usualLoad(load)),
-            freeSlots: () => freeSlots,
-            instances: () => 1,
+            slots: () => ({ slots: 10, inFlight, instances: 1 }),
         });
         add(queue, callOf("hot"), callOf("north"), callOf("south"), callOf("hot", { priority: 0 }));
         expect(drain(queue).map(({ workspace, priority }) => `${workspace} ${priority}`)).toEqual([
@@ -127,7 +126,7 @@
             "south 1",
             "hot 1",
         ]);
-        freeSlots = 0;
+        inFlight = 10;
         add(queue, callOf("hot", { priority: 0 }), callOf("north"));
         expect(drain(queue).map(({ workspace }) => workspace)).toEqual(["north"]);
         expect(queue.size).toEqual(1);
@@ -153,7 +152,7 @@
             const call = callOf(`workspace-${index}`);
             add(queue, call);
             drain(queue);
-            queue.onEnded(call, 100);
+            queue.onEnded(call, 100, 0);
         }
         expect(queue.flowCount).toBeLessThanOrEqual(2_000);
         expect(queue.size).toEqual(0);
@@ -167,9 +166,10 @@
         expect(queue.remove(first, 0)).toEqual(true);
         expect(queue.remove(first, 0)).toEqual(false);
         expect(drain(queue)).toEqual([second]);
-        const running: Record<string, number> = {};
-        queue.addRunning(running);
-        expect(running).toEqual({ north: 1 });
+        add(queue, first, callOf("south"));
+        const calls: Record<string, number> = {};
+        queue.addCalls(calls);
+        expect(calls).toEqual({ north: 2, south: 1 });
     });
 });
 
--- a/tests/policy/fairRegion.test.ts
+++ b/tests/policy/fairRegion.test.ts
@@ -18,9 +18,6 @@
 /** Age of what an instance knows of the calls in flight elsewhere. */
 const reportMs = 200;
 
-/** Multiple of its usual load that the hot workspace sends. */
-const excess = 80;
-
 interface Sent {
     readonly call: FairCall;
     readonly from: Instance;
@@ -33,8 +30,14 @@
     inFlightAtReport: number;
 }
 
-/** Share of the calls of usual workspaces that start in time. */
-const replayRegion = (isLoadShared: boolean): number => {
+/** Demand of all usual workspaces together and of the hot one, as a share of the capacity. */
+interface Demand {
+    readonly usual: number;
+    readonly hot: number;
+}
+
+/** Share of the calls of usual workspaces that start in time, and the part of the slot time that is used. */
+export const replayRegion = (isLoadShared: boolean, demand: Demand): { served: number; used: number; } => {
     const random = createRandom(4);
     /** The upstream's calls in order of arrival; the first ones run. */
     let sent: Sent[] = [];
@@ -48,8 +51,7 @@
             queue: new FairQueue({
                 relativeLoadOf: (workspace, weight) =>
                     isLoadShared ? relativeLoad(reported[workspace] ?? 0, weight, usual) : 0,
-                freeSlots: () => Math.max(0, slots - knownInFlight(instance)),
-                instances: () => instances,
+                slots: () => ({ slots, inFlight: knownInFlight(instance), instances }),
             }),
             inFlight: 0,
             inFlightAtReport: 0,
@@ -58,27 +60,28 @@
     };
     const all = Array.from({ length: instances }, createInstance);
     const waiting = new Map<FairCall, Instance>();
-    const perMs = (0.9 * slots / callMs) * (1 + excess / workspaces);
-    let [asked, inTime, due] = [0, 0, 0];
+    const perMs = (demand.usual + demand.hot) * slots / callMs;
+    let [asked, inTime, due, started] = [0, 0, 0, 0];
     for (let now = 0; now < endsAt; now++) {
         for (const { call, from } of sent.filter(done => done.endsAt <= now)) {
             from.inFlight -= 1;
-            from.queue.onEnded(call, callMs);
+            from.queue.onEnded(call, callMs, now);
         }
         sent = sent.filter(call => call.endsAt > now);
         for (const call of sent.slice(0, slots).filter(starting => starting.endsAt === Infinity)) {
             call.endsAt = now + callMs;
+            started += 1;
             inTime += isCounted(call.call) && now < call.call.deadline ? 1 : 0;
         }
         if (now % reportMs === 0) {
             reported = {};
-            sent.forEach(({ call }) => reported[call.workspace] = (reported[call.workspace] ?? 0) + 1);
+            all.forEach(({ queue }) => queue.addCalls(reported));
             usual = usualLoad(reported);
             inFlightAtReport = sent.length;
             all.forEach(instance => instance.inFlightAtReport = instance.inFlight);
         }
         for (due += perMs; due >= 1; due--) {
-            const isHot = random() < excess / (workspaces + excess);
+            const isHot = random() < demand.hot / (demand.usual + demand.hot);
             const call = createCall(isHot ? "hot" : `workspace-${Math.floor(random() * workspaces)}`, now);
             const instance = all[Math.floor(random() * instances)]!;
             instance.queue.countOffered(call, now);
@@ -105,7 +108,7 @@
             }
         }
     }
-    return inTime / asked;
+    return { served: inTime / asked, used: started * callMs / (slots * endsAt) };
 };
 
 /** Usual workspaces are counted, as far as their calls can start before the end. */
@@ -131,9 +134,19 @@
 describe("fair queues of many instances", () => {
     // Guards against a workspace taking the room of others by coming through all instances with a call or two at each.
     it("should serve the usual workspaces although each instance has few calls of the hot one", () => {
-        const [alone, shared] = [replayRegion(false), replayRegion(true)];
-        // The usual workspaces need nine tenths of the room.
-        expect(shared).toBeGreaterThanOrEqual(0.97);
-        expect(shared).toBeGreaterThan(alone);
+        // One at 80 times its usual load. The others need nine tenths of the room.
+        const demand = { usual: 0.9, hot: 0.9 * 80 / workspaces };
+        const [alone, shared] = [false, true].map(isLoadShared => replayRegion(isLoadShared, demand).served);
+        expect(shared!).toBeGreaterThanOrEqual(0.97);
+        expect(shared!).toBeGreaterThan(alone!);
+    });
+
+    // Guards against slots that stay empty while a workspace that is held back has calls waiting.
+    it("should let the hot workspace use what the usual ones leave", () => {
+        for (const usual of [0.1, 0.5]) {
+            const { served, used } = replayRegion(true, { usual, hot: 2 });
+            expect(served).toBeGreaterThanOrEqual(0.97);
+            expect(used).toBeGreaterThanOrEqual(0.9);
+        }
     });
 });
--- a/tests/policy/roomReplay.ts
+++ b/tests/policy/roomReplay.ts
@@ -53,7 +53,7 @@
     next(now: number): Waiting | undefined;
     remove(call: Waiting, now: number): void;
     onSent(call: Waiting, now: number): void;
-    onEnded(call: Waiting, tookMs: number): void;
+    onEnded(call: Waiting, tookMs: number, now: number): void;
 }
 
 /** The order before: one queue by attained service over all workspaces, in which calls wait until their deadline. */
@@ -143,7 +143,7 @@
     const lastAt = Math.max(...load.map(({ at, limitMs }) => at + limitMs));
     for (let now = 0; now <= lastAt; now++) {
         for (const { call } of running.filter(({ endsAt }) => endsAt <= now)) {
-            room.onEnded(call, call.outcome.call.ms);
+            room.onEnded(call, call.outcome.call.ms, now);
         }
         running.splice(0, running.length, ...running.filter(({ endsAt }) => endsAt > now));
         for (const call of waiting) {
