Compare the loads of workspaces within their urgency only, and refuse calls that are held back at once

A workspace of high priority with more calls than those of low priority was held back behind them. A workspace that is held back had calls admitted while places were free that it does not get; they waited until too little time was left.

--- a/packages/gateway/src/fairness/fairAdmission.ts
+++ b/packages/gateway/src/fairness/fairAdmission.ts
@@ -66,7 +66,7 @@
         const { pool } = this.options;
         const drainRate = queue.drainRate(call, now);
         const load = {
-            hasRoom: queue.size === 0 || pool.hasRoom(call.model),
+            hasRoom: queue.size === 0 || pool.hasRoom(call.model) && !queue.isHeldBack(call, now),
             waiting: queue.size,
             ownWaiting: queue.waitingOf(call),
             isUnderserved: queue.isUnderserved(call, now),
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -4,8 +4,10 @@
     CallCosts,
     engineUrgency,
     FairQueue,
+    loadKey,
     RecentKeys,
     relativeLoad,
+    urgencyOfPriority,
     usualLoad,
 } from "@marigolddrift/policy";
 import type { RegionSlots, WorkspaceLoad } from "@marigolddrift/policy";
@@ -47,7 +49,7 @@
     private readonly queues = new Map<string, FairQueue<QueuedCall>>();
     private readonly costs = new CallCosts();
     private regionalLoad: WorkspaceLoad = {};
-    private usualLoad = 0;
+    private usualLoads: number[] = [];
     private regionalLoadAt = -Infinity;
     private readonly programs = new RecentKeys(maxPrograms, programTtlMs);
 
@@ -65,7 +67,7 @@
         let queue = this.queues.get(service);
         if (queue === undefined) {
             queue = new FairQueue<QueuedCall>({
-                relativeLoadOf: (workspace, weight) => this.relativeLoadOf(workspace, weight),
+                relativeLoadOf: (urgency, workspace, weight) => this.relativeLoadOf(urgency, workspace, weight),
                 slots: () => this.region.slots(service),
             });
             this.queues.set(service, queue);
@@ -111,10 +113,11 @@
         const queue = this.queueOf(ctx.service.name);
         const name = ctx.workspace?.name ?? noWorkspace;
         const weight = this.workspaces()?.weightOf(ctx.workspace) ?? 1;
+        const urgency = urgencyOfPriority(ctx.priority);
         return engineUrgency({
             priority: ctx.priority,
             isContinuation: queue === undefined ? continuesTurn(ctx) : this.hasBegun(ctx),
-            runningShare: queue && Math.max(queue.runningShare(name), this.relativeLoadOf(name, weight)),
+            runningShare: queue && Math.max(queue.runningShare(name), this.relativeLoadOf(urgency, name, weight)),
             waitedShare: waitedMs / Math.max(1, waitedMs + ctx.progress.leftMs),
         });
     }
@@ -134,14 +137,15 @@
         }
     }
 
-    private relativeLoadOf(workspace: string, weight: number): number {
+    private relativeLoadOf(urgency: number, workspace: string, weight: number): number {
         const now = performance.now();
         if (now - this.regionalLoadAt >= regionalLoadTtlMs) {
             this.regionalLoadAt = now;
             this.regionalLoad = addLoads(this.region.loadOfPeers(), this.localLoad());
-            this.usualLoad = usualLoad(this.regionalLoad);
+            this.usualLoads = [];
         }
-        return relativeLoad(this.regionalLoad[workspace] ?? 0, weight, this.usualLoad);
+        const usual = this.usualLoads[urgency] ??= usualLoad(urgency, this.regionalLoad);
+        return relativeLoad(this.regionalLoad[loadKey(urgency, workspace)] ?? 0, weight, usual);
     }
 
     /**
--- a/packages/policy/src/fairFlow.ts
+++ b/packages/policy/src/fairFlow.ts
@@ -21,6 +21,13 @@
 /** Time constant of the counts from which the served shares are computed. */
 export const shareTauMs = 10_000;
 
+/** Number of urgencies; calls of lower priority share the last one. */
+export const urgencies = 10;
+
+/** Returns the urgency of a priority; 0 is the first. */
+export const urgencyOfPriority = (priority: number): number =>
+    Math.min(urgencies - 1, Math.max(0, Math.floor(priority)));
+
 /** A workspace with one urgency, as fair queueing sees it. */
 export class FairFlow<C extends FairCall = FairCall> {
     /** Sorted by {@link compareWithinWorkspace}. */
--- a/packages/policy/src/fairQueue.ts
+++ b/packages/policy/src/fairQueue.ts
@@ -3,14 +3,12 @@
  * urgent calls comes, while the upstreams are full.
  */
 import { DrainRate } from "./drainRate.js";
-import { FairFlow } from "./fairFlow.js";
+import { FairFlow, urgencies, urgencyOfPriority } from "./fairFlow.js";
 import type { FairCall } from "./fairFlow.js";
 import { ServedShares } from "./servedShares.js";
 import { SpareSlots } from "./spareSlots.js";
 import type { RegionSlots } from "./spareSlots.js";
-
-/** Number of urgencies; calls of lower priority share the last one. */
-const urgencies = 10;
+import { loadKey } from "./workspaceLoad.js";
 
 /** Part of its time that a call waits before it gets room ahead of urgency. */
 const preferredAfter = 0.1;
@@ -29,8 +27,8 @@
 
 /** What the other instances of the region run. */
 export interface RegionView {
-    /** Calls of a workspace in the region as a multiple of those of usual ones; see `relativeLoad`. */
-    relativeLoadOf(workspace: string, weight: number): number;
+    /** Calls of a workspace in the region as a multiple of those of usual ones of its urgency; see `relativeLoad`. */
+    relativeLoadOf(urgency: number, workspace: string, weight: number): number;
     /** The slots of the upstreams. */
     slots(): RegionSlots;
 }
@@ -112,8 +110,13 @@
             return underserved.waiting[0];
         }
         const first = this.findFirst();
-        const isHeldBack = first !== undefined && first.isOver && !this.spare.mayTake(this.region.slots(), now);
-        return (isHeldBack ? this.findFirst(flow => !flow.isOver) : first)?.waiting[0];
+        return (first !== undefined && this.holdsBack(first, now) ? this.findFirst(flow => !flow.isOver) : first)
+            ?.waiting[0];
+    }
+
+    /** Whether the workspace of a call takes far more than usual in the region, and no slot is free for it now. */
+    isHeldBack(call: C, now: number): boolean {
+        return this.holdsBack(this.flowOf(call), now);
     }
 
     /** Removes a call that is being sent, and charges its workspace. */
@@ -213,13 +216,18 @@
         return own < minRunningForShare ? 0 : own / running / (ownWeight / weight);
     }
 
-    /** Adds the running and waiting calls to those by workspace. */
+    /** Adds the running and waiting calls to those by workspace and urgency. */
     addCalls(calls: Record<string, number>): void {
-        for (const { workspace, running, waiting } of this.active) {
-            calls[workspace] = (calls[workspace] ?? 0) + running + waiting.length;
+        for (const { urgency, workspace, running, waiting } of this.active) {
+            const key = loadKey(urgency, workspace);
+            calls[key] = (calls[key] ?? 0) + running + waiting.length;
         }
     }
 
+    private holdsBack(flow: FairFlow<C>, now: number): boolean {
+        return flow.isOver && !this.spare.mayTake(this.region.slots(), now);
+    }
+
     private findUnderserved(now: number): FairFlow<C> | undefined {
         if (!this.served.mayPrefer(now)) {
             return undefined;
@@ -246,7 +254,7 @@
     private findFirst(isEligible: (flow: FairFlow<C>) => boolean = () => true): FairFlow<C> | undefined {
         let first: FairFlow<C> | undefined;
         for (const flow of this.backlogged) {
-            flow.isOver = this.region.relativeLoadOf(flow.workspace, flow.weight) >= overLoad;
+            flow.isOver = this.region.relativeLoadOf(flow.urgency, flow.workspace, flow.weight) >= overLoad;
             if (isEligible(flow) && (first === undefined || precedes(flow, first))) {
                 first = flow;
             }
@@ -264,8 +272,8 @@
     }
 
     private flowOf(call: C): FairFlow<C> {
-        const urgency = Math.min(urgencies - 1, Math.max(0, Math.floor(call.priority)));
-        const key = `${urgency} ${call.workspace}`;
+        const urgency = urgencyOfPriority(call.priority);
+        const key = loadKey(urgency, call.workspace);
         let flow = this.flows.get(key);
         if (flow === undefined) {
             this.dropIdleFlow();
--- a/packages/policy/src/workspaceLoad.ts
+++ b/packages/policy/src/workspaceLoad.ts
@@ -3,7 +3,10 @@
  * each of which has one or two of them waiting, about as many as of any other workspace.
  */
 
-/** Number of running and waiting calls by workspace. Waiting ones are included, since a workspace without room has no others. */
+/**
+ * Number of running and waiting calls by urgency and workspace; see {@link loadKey}. Waiting ones are included, since a workspace
+ * without room has no others.
+ */
 export type WorkspaceLoad = Readonly<Record<string, number>>;
 
 /** Number of calls in a region from which on the share of a workspace can be told from chance. */
@@ -26,15 +29,21 @@
     return sum;
 };
 
+/** Returns the key of a workspace in a load. Workspaces are compared with others of their urgency only. */
+export const loadKey = (urgency: number, workspace: string): string => `${urgency} ${workspace}`;
+
 /**
- * Returns the calls of a usual workspace: the median of the busiest ones; 0 if there are fewer than two.
+ * Returns the calls of a usual workspace of an urgency: the median of the busiest ones; 0 if there are fewer than two.
  *
  * @param load The busiest workspaces of the region.
  * @example
- * usualLoad({ north: 40, south: 5, east: 4 }) === 5;
+ * usualLoad(1, { "1 north": 40, "1 south": 5, "1 east": 4, "0 west": 90 }) === 5;
  */
-export const usualLoad = (load: WorkspaceLoad): number => {
-    const busiest = Object.values(load).sort((a, b) => a - b).slice(-maxKnownWorkspaces);
+export const usualLoad = (urgency: number, load: WorkspaceLoad): number => {
+    const calls = Object.entries(load).filter(([key]) => key.startsWith(loadKey(urgency, ""))).map(([, count]) =>
+        count
+    );
+    const busiest = calls.sort((a, b) => a - b).slice(-maxKnownWorkspaces);
     return busiest.length < 2 ? 0 : busiest[Math.floor((busiest.length - 1) / 2)]!;
 };
 
