--- a/packages/policy/src/fairAdmission.ts
+++ b/packages/policy/src/fairAdmission.ts
@@ -80,7 +80,9 @@
         return { kind: "refuse", reason: "there is no room for the call before its deadline", waitMs };
     }
     if (waitMs > maxFairWaitMs(req)) {
-        const reason = req.isContinuation ? "too little time is left to wait for room" : "begun programs take the room";
+        const reason = `the wait for room is too long for ${
+            req.isContinuation ? "a begun" : "the first call of a"
+        } program`;
         return { kind: "refuse", reason, waitMs };
     }
     return { kind: "admit", waitMs };
