--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,8 @@
 import { EntryServer } from "./entry/entryServer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
+import { FairAdmission } from "./fairness/fairAdmission.js";
+import { Fairness } from "./fairness/fairness.js";
 import { createCallFilters } from "./filters/callFilters.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
 import { Duties } from "./fleet/duties.js";
@@ -84,6 +86,7 @@
     private readonly upstreamEntries: WatchedPrefix;
     private readonly upstreamFollower: UpstreamFollower;
     private readonly dispatcher: Dispatcher<QueuedCall>;
+    private readonly fairness: Fairness;
     private readonly peers: Peers;
     private readonly duties: Duties;
     private readonly peerServer: PeerServer;
@@ -130,6 +133,7 @@
             this.peers,
             () => this.upstreams.localLoad(),
             log,
+            () => this.fairness.localLoad(),
         );
         this.permitGranter = new PermitGranter(random);
         this.permits = new Permits(this.localInstance, this.duties, this.peers, this.permitGranter, this.metrics, log);
@@ -146,7 +150,13 @@
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, this.store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
+        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, {
+            loadOfPeers: () => this.loadExchange.workspacesOfPeers,
+            slots: service => pool.slots(service, this.peers.namesInRegion(topology.region).length + 1),
+        });
+        const queueOf = this.fairness.queueOf.bind(this.fairness);
+        const place = createPlacement("expectedFinishSampled");
+        const policy = { place, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.upstreamFollower = new UpstreamFollower(
             this.upstreams,
@@ -300,12 +310,14 @@
 
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
         const { protocol, log } = this.options;
-        const { dispatcher, upstreams, turns } = this;
+        const { dispatcher, fairness, metrics, upstreams, turns } = this;
+        const sources = { fairness, metrics, pool, random };
         const forward = new ForwardFilter({
             dispatcher,
             upstreams,
             limits: this.limits,
-            admission: new LimitAdmission(dispatcher, pool, random),
+            admission: new FairAdmission(new LimitAdmission(dispatcher, pool, random), sources),
+            fairness,
             crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
             blocker: this.blocker,
             protocol,
@@ -328,7 +340,7 @@
             routes: () => this.activeConfig.table,
             drainSchedule: () => this.drainController.schedule,
             random,
-            metrics: this.metrics,
+            metrics,
             log,
         });
     }
