Try calls elsewhere that an upstream broke or refused

A call was written to an idle connection whose end had arrived at a busy process but was not read yet, so that it counted as one that may have run; and a call that had been broken once was answered 502 as soon as no other upstream was left or reachable. Calls on idle connections now wait until pending input has been read, an upstream that failed a call is used again if there is no other, and a call that may be repeated waits for an upstream until its deadline.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -31,6 +31,9 @@
 /** Time after which a caller may retry a call that all tried upstreams refused. */
 const retryAfterSeconds = 0.2;
 
+/** Pause before a call is sent again to an upstream that has refused or broken it, or before upstreams are looked for again. */
+const retryPauseMs = 50;
+
 /** Settings and dependencies of a {@link ForwardFilter}. */
 export interface ForwardFilterOptions {
     readonly dispatcher: Dispatcher<QueuedCall>;
@@ -55,7 +58,7 @@
 
 /** What the attempts at a call have shown so far. */
 interface Tries {
-    /** Upstreams that are not tried again. */
+    /** Upstreams that refused or broke the call; not tried again unless no other is left. */
     readonly excluded: Set<string>;
     /** Number of upstreams that did not run the call. */
     refusals: number;
@@ -81,7 +84,11 @@
 
     /** Resolves to whether the call is complete. */
     private async tryOnce(ctx: CallContext, tries: Tries): Promise<boolean> {
-        const result = await this.runAttempt(ctx, tries.excluded, tries.runs > 0);
+        const result = await this.runAttempt(ctx, tries);
+        if (result === undefined) {
+            await ctx.progress.sleep(retryPauseMs);
+            return false;
+        }
         if (result.kind === "complete" || result.kind === "noPermit") {
             return result.kind === "complete";
         }
@@ -97,13 +104,14 @@
         return false;
     }
 
-    private async runAttempt(
-        ctx: CallContext,
-        excluded: Set<string>,
-        mayHaveRun: boolean,
-    ): Promise<AttemptResult | NoPermit> {
+    /** Resolves to undefined if there is no upstream now, but may be one before the deadline. */
+    private async runAttempt(ctx: CallContext, tries: Tries): Promise<AttemptResult | NoPermit | undefined> {
         const { dispatcher } = this.options;
-        const lease = await this.options.admission.acquire(createQueuedCall(ctx, excluded), ctx);
+        const { excluded } = tries;
+        const lease = await this.acquire(ctx, tries);
+        if (lease === undefined) {
+            return undefined;
+        }
         if (!await this.takePermit(ctx, lease)) {
             return { kind: "noPermit" };
         }
@@ -116,7 +124,7 @@
         try {
             ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
-            this.options.blocker.check(ctx, mayHaveRun);
+            this.options.blocker.check(ctx, tries.runs > 0);
             return result = await this.send(ctx, lease);
         }
         finally {
@@ -126,6 +134,33 @@
         }
     }
 
+    /**
+     * Waits for an upstream. A call that may have run can't be answered as refused, so that it waits for its deadline rather than
+     * fail because no upstream is left at the moment.
+     */
+    private async acquire(ctx: CallContext, tries: Tries): Promise<DispatchLease | undefined> {
+        let lease: DispatchLease;
+        try {
+            lease = await this.options.admission.acquire(createQueuedCall(ctx, tries.excluded), ctx);
+        }
+        catch (err) {
+            if (tries.runs > 0 && isTemporaryRefusal(err) && ctx.progress.leftMs > retryPauseMs) {
+                return undefined;
+            }
+            throw err;
+        }
+        if (tries.excluded.has(lease.worker)) {
+            try {
+                await ctx.progress.sleep(retryPauseMs);
+            }
+            catch (err) {
+                lease.release();
+                throw err;
+            }
+        }
+        return lease;
+    }
+
     /** Takes the permit for an upstream that limits its requests; releases the upstream if there is none now. */
     private async takePermit(ctx: CallContext, lease: DispatchLease): Promise<boolean> {
         const upstream = this.options.upstreams.get(lease.worker);
@@ -249,6 +284,10 @@
     }
 }
 
+/** Whether an upstream may be found for the call a little later. */
+const isTemporaryRefusal = (err: unknown): boolean =>
+    err instanceof ProblemError && (err.code === "no_upstream" || err.code === "overloaded");
+
 /** A later attempt that was refused does not undo that an earlier one may have run. */
 const asMayHaveRun = (err: unknown): unknown =>
     err instanceof ProblemError && err.verdict === "notRun" ?
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -77,7 +77,7 @@
 
     /** Upstreams of the instance's region; those of all regions only if the former take no call or have failed this one. */
     views(req: QueuedCall): WorkerView[] {
-        const usable = this.upstreams.usable(req.model).filter(({ entry }) => !req.excluded.has(entry.id));
+        const usable = this.withoutFailed(this.upstreams.usable(req.model), req);
         const sameRegion = usable.filter(({ entry }) => this.topology.regionOf(entry.zone) === this.topology.region);
         const hasFreeSlot = sameRegion.some(upstream =>
             upstream.inFlight < upstream.entry.slots && !this.limits.isClosed(upstream)
@@ -89,6 +89,12 @@
             candidates.map(upstream => this.createClosedView(upstream, req));
     }
 
+    /** Leaves out the upstreams that refused or broke the call, unless no other is left. */
+    private withoutFailed(usable: readonly Upstream[], req: QueuedCall): readonly Upstream[] {
+        const untried = usable.filter(({ entry }) => !req.excluded.has(entry.id));
+        return untried.length > 0 ? untried : usable;
+    }
+
     /** Calls that the upstreams run at once for this instance; fewer than their slots where they limit the requests. */
     capacity(service: string, meanServiceMs: number): number {
         const capacityOf = (upstream: Upstream): number => {
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -77,6 +77,13 @@
  */
 const isReset = (socket: Socket): boolean => socket.remoteAddress === undefined;
 
+/**
+ * Calls back once all input that had arrived has been read. The end of an idle connection may have arrived while this process was
+ * busy; a call that was written to it would count as one that may have run. The first callback may come before input is polled
+ * for again, the second one comes after.
+ */
+const afterPendingInput = (callback: () => void): void => void setImmediate(() => setImmediate(callback));
+
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
     /** Called when a connection cannot be opened, also if the call that needed it has been given up meanwhile. */
@@ -98,15 +105,27 @@
 
     send(call: OutgoingCall, listener: ReplyListener): RunningCall {
         const handler = new ReplyHandler(listener, this.socketEnding);
-        this.pool.dispatch({
-            method: call.method,
-            path: call.path,
-            headers: call.headers as string[],
-            body: call.body ?? null,
-        }, handler);
+        const dispatch = (): void =>
+            void this.pool.dispatch({
+                method: call.method,
+                path: call.path,
+                headers: call.headers as string[],
+                body: call.body ?? null,
+            }, handler);
+        if (this.hasIdleConnection) {
+            afterPendingInput(dispatch);
+        }
+        else {
+            dispatch();
+        }
         return handler;
     }
 
+    /** Whether a call can be sent without a new connection. */
+    get hasIdleConnection(): boolean {
+        return this.pool.stats.free > 0;
+    }
+
     /** Closes the connections after their calls have ended. */
     closeWhenIdle(): void {
         void this.pool.close().catch(() => {
