--- /dev/null
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -0,0 +1,52 @@
+/** Ends the answer to a call whose upstream has replied completely; turns are saved before. */
+import { createTurn } from "../turns/turnRecord.js";
+import type { TurnStore } from "../turns/turnStore.js";
+import { scopedName } from "../workspaces.js";
+import type { CallContext } from "./callContext.js";
+import { BufferedResponse } from "./responseSinks.js";
+import type { StreamedResponse } from "./responseSinks.js";
+
+/** Number of tokens of a stream that has arrived so far. */
+export const streamedTokens = (ctx: CallContext, response: StreamedResponse): number =>
+    response.events.events * (ctx.service.engine?.tokensPerEvent ?? 1);
+
+/** Writes complete answers to callers. */
+export class AnswerWriter {
+    constructor(
+        private readonly turns: TurnStore,
+        private readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void,
+    ) {}
+
+    async complete(ctx: CallContext, response: StreamedResponse | BufferedResponse): Promise<void> {
+        ctx.trace.status = response.status;
+        if (response instanceof BufferedResponse) {
+            response.send(ctx.res);
+            return;
+        }
+        if (response.isSuccess) {
+            this.onPromptProcessed(ctx.trace.upstream!, ctx);
+            await this.saveTurn(ctx, response);
+        }
+        response.end();
+    }
+
+    /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
+    private async saveTurn(ctx: CallContext, response: StreamedResponse): Promise<void> {
+        const { route, conversation } = ctx;
+        const { program } = ctx.head;
+        if (route.turnRetentionMs === 0 || program === undefined) {
+            return;
+        }
+        const startedAt = performance.now();
+        const keepMs = route.turnRetentionMs;
+        const content = {
+            id: scopedName(ctx.workspace, ctx.id),
+            input: ctx.body,
+            output: response.events.output(),
+            keepMs,
+        };
+        const turn = createTurn(content, conversation, Date.now());
+        await this.turns.save({ turn, program: scopedName(ctx.workspace, program.id), keepMs }, ctx.progress);
+        ctx.trace.savedMs = Math.round(performance.now() - startedAt);
+    }
+}
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -14,13 +14,14 @@
 import { createQueuedCall } from "../placement.js";
 import type { CallProtocol } from "../protocol.js";
 import type { Exchange } from "../trafficMeter.js";
-import { createTurn } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
+import type { AffinityTable } from "../upstreams/affinityTable.js";
 import { attemptCall } from "../upstreams/attempt.js";
 import type { AttemptResult } from "../upstreams/attempt.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
+import type { UpstreamObserver } from "../upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
-import { scopedName } from "../workspaces.js";
+import { AnswerWriter, streamedTokens } from "./answerWriter.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
@@ -45,6 +46,8 @@
     readonly protocol: CallProtocol;
     readonly turns: TurnStore;
     readonly replyMemory: ReplyMemory;
+    readonly observer: UpstreamObserver;
+    readonly affinity: AffinityTable;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
     readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
     readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void;
@@ -68,7 +71,11 @@
 
 /** The last filter of the chain: forwards the call and retries failed attempts. */
 export class ForwardFilter implements Filter<CallContext> {
-    constructor(private readonly options: ForwardFilterOptions) {}
+    private readonly answers: AnswerWriter;
+
+    constructor(private readonly options: ForwardFilterOptions) {
+        this.answers = new AnswerWriter(options.turns, options.onPromptProcessed);
+    }
 
     async handle(ctx: CallContext): Promise<void> {
         const tries: Tries = { excluded: new Set(), refusals: 0, runs: 0 };
@@ -108,7 +115,8 @@
     private async runAttempt(ctx: CallContext, tries: Tries): Promise<AttemptResult | NoPermit | undefined> {
         const { dispatcher } = this.options;
         const { excluded } = tries;
-        const lease = await this.acquire(ctx, tries);
+        const queued = createQueuedCall(ctx, excluded);
+        const lease = await this.acquire(ctx, queued, tries);
         if (lease === undefined) {
             return undefined;
         }
@@ -125,7 +133,7 @@
             ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
             this.options.blocker.check(ctx, tries.runs > 0);
-            return result = await this.send(ctx, lease);
+            return result = await this.send(ctx, queued, lease);
         }
         finally {
             const isComplete = result?.kind === "complete";
@@ -138,10 +146,10 @@
      * Waits for an upstream. A call that may have run can't be answered as refused, so that it waits for its deadline rather than
      * fail because no upstream is left at the moment.
      */
-    private async acquire(ctx: CallContext, tries: Tries): Promise<DispatchLease | undefined> {
+    private async acquire(ctx: CallContext, queued: QueuedCall, tries: Tries): Promise<DispatchLease | undefined> {
         let lease: DispatchLease;
         try {
-            lease = await this.options.admission.acquire(createQueuedCall(ctx, tries.excluded), ctx);
+            lease = await this.options.admission.acquire(queued, ctx);
         }
         catch (err) {
             if (tries.runs > 0 && isTemporaryRefusal(err) && ctx.progress.leftMs > retryPauseMs) {
@@ -177,7 +185,7 @@
         return permitted;
     }
 
-    private async send(ctx: CallContext, lease: DispatchLease): Promise<AttemptResult> {
+    private async send(ctx: CallContext, queued: QueuedCall, lease: DispatchLease): Promise<AttemptResult> {
         const upstream = this.options.upstreams.get(lease.worker);
         if (upstream === undefined) {
             return { kind: "notRun", detail: "the upstream has just left", endedBy: "upstream", unreachable: true };
@@ -200,9 +208,13 @@
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
-        const { protocol, replyMemory: memory } = this.options;
+        const { protocol, replyMemory: memory, observer } = this.options;
+        const observation = observer.begin(upstream, { ...queued, score: lease.score });
+        response.onFirstByte = observation.onFirstByte;
         const attempt = { call, callId: ctx.id, protocol, sink: response, memory };
         const result = await attemptCall(upstream, attempt, ctx.progress);
+        const tokens = response instanceof StreamedResponse ? streamedTokens(ctx, response) : undefined;
+        observation.onEnd({ result, status: response.status, tokens });
         this.options.recordTraffic(upstream, {
             kind: "call",
             sentBytes: body.length,
@@ -213,58 +225,22 @@
             upstream.eject();
         }
         if (result.kind === "complete") {
-            upstream.recordDuration(performance.now() - startedAt);
             this.options.blocker.onAnswered(ctx);
+            if (queued.affinityKey !== undefined && response.status! < 500) {
+                this.options.affinity.onServed(queued.affinityKey, lease.worker);
+            }
         }
         if (result.kind === "broken" && result.endedBy === "upstream" && !response.hasData) {
             this.options.crashes.onBroken(upstream, ctx.fingerprints());
         }
-        await this.completeAttempt(ctx, response, result);
-        return result;
-    }
-
-    private async completeAttempt(
-        ctx: CallContext,
-        response: StreamedResponse | BufferedResponse,
-        result: AttemptResult,
-    ): Promise<void> {
         if (response instanceof StreamedResponse) {
-            ctx.trace.tokens = response.events.events * (ctx.service.engine?.tokensPerEvent ?? 1);
+            ctx.trace.tokens = tokens!;
             ctx.trace.firstMs = Math.round((response.firstDataAt ?? ctx.arrivedAt) - ctx.arrivedAt);
         }
-        if (result.kind !== "complete") {
-            return;
-        }
-        ctx.trace.status = response.status;
-        if (response instanceof BufferedResponse) {
-            response.send(ctx.res);
-            return;
-        }
-        if (response.isSuccess) {
-            this.options.onPromptProcessed(ctx.trace.upstream!, ctx);
-            await this.saveTurn(ctx, response);
-        }
-        response.end();
-    }
-
-    /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
-    private async saveTurn(ctx: CallContext, response: StreamedResponse): Promise<void> {
-        const { route, conversation } = ctx;
-        const { program } = ctx.head;
-        if (route.turnRetentionMs === 0 || program === undefined) {
-            return;
+        if (result.kind === "complete") {
+            await this.answers.complete(ctx, response);
         }
-        const startedAt = performance.now();
-        const keepMs = route.turnRetentionMs;
-        const content = {
-            id: scopedName(ctx.workspace, ctx.id),
-            input: ctx.body,
-            output: response.events.output(),
-            keepMs,
-        };
-        const turn = createTurn(content, conversation, Date.now());
-        await this.options.turns.save({ turn, program: scopedName(ctx.workspace, program.id), keepMs }, ctx.progress);
-        ctx.trace.savedMs = Math.round(performance.now() - startedAt);
+        return result;
     }
 
     private checkRefusals(ctx: CallContext, refusals: number, detail: string): void {
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -9,6 +9,8 @@
 export class BufferedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    /** Called at the first data of a stream, or at the head of any other answer. */
+    onFirstByte: () => void = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
@@ -33,6 +35,7 @@
     onHead(head: ReplyHead): void {
         this.head = head;
         this.chunks.length = 0;
+        this.onFirstByte();
     }
 
     onData(chunk: Buffer): void {
@@ -61,6 +64,8 @@
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    /** Called at the first data of a stream, or at the head of any other answer. */
+    onFirstByte: () => void = () => {};
     readonly events = new EventCollector();
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
@@ -95,8 +100,11 @@
     }
 
     onData(chunk: Buffer): void {
+        if (this.firstDataAt === undefined) {
+            this.onFirstByte();
+            this.firstDataAt = performance.now();
+        }
         this.writeHead();
-        this.firstDataAt ??= performance.now();
         this.receivedBytes += chunk.length;
         this.events.feed(chunk);
         this.res.write(chunk);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 /** Assembles, starts and stops the components of an instance that serves plain HTTP calls. */
 import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
-import { createPlacement, nextCall } from "@marigolddrift/policy";
+import { nextCall, placeNear } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
@@ -120,7 +120,7 @@
         const topology = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
         this.upstreams = new Upstreams(
             upstream => {
-                pool.prefixes.removeWorker(upstream.entry.id);
+                pool.forget(upstream);
                 this.limits.forget(upstream);
             },
             () => this.activeConfig.table,
@@ -146,14 +146,14 @@
         const sources = { limits: this.limits, crashes: this.blocker };
         this.facts = new FactExchange(this.localInstance, this.duties, this.peers, factClock, sources, log);
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
-        const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits);
+        const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits, random, log);
         this.writer = new BatchWriter(store, batchDelayMs, log);
         this.storeArchive = new StoreArchive(store, this.writer, log);
         this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        const policy = { place: createPlacement("expectedFinishSampled"), order: nextCall, admission: true, random };
+        const policy = { place: placeNear, order: nextCall, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
         this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
@@ -301,6 +301,8 @@
             protocol,
             turns,
             replyMemory: this.replyMemory,
+            observer: pool.observer,
+            affinity: pool.affinity,
             log,
             recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,39 +1,40 @@
 /** Adapts the known upstreams to the dispatcher. */
+import type { Logger } from "@marigolddrift/common";
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
-import { expectedRoundTripMs, PrefixView } from "@marigolddrift/policy";
-import type { CostModel, WorkerView } from "@marigolddrift/policy";
+import { PrefixView } from "@marigolddrift/policy";
+import type { WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart } from "./call.js";
 import type { CallContext } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
+import { AffinityTable } from "./upstreams/affinityTable.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
+import { UpstreamObserver } from "./upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
+import { defaultEngineCost, UpstreamViews } from "./upstreamViews.js";
+import { scopedName } from "./workspaces.js";
 
-/** Assumed cost model of a model engine; the maximum batch size is taken from the upstream's entry. */
-const defaultEngineCost = {
-    prefillMsPerToken: 0.017,
-    decodeBaseMs: 2.6,
-    decodePerSequenceMs: 0.02,
-    importMsPerToken: 0,
-};
-
-/** Assumed duration of a call to a plain service until one has been measured. */
-const defaultCallMs = 30;
+/** Assumed duration of a call to a plain service, for admission. */
+const assumedCallMs = 30;
 
 /** Share of the maximum output that a turn is assumed to generate if the caller gives no estimate. */
 const expectedOutputShare = 0.3;
 
-/** Maximum number of calls in flight on an upstream, as a multiple of its slots. */
-const maxInFlightPerSlot = 1.5;
-
 /** A call that is queued for an upstream. */
 export interface QueuedCall extends DispatchRequest {
     readonly promptParts: readonly PromptPart[];
+    /** Calls of one kind take about as long at even upstreams. */
+    readonly kind: string;
+    /** Tokens that an engine of the service has memory for; undefined for plain services. */
+    readonly memoryTokens: number | undefined;
+    /** Identifies the object that the call concerns; undefined unless the route is sticky. */
+    readonly affinityKey: string | undefined;
 }
 
 /** Creates the dispatcher's request for a call; calls are queued by service. */
 export const createQueuedCall = (ctx: CallContext, excluded: ReadonlySet<string>): QueuedCall => {
-    const { program, prompt } = ctx.head;
+    const { program, prompt, affinityKey } = ctx.head;
+    const isSticky = ctx.route.isSticky && affinityKey !== undefined;
     const now = performance.now();
     const expectedTokens = prompt === undefined ?
         1 :
@@ -47,13 +48,16 @@
         priority: ctx.priority,
         enqueuedAt: now,
         deadline: now + ctx.progress.leftMs,
-        expectedMs: prompt === undefined ? defaultCallMs : expectedTokens * defaultEngineCost.decodeBaseMs,
+        expectedMs: prompt === undefined ? assumedCallMs : expectedTokens * defaultEngineCost.decodeBaseMs,
         workspaceLoad: 0,
         shape: { promptTokens: prompt?.promptTokens ?? 0, expectedTokens },
         firstCall: program?.previousTurnId === undefined,
         excluded,
         bytes: ctx.body.length,
         promptParts: prompt?.parts ?? [],
+        kind: `${ctx.service.name}/${ctx.route.name}`,
+        memoryTokens: ctx.service.engine?.memoryTokens,
+        affinityKey: isSticky ? `${ctx.service.name} ${scopedName(ctx.workspace, affinityKey)}` : undefined,
     };
 };
 
@@ -67,26 +71,40 @@
 /** The upstreams as the dispatcher sees them. */
 export class UpstreamPool implements DispatchTarget<QueuedCall> {
     readonly prefixes = new PrefixView();
+    readonly observer: UpstreamObserver;
+    readonly affinity = new AffinityTable();
+    private readonly upstreamViews: UpstreamViews;
 
     constructor(
-        private readonly topology: Topology,
+        topology: Topology,
         private readonly upstreams: Upstreams,
-        private readonly peerLoadOf: (upstream: string) => PeerLoad,
+        peerLoadOf: (upstream: string) => PeerLoad,
         private readonly limits: Pick<UpstreamLimits, "rateOf" | "shareOf" | "isClosed">,
-    ) {}
+        random: () => number,
+        log: Logger,
+    ) {
+        this.observer = new UpstreamObserver(log);
+        const { observer, affinity, prefixes } = this;
+        this.upstreamViews = new UpstreamViews({
+            topology,
+            observer,
+            affinity,
+            prefixes,
+            limits,
+            peerLoadOf,
+            random,
+        });
+    }
 
-    /** Upstreams of the instance's region; those of all regions only if the former take no call or have failed this one. */
+    /** The upstreams that are considered for a call; see {@link UpstreamViews}. */
     views(req: QueuedCall): WorkerView[] {
-        const usable = this.withoutFailed(this.upstreams.usable(req.model), req);
-        const sameRegion = usable.filter(({ entry }) => this.topology.regionOf(entry.zone) === this.topology.region);
-        const hasFreeSlot = sameRegion.some(upstream =>
-            upstream.inFlight < upstream.entry.slots && !this.limits.isClosed(upstream)
-        );
-        const candidates = hasFreeSlot ? sameRegion : usable;
-        const open = candidates.filter(upstream => !this.limits.isClosed(upstream));
-        return open.length > 0 ?
-            open.map(upstream => this.createView(upstream, req)) :
-            candidates.map(upstream => this.createClosedView(upstream, req));
+        return this.upstreamViews.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
+    }
+
+    /** Drops what is known of an upstream that is no longer available. */
+    forget(upstream: Upstream): void {
+        this.prefixes.removeWorker(upstream.entry.id);
+        this.observer.forget(upstream);
     }
 
     /** Leaves out the upstreams that refused or broke the call, unless no other is left. */
@@ -134,43 +152,4 @@
     tryAdmit(): boolean {
         return true;
     }
-
-    /** An upstream that is out of permits; its cached prompts are left out, so that no call is bound to wait for it. */
-    private createClosedView(upstream: Upstream, req: QueuedCall): WorkerView {
-        return { ...this.createView(upstream, req), cachedTokens: 0, maxInFlight: 0 };
-    }
-
-    private createView(upstream: Upstream, req: QueuedCall): WorkerView {
-        const { entry, inFlight } = upstream;
-        const peerLoad = this.peerLoadOf(entry.id);
-        return {
-            worker: entry.id,
-            zone: entry.zone,
-            localInFlight: inFlight,
-            reportedInFlight: peerLoad.calls,
-            localInFlightAtReport: 0,
-            reportAgeMs: peerLoad.ageMs,
-            cachedTokens: this.prefixes.cachedTokens(entry.id, req.promptParts),
-            exportedTokens: 0,
-            slowdown: 1,
-            roundTripMs: expectedRoundTripMs(this.topology, {
-                zone: entry.zone,
-                region: this.topology.regionOf(entry.zone),
-            }),
-            // A few calls queue at the upstream, so that it does not idle until the release of a slot is known here.
-            maxInFlight: entry.slots * maxInFlightPerSlot,
-            cost: costOf(upstream, req),
-        };
-    }
 }
-
-const costOf = (upstream: Upstream, req: QueuedCall): CostModel =>
-    req.shape.promptTokens > 0 ?
-        { ...defaultEngineCost, maxBatch: upstream.entry.slots } :
-        {
-            prefillMsPerToken: 0,
-            decodeBaseMs: upstream.meanCallMs ?? defaultCallMs,
-            decodePerSequenceMs: 0,
-            importMsPerToken: 0,
-            maxBatch: upstream.entry.slots,
-        };
--- a/packages/gateway/src/upstreams/loadExchange.ts
+++ b/packages/gateway/src/upstreams/loadExchange.ts
@@ -1,7 +1,7 @@
 /** Exchanges the number of calls in flight on each upstream with the other instances of the region. */
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import { LoadAggregator } from "@marigolddrift/policy";
+import { LoadAggregator, smoothLoad } from "@marigolddrift/policy";
 import type { WorkerLoad } from "@marigolddrift/policy";
 
 import { duties } from "../fleet/duties.js";
@@ -22,9 +22,19 @@
 /** Calls of the other instances on an upstream. */
 export interface PeerLoad {
     readonly calls: number;
+    /** Calls in the reports of the last seconds. */
+    readonly usualCalls: number;
+    /** Tokens of these calls; 0 if the upstream is no engine, or if the other instances do not report them. */
+    readonly tokens: number;
     readonly ageMs: number;
 }
 
+/**
+ * Key under which the tokens of an upstream's calls are reported. Ids have no spaces, and instances of earlier versions add up whatever keys
+ * they are sent.
+ */
+export const tokensKey = (upstream: string): string => `tokens ${upstream}`;
+
 /**
  * Reports the load of this instance to the region's aggregator, which replies with the load of all other instances.
  * Best effort: the load of the others may be missing or out of date.
@@ -32,6 +42,7 @@
 export class LoadExchange {
     private readonly loadAggregator = new LoadAggregator();
     private peerLoads: WorkerLoad = {};
+    private usualLoads: WorkerLoad = {};
     private updatedAt = -Infinity;
     private lastBusyAt = -Infinity;
     private isReporting = false;
@@ -50,7 +61,12 @@
 
     /** Returns the last known load of the other instances on an upstream. */
     peerLoadOf(upstream: string): PeerLoad {
-        return { calls: this.peerLoads[upstream] ?? 0, ageMs: performance.now() - this.updatedAt };
+        return {
+            calls: this.peerLoads[upstream] ?? 0,
+            usualCalls: this.usualLoads[upstream] ?? 0,
+            tokens: this.peerLoads[tokensKey(upstream)] ?? 0,
+            ageMs: performance.now() - this.updatedAt,
+        };
     }
 
     /** Records the report of an instance and returns the load of all others. */
@@ -99,6 +115,8 @@
     }
 
     private setPeerLoads(loads: WorkerLoad): void {
+        const isFirst = performance.now() - this.updatedAt > idleReportingMs;
+        this.usualLoads = isFirst ? loads : smoothLoad(this.usualLoads, loads);
         this.peerLoads = loads;
         this.updatedAt = performance.now();
     }
--- a/packages/gateway/src/upstreams/upstreamEntry.ts
+++ b/packages/gateway/src/upstreams/upstreamEntry.ts
@@ -13,4 +13,6 @@
     /** Number of requests that it runs concurrently. */
     readonly slots: number;
     readonly draining: boolean;
+    /** Time for which it stays slow after its start, as of when the entry was written. */
+    readonly coldLeftMs?: number | undefined;
 }
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -1,8 +1,10 @@
 /** Registry of the known upstreams and of this instance's calls on them. */
 import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
+import { slowStartWeight } from "@marigolddrift/policy";
 
 import type { RouteTable } from "../routes.js";
+import { tokensKey } from "./loadExchange.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import type { UpstreamEntry } from "./upstreamEntry.js";
 
@@ -15,12 +17,17 @@
 /** Number of processes that are remembered as leaving. */
 const maxLeavingKeys = 1_000;
 
+/** Time for which a connection is not missed after it has broken off. */
+const brokenConnectionMs = 2_000;
+
 /** Weight of a new measurement in the moving average of the duration of calls. */
 const durationSmoothing = 0.1;
 
 /** A known upstream and its load from this instance. */
 export class Upstream {
     inFlight = 0;
+    /** Tokens of this instance's calls in flight. */
+    heldTokens = 0;
     /** Monotonic time until which it receives no calls. */
     ejectedUntil = 0;
     /** Monotonic time since which its entry has been missing from the store. */
@@ -29,6 +36,10 @@
     meanCallMs: number | undefined;
     /** Whether the process has said in a reply that it is about to stop. It does not take that back. */
     isLeaving = false;
+    /** Monotonic time at which a call there last broke off, and with it its connection. */
+    brokenAt = -Infinity;
+    /** Monotonic time at which it became available, or becomes so after an ejection. */
+    private availableSince = performance.now();
 
     /** Identifies the process: a restart may keep the id. */
     readonly key: string;
@@ -52,6 +63,26 @@
     /** Excludes the upstream from new calls for a short time, because it could not be reached. */
     eject(): void {
         this.ejectedUntil = performance.now() + ejectionMs;
+        this.availableSince = this.ejectedUntil;
+    }
+
+    /** Notes that its entry has come back. */
+    onReturned(): void {
+        this.missingSince = undefined;
+        this.availableSince = performance.now();
+    }
+
+    /**
+     * Whether a call would need a connection that could be saved by sending it elsewhere. A connection that broke off with a call does
+     * not count: how the upstream fails calls is weighed by itself.
+     */
+    needsConnection(now: number): boolean {
+        return !this.connections.hasIdleConnection && now - this.brokenAt > brokenConnectionMs;
+    }
+
+    /** Share of its usual calls that it gets, by how long it has been available. */
+    startWeight(now: number): number {
+        return slowStartWeight(now - this.availableSince, this.entry.coldLeftMs ?? 0);
     }
 }
 
@@ -76,10 +107,13 @@
         return this.byId.size;
     }
 
-    /** Returns the calls of this instance in flight by upstream, without idle upstreams. */
+    /** Returns the calls of this instance in flight, and their tokens, by upstream, without idle upstreams. */
     localLoad(): Record<string, number> {
         const busy = [...this.byId.values()].filter(({ inFlight }) => inFlight > 0);
-        return Object.fromEntries(busy.map(({ entry, inFlight }) => [entry.id, inFlight]));
+        return Object.fromEntries(busy.flatMap(({ entry, inFlight, heldTokens }) => [
+            [entry.id, inFlight] as [string, number],
+            ...(heldTokens > 0 ? [[tokensKey(entry.id), Math.round(heldTokens)] as [string, number]] : []),
+        ]));
     }
 
     /** Returns the available upstreams of a service; if there are none, those whose entry went missing recently. */
@@ -179,7 +213,9 @@
             this.log.info("upstream changed", { upstream: entry.id, draining: entry.draining });
         }
         known.entry = entry;
-        known.missingSince = undefined;
+        if (known.missingSince !== undefined) {
+            known.onReturned();
+        }
     }
 
     private remove(upstream: Upstream, reason: string): void {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,10 +1,12 @@
 /** Scheduling policies as pure code: no I/O, no timers, no module state. */
 export * from "./admission.js";
+export * from "./affinity.js";
 export * from "./baselines.js";
 export * from "./cacheView.js";
 export * from "./costModel.js";
 export * from "./crashRecords.js";
 export * from "./distance.js";
+export * from "./firstByteWait.js";
 export * from "./latencyEstimate.js";
 export * from "./loadAggregator.js";
 export * from "./loopDetection.js";
@@ -15,3 +17,7 @@
 export * from "./prefixView.js";
 export * from "./retention.js";
 export * from "./retryBudget.js";
+export * from "./slowStart.js";
+export * from "./spill.js";
+export * from "./staleLoad.js";
+export * from "./upstreamHealth.js";
