Send second copies of late repeatable calls within the operator's share

A call that waits at a stuck upstream had no answer until its deadline, while other upstreams had room. A copy is now sent to another upstream when the first attempt is later than calls of its kind usually are, if MARIGOLDDRIFT_HEDGE_SHARE allows it and there is spare room; the caller gets exactly one answer. Off by default. The forward filter is split by job: attempts counted, upstreams reserved, answers ended.

--- a/packages/gateway/src/filters/answerWriter.ts
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -3,8 +3,8 @@
 import type { TurnStore } from "../turns/turnStore.js";
 import { scopedName } from "../workspaces.js";
 import type { CallContext } from "./callContext.js";
-import { BufferedResponse } from "./responseSinks.js";
-import type { StreamedResponse } from "./responseSinks.js";
+import type { AttemptOutcome } from "./hedge.js";
+import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
 
 /** Number of tokens of a stream that has arrived so far. */
 export const streamedTokens = (ctx: CallContext, response: StreamedResponse): number =>
@@ -17,6 +17,19 @@
         private readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void,
     ) {}
 
+    /** Notes the attempt whose answer the caller gets, or the last one that failed. */
+    trace(ctx: CallContext, outcome: AttemptOutcome | undefined): void {
+        if (outcome === undefined) {
+            return;
+        }
+        ctx.trace.upstream = outcome.worker;
+        const { response } = outcome;
+        if (response instanceof StreamedResponse) {
+            ctx.trace.tokens = streamedTokens(ctx, response);
+            ctx.trace.firstMs = Math.round((response.firstDataAt ?? ctx.arrivedAt) - ctx.arrivedAt);
+        }
+    }
+
     async complete(ctx: CallContext, response: StreamedResponse | BufferedResponse): Promise<void> {
         ctx.trace.status = response.status;
         if (response instanceof BufferedResponse) {
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -28,6 +28,8 @@
     /** Id of the last upstream that the call was sent to. */
     upstream?: string;
     attempts?: number;
+    /** Id of the upstream that a second copy of the call was sent to; `upstream` is the one whose answer the caller got. */
+    hedged?: string;
     /** Number of times that a chosen upstream was at the limit that it names. */
     permitsRefused?: number;
     historyMs?: number;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -2,7 +2,6 @@
  * Forwards a call to an upstream and the response to the caller; retries a call only if it did not run or may run more
  * than once.
  */
-import { ProblemError } from "@marigolddrift/common";
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
 
@@ -17,23 +16,18 @@
 import type { TurnStore } from "../turns/turnStore.js";
 import type { AffinityTable } from "../upstreams/affinityTable.js";
 import { attemptCall } from "../upstreams/attempt.js";
-import type { AttemptResult } from "../upstreams/attempt.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { UpstreamObserver } from "../upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { AnswerWriter, streamedTokens } from "./answerWriter.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
+import { raceCopies, singleLane } from "./hedge.js";
+import type { AttemptOutcome, Lane } from "./hedge.js";
+import type { Hedger } from "./hedger.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
-
-/** Number of upstreams that may refuse a call before the caller is asked to retry. */
-const maxRefusals = 3;
-
-/** Time after which a caller may retry a call that all tried upstreams refused. */
-const retryAfterSeconds = 0.2;
-
-/** Pause before a call is sent again to an upstream that has refused or broken it, or before upstreams are looked for again. */
-const retryPauseMs = 50;
+import { Tries } from "./tries.js";
+import { retryPauseMs, UpstreamLeases } from "./upstreamLeases.js";
 
 /** Settings and dependencies of a {@link ForwardFilter}. */
 export interface ForwardFilterOptions {
@@ -48,153 +42,160 @@
     readonly replyMemory: ReplyMemory;
     readonly observer: UpstreamObserver;
     readonly affinity: AffinityTable;
+    /** Undefined if no second copies of calls are sent. */
+    readonly hedger: Hedger | undefined;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
     readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
     readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void;
     readonly log: Logger;
 }
 
-/** The chosen upstream is at its limit; nothing was sent. */
-interface NoPermit {
-    readonly kind: "noPermit";
-}
-
-/** What the attempts at a call have shown so far. */
-interface Tries {
-    /** Upstreams that refused or broke the call; not tried again unless no other is left. */
-    readonly excluded: Set<string>;
-    /** Number of upstreams that did not run the call. */
-    refusals: number;
-    /** Number of attempts in which the call may have run. */
-    runs: number;
-}
-
 /** The last filter of the chain: forwards the call and retries failed attempts. */
 export class ForwardFilter implements Filter<CallContext> {
     private readonly answers: AnswerWriter;
+    private readonly leases: UpstreamLeases;
 
     constructor(private readonly options: ForwardFilterOptions) {
         this.answers = new AnswerWriter(options.turns, options.onPromptProcessed);
+        this.leases = new UpstreamLeases(options);
     }
 
     async handle(ctx: CallContext): Promise<void> {
-        const tries: Tries = { excluded: new Set(), refusals: 0, runs: 0 };
+        const tries = new Tries();
         try {
             while (!await this.tryOnce(ctx, tries)) {
                 // The attempt failed in a way that allows another one.
             }
         }
         catch (err) {
-            throw tries.runs > 0 ? asMayHaveRun(err) : err;
+            throw tries.verdictOn(err);
         }
     }
 
     /** Resolves to whether the call is complete. */
     private async tryOnce(ctx: CallContext, tries: Tries): Promise<boolean> {
-        const result = await this.runAttempt(ctx, tries);
-        if (result === undefined) {
+        const outcomes = await this.runAttempt(ctx, tries);
+        if (outcomes === undefined) {
             await ctx.progress.sleep(retryPauseMs);
             return false;
         }
-        if (result.kind === "complete" || result.kind === "noPermit") {
-            return result.kind === "complete";
+        const complete = outcomes.find(({ result }) => result.kind === "complete");
+        this.answers.trace(ctx, complete ?? outcomes.at(-1));
+        if (complete !== undefined) {
+            await this.answers.complete(ctx, complete.response!);
+            return true;
         }
-        this.options.log.info("attempt failed", { request: ctx.id, upstream: ctx.trace.upstream, ...result });
-        if (result.kind === "notRun") {
-            tries.refusals += 1;
-            this.checkRefusals(ctx, tries.refusals, result.detail);
-        }
-        else {
-            tries.runs += 1;
-            this.checkRuns(ctx, tries.runs, result.detail);
+        for (const { worker, result } of outcomes) {
+            this.options.log.info("attempt failed", { request: ctx.id, upstream: worker, ...result });
         }
+        tries.onFailed(ctx, outcomes.map(({ result }) => result));
         return false;
     }
 
-    /** Resolves to undefined if there is no upstream now, but may be one before the deadline. */
-    private async runAttempt(ctx: CallContext, tries: Tries): Promise<AttemptResult | NoPermit | undefined> {
-        const { dispatcher } = this.options;
-        const { excluded } = tries;
-        const queued = createQueuedCall(ctx, excluded);
-        const lease = await this.acquire(ctx, queued, tries);
+    /**
+     * Resolves to the ended attempts, which are none if the chosen upstream is at its limit; to undefined if there is no upstream now, but
+     * may be one before the deadline.
+     */
+    private async runAttempt(ctx: CallContext, tries: Tries): Promise<readonly AttemptOutcome[] | undefined> {
+        const { hedger } = this.options;
+        const queued = createQueuedCall(ctx, tries.excluded);
+        const lease = await this.leases.acquire(ctx, queued, tries);
         if (lease === undefined) {
             return undefined;
         }
-        if (!await this.takePermit(ctx, lease)) {
-            return { kind: "noPermit" };
+        if (!await this.leases.takePermit(ctx, lease)) {
+            return [];
+        }
+        return hedger?.mayHedge(ctx, tries.runs) === true ?
+            await this.runWithCopy(ctx, queued, lease, tries, hedger) :
+            [await this.sendLeased(ctx, queued, lease, tries, singleLane(ctx.progress))];
+    }
+
+    /** Sends the call, and a second copy of it if it is late. */
+    private async runWithCopy(
+        ctx: CallContext,
+        queued: QueuedCall,
+        lease: DispatchLease,
+        tries: Tries,
+        hedger: Hedger,
+    ): Promise<readonly AttemptOutcome[]> {
+        const isFirstAttempt = tries.runs === 0 && tries.refusals === 0;
+        const { leftMs } = ctx.progress;
+        const lateAfterMs = hedger.onCall(queued.kind, isFirstAttempt) ?? leftMs;
+        const { outcomes, copy, copyWon } = await raceCopies({
+            progress: ctx.progress,
+            delayMs: Math.min(lateAfterMs, leftMs),
+            first: lane => this.sendLeased(ctx, queued, lease, tries, lane),
+            reserveCopy: async () => {
+                if (lateAfterMs >= leftMs) {
+                    return undefined;
+                }
+                const takePermit = (reserved: DispatchLease): Promise<boolean> => this.leases.takePermit(ctx, reserved);
+                const copyLease = await hedger.reserve(queued, ctx.progress, takePermit);
+                return copyLease && {
+                    worker: copyLease.worker,
+                    run: lane => this.sendLeased(ctx, queued, copyLease, tries, lane, true),
+                    release: () => copyLease.release(),
+                };
+            },
+            onFirstByteTime: ms => hedger.recordFirstByte(queued.kind, ms),
+        });
+        if (copy !== undefined) {
+            ctx.trace.hedged = copy;
+        }
+        if (copyWon) {
+            hedger.onWon();
         }
-        excluded.add(lease.worker);
+        return outcomes;
+    }
+
+    private async sendLeased(
+        ctx: CallContext,
+        queued: QueuedCall,
+        lease: DispatchLease,
+        tries: Tries,
+        lane: Lane,
+        isCopy = false,
+    ): Promise<AttemptOutcome> {
+        const { dispatcher } = this.options;
+        tries.excluded.add(lease.worker);
         const startedAt = performance.now();
         const previousAttempts = ctx.trace.attempts ?? 0;
         const queuedMs = Math.round(startedAt - ctx.arrivedAt);
-        let result: AttemptResult | undefined;
+        let outcome: AttemptOutcome | undefined;
         Object.assign(ctx.trace, { upstream: lease.worker, attempts: previousAttempts + 1, sentMs: queuedMs });
         try {
             ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
-            this.options.blocker.check(ctx, tries.runs > 0);
-            return result = await this.send(ctx, queued, lease);
+            this.options.blocker.check(ctx, isCopy || tries.mayHaveRun);
+            return outcome = await this.send(ctx, queued, lease, lane);
         }
         finally {
-            const isComplete = result?.kind === "complete";
+            const isComplete = outcome?.result.kind === "complete";
             dispatcher.recordServiceTime(ctx.service.name, performance.now() - startedAt, isComplete);
             lease.release();
         }
     }
 
-    /**
-     * Waits for an upstream. A call that may have run can't be answered as refused, so that it waits for its deadline rather than
-     * fail because no upstream is left at the moment.
-     */
-    private async acquire(ctx: CallContext, queued: QueuedCall, tries: Tries): Promise<DispatchLease | undefined> {
-        let lease: DispatchLease;
-        try {
-            lease = await this.options.admission.acquire(queued, ctx);
-        }
-        catch (err) {
-            if (tries.runs > 0 && isTemporaryRefusal(err) && ctx.progress.leftMs > retryPauseMs) {
-                return undefined;
-            }
-            throw err;
+    /** Sends the call to the upstream of a lease. All sends, also of second copies, pass through here. */
+    private async send(
+        ctx: CallContext,
+        queued: QueuedCall,
+        lease: DispatchLease,
+        lane: Lane,
+    ): Promise<AttemptOutcome> {
+        const { worker } = lease;
+        const upstream = this.options.upstreams.get(worker);
+        if (upstream === undefined || upstream.isLeaving) {
+            const detail = `the upstream has just ${upstream === undefined ? "left" : "said that it is leaving"}`;
+            const unreachable = upstream === undefined;
+            return {
+                worker,
+                result: { kind: "notRun", detail, endedBy: "upstream", unreachable },
+                response: undefined,
+            };
         }
-        if (tries.excluded.has(lease.worker)) {
-            try {
-                await ctx.progress.sleep(retryPauseMs);
-            }
-            catch (err) {
-                lease.release();
-                throw err;
-            }
-        }
-        return lease;
-    }
-
-    /** Takes the permit for an upstream that limits its requests; releases the upstream if there is none now. */
-    private async takePermit(ctx: CallContext, lease: DispatchLease): Promise<boolean> {
-        const upstream = this.options.upstreams.get(lease.worker);
-        let permitted = false;
-        try {
-            permitted = upstream === undefined || await this.options.limits.permit(upstream, ctx.progress);
-        }
-        finally {
-            if (!permitted) {
-                ctx.trace.permitsRefused = (ctx.trace.permitsRefused ?? 0) + 1;
-                lease.release();
-            }
-        }
-        return permitted;
-    }
-
-    private async send(ctx: CallContext, queued: QueuedCall, lease: DispatchLease): Promise<AttemptResult> {
-        const upstream = this.options.upstreams.get(lease.worker);
-        if (upstream === undefined) {
-            return { kind: "notRun", detail: "the upstream has just left", endedBy: "upstream", unreachable: true };
-        }
-        if (upstream.isLeaving) {
-            const detail = "the upstream has just said that it is leaving";
-            return { kind: "notRun", detail, endedBy: "upstream", unreachable: false };
-        }
-        const response = ctx.route.isStreaming ? new StreamedResponse(ctx.res) : new BufferedResponse();
+        const response = createResponse(ctx, lane);
         const { prompt } = ctx.head;
         const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
             upstream: upstream.entry.id,
@@ -210,9 +211,12 @@
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
         const { protocol, replyMemory: memory, observer } = this.options;
         const observation = observer.begin(upstream, { ...queued, score: lease.score });
-        response.onFirstByte = observation.onFirstByte;
+        response.onFirstByte = () => {
+            observation.onFirstByte();
+            lane.onFirstByte();
+        };
         const attempt = { call, callId: ctx.id, protocol, sink: response, memory };
-        const result = await attemptCall(upstream, attempt, ctx.progress);
+        const result = await attemptCall(upstream, attempt, lane.progress);
         const tokens = response instanceof StreamedResponse ? streamedTokens(ctx, response) : undefined;
         observation.onEnd({ result, status: response.status, tokens });
         this.options.recordTraffic(upstream, {
@@ -233,42 +237,19 @@
         if (result.kind === "broken" && result.endedBy === "upstream" && !response.hasData) {
             this.options.crashes.onBroken(upstream, ctx.fingerprints());
         }
-        if (response instanceof StreamedResponse) {
-            ctx.trace.tokens = tokens!;
-            ctx.trace.firstMs = Math.round((response.firstDataAt ?? ctx.arrivedAt) - ctx.arrivedAt);
-        }
-        if (result.kind === "complete") {
-            await this.answers.complete(ctx, response);
-        }
-        return result;
-    }
-
-    private checkRefusals(ctx: CallContext, refusals: number, detail: string): void {
-        ctx.progress.throwIfAborted();
-        if (refusals >= maxRefusals) {
-            throw new ProblemError("no_upstream", "notRun", `No upstream took the call: ${detail}.`, {
-                retryAfterSeconds,
-            });
-        }
-    }
-
-    private checkRuns(ctx: CallContext, runs: number, detail: string): void {
-        const mayRepeat = ctx.route.idempotent && runs < ctx.route.maxUpstreams && !ctx.res.headersSent;
-        if (!mayRepeat || ctx.progress.signal.aborted) {
-            throw new ProblemError("upstream_failed", "mayHaveRun", `The upstream did not answer whole: ${detail}.`);
-        }
+        return { worker, result, response };
     }
 }
 
-/** Whether an upstream may be found for the call a little later. */
-const isTemporaryRefusal = (err: unknown): boolean =>
-    err instanceof ProblemError && (err.code === "no_upstream" || err.code === "overloaded");
-
-/** A later attempt that was refused does not undo that an earlier one may have run. */
-const asMayHaveRun = (err: unknown): unknown =>
-    err instanceof ProblemError && err.verdict === "notRun" ?
-        new ProblemError("upstream_failed", "mayHaveRun", err.message, { cause: err }) :
-        err;
+const createResponse = (ctx: CallContext, lane: Lane): StreamedResponse | BufferedResponse => {
+    if (!ctx.route.isStreaming) {
+        return new BufferedResponse();
+    }
+    const response = new StreamedResponse(ctx.res);
+    response.isRaced = lane.isRaced;
+    response.claim = lane.claim;
+    return response;
+};
 
 /**
  * Priority for the engine: by the priority of the workspace or route first; at the same priority, programs that are already running
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -66,7 +66,13 @@
     onLeaving: ResponseSink["onLeaving"] = () => {};
     /** Called at the first data of a stream, or at the head of any other answer. */
     onFirstByte: () => void = () => {};
+    /** Called at the first whole event, before anything is written; returns false if the caller gets another response. */
+    claim: () => boolean = () => true;
+    /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
+    isRaced = false;
     readonly events = new EventCollector();
+    private readonly unclaimed: Buffer[] = [];
+    private isClaimed = false;
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
     receivedBytes = 0;
@@ -104,18 +110,32 @@
             this.onFirstByte();
             this.firstDataAt = performance.now();
         }
-        this.writeHead();
         this.receivedBytes += chunk.length;
         this.events.feed(chunk);
+        if (this.isRaced && !this.isClaimed) {
+            this.unclaimed.push(chunk);
+            this.isClaimed = this.isSuccess && this.events.events > 0 && this.claim();
+            if (this.isClaimed) {
+                this.writeUnclaimed();
+            }
+            return;
+        }
+        this.writeHead();
         this.res.write(chunk);
     }
 
     /** Ends the response as complete. */
     end(): void {
         this.writeHead();
+        this.writeUnclaimed();
         this.res.end();
     }
 
+    private writeUnclaimed(): void {
+        this.writeHead();
+        this.unclaimed.splice(0).forEach(chunk => this.res.write(chunk));
+    }
+
     private writeHead(): void {
         if (!this.res.headersSent && !this.res.destroyed) {
             this.res.writeHead(this.head!.status, [...this.head!.headers]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { BodyFilter } from "./filters/bodyFilter.js";
 import { BudgetFilter } from "./filters/budgetFilter.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
+import { Hedger } from "./filters/hedger.js";
 import { HistoryFilter } from "./filters/historyFilter.js";
 import { PromptSizeFilter } from "./filters/promptSizeFilter.js";
 import { Duties } from "./fleet/duties.js";
@@ -289,7 +290,7 @@
     }
 
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
-        const { protocol, log } = this.options;
+        const { protocol, log, hedgeShare = 0 } = this.options;
         const { dispatcher, upstreams, turns } = this;
         const forward = new ForwardFilter({
             dispatcher,
@@ -303,6 +304,9 @@
             replyMemory: this.replyMemory,
             observer: pool.observer,
             affinity: pool.affinity,
+            hedger: hedgeShare > 0 ?
+                new Hedger({ share: hedgeShare, dispatcher, pool, metrics: this.metrics }) :
+                undefined,
             log,
             recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -42,6 +42,8 @@
     readonly graceMs: number;
     /** Memory for the replies of all calls in progress. */
     readonly maxReplyMemoryBytes: number;
+    /** Second copies of late repeatable calls, as a share of these calls; 0, the default, for none. */
+    readonly hedgeShare?: number;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,7 +1,7 @@
 /** Adapts the known upstreams to the dispatcher. */
 import type { Logger } from "@marigolddrift/common";
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
-import { PrefixView } from "@marigolddrift/policy";
+import { estimatedInFlight, PrefixView } from "@marigolddrift/policy";
 import type { WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart } from "./call.js";
@@ -101,6 +101,15 @@
         return this.upstreamViews.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
     }
 
+    /** Whether an upstream that has not got the call yet could run it at once. */
+    hasFreeUpstream(req: QueuedCall): boolean {
+        return this.views(req).some(view =>
+            !req.excluded.has(view.worker) &&
+            estimatedInFlight(view) < Math.min(view.cost.maxBatch, view.maxInFlight) &&
+            (view.observedWaitMs ?? 0) === 0
+        );
+    }
+
     /** Drops what is known of an upstream that is no longer available. */
     forget(upstream: Upstream): void {
         this.prefixes.removeWorker(upstream.entry.id);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./crashRecords.js";
 export * from "./distance.js";
 export * from "./firstByteWait.js";
+export * from "./hedging.js";
 export * from "./latencyEstimate.js";
 export * from "./loadAggregator.js";
 export * from "./loopDetection.js";
--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -1,6 +1,7 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
 import {
     callHeaders,
+    parseHedgeShare,
     parseSettings,
     PlatformStandin,
     PlatformStore,
@@ -37,6 +38,14 @@
 `;
 
 describe("platform settings", () => {
+    // Guards against a front that sends copies of calls because of a mistyped setting.
+    it("should take the share of second copies from 0 to 1, and refuse anything else", () => {
+        expect([undefined, "", "0", "0.02", "1"].map(parseHedgeShare)).toEqual([0, 0, 0, 0.02, 1]);
+        for (const text of ["2 %", "-0.1", "1.5", "NaN"]) {
+            expect(() => parseHedgeShare(text)).toThrow("MARIGOLDDRIFT_HEDGE_SHARE");
+        }
+    });
+
     it("should be parsed, and new fields left out", () => {
         const cfg = parseSettings(settings);
         expect(cfg.listen.front).toEqual({ host: "10.1.0.38", port: 8149 });
