--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -13,8 +13,9 @@
 import type { RegionSlots, WorkspaceLoad } from "@marigolddrift/policy";
 
 import type { CallContext } from "../filters/callContext.js";
-import { defaultCallMs, defaultEngineCost, expectedOutputTokens } from "../placement.js";
+import { defaultCallMs, expectedOutputTokens } from "../placement.js";
 import type { QueuedCall } from "../placement.js";
+import { defaultEngineCost } from "../upstreamViews.js";
 import type { WorkspaceTable } from "../workspaces.js";
 
 /** Number of refused calls that are remembered. */
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -9,6 +9,8 @@
 export class BufferedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    /** Called at the first data of a stream, or at the head of any other answer. */
+    onFirstByte: () => void = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
@@ -33,6 +35,7 @@
     onHead(head: ReplyHead): void {
         this.head = head;
         this.chunks.length = 0;
+        this.onFirstByte();
     }
 
     onData(chunk: Buffer): void {
@@ -61,7 +64,15 @@
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    /** Called at the first data of a stream, or at the head of any other answer. */
+    onFirstByte: () => void = () => {};
+    /** Called at the first whole event, before anything is written; returns false if the caller gets another response. */
+    claim: () => boolean = () => true;
+    /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
+    isRaced = false;
     readonly events = new EventCollector();
+    private readonly unclaimed: Buffer[] = [];
+    private isClaimed = false;
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
     receivedBytes = 0;
@@ -95,19 +106,36 @@
     }
 
     onData(chunk: Buffer): void {
-        this.writeHead();
-        this.firstDataAt ??= performance.now();
+        if (this.firstDataAt === undefined) {
+            this.onFirstByte();
+            this.firstDataAt = performance.now();
+        }
         this.receivedBytes += chunk.length;
         this.events.feed(chunk);
+        if (this.isRaced && !this.isClaimed) {
+            this.unclaimed.push(chunk);
+            this.isClaimed = this.isSuccess && this.events.events > 0 && this.claim();
+            if (this.isClaimed) {
+                this.writeUnclaimed();
+            }
+            return;
+        }
+        this.writeHead();
         this.res.write(chunk);
     }
 
     /** Ends the response as complete. */
     end(): void {
         this.writeHead();
+        this.writeUnclaimed();
         this.res.end();
     }
 
+    private writeUnclaimed(): void {
+        this.writeHead();
+        this.unclaimed.splice(0).forEach(chunk => this.res.write(chunk));
+    }
+
     private writeHead(): void {
         if (!this.res.headersSent && !this.res.destroyed) {
             this.res.writeHead(this.head!.status, [...this.head!.headers]);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,7 +1,7 @@
 /** Assembles, starts and stops the components of an instance that serves plain HTTP calls. */
 import type { Logger, Progress } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
-import { createPlacement, nextCall } from "@marigolddrift/policy";
+import { nextCall, placeNear } from "@marigolddrift/policy";
 import type { StoreChange, VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
@@ -16,6 +16,7 @@
 import { Fairness } from "./fairness/fairness.js";
 import { createCallFilters } from "./filters/callFilters.js";
 import { ForwardFilter } from "./filters/forwardFilter.js";
+import { Hedger } from "./filters/hedger.js";
 import { Duties } from "./fleet/duties.js";
 import { Succession } from "./fleet/succession.js";
 import { addGauges } from "./gatewayGauges.js";
@@ -113,7 +114,7 @@
         const topology = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
         this.upstreams = new Upstreams(
             upstream => {
-                pool.prefixes.removeWorker(upstream.entry.id);
+                pool.forget(upstream);
                 this.limits.forget(upstream);
             },
             () => this.activeConfig.table,
@@ -143,7 +144,7 @@
         const sources = { limits: this.limits, crashes: this.blocker };
         this.facts = new FactExchange(this.localInstance, this.duties, this.peers, factClock, sources, log);
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
-        const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits);
+        const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits, random, log);
         this.writer = new BatchWriter(this.store, batchDelayMs, log);
         this.storeArchive = new StoreArchive(this.store, this.writer, log);
         this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
@@ -155,8 +156,7 @@
             slots: service => pool.slots(service, this.peers.namesInRegion(topology.region).length + 1),
         });
         const queueOf = this.fairness.queueOf.bind(this.fairness);
-        const place = createPlacement("expectedFinishSampled");
-        const policy = { place, order: nextCall, queueOf, admission: true, random };
+        const policy = { place: placeNear, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.upstreamFollower = new UpstreamFollower(
             this.upstreams,
@@ -309,7 +309,7 @@
     }
 
     private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
-        const { protocol, log } = this.options;
+        const { protocol, log, hedgeShare = 0 } = this.options;
         const { dispatcher, fairness, metrics, upstreams, turns } = this;
         const sources = { fairness, metrics, pool, random };
         const forward = new ForwardFilter({
@@ -323,6 +323,11 @@
             protocol,
             turns,
             replyMemory: this.replyMemory,
+            observer: pool.observer,
+            affinity: pool.affinity,
+            hedger: hedgeShare > 0 ?
+                new Hedger({ share: hedgeShare, dispatcher, pool, metrics: this.metrics }) :
+                undefined,
             log,
             recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
             onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -45,6 +45,8 @@
     readonly maxReplyMemoryBytes: number;
     /** Bounds of the workspaces' quotas; without them, no quotas are enforced. */
     readonly quotas?: QuotaSettings | undefined;
+    /** Second copies of late repeatable calls, as a share of these calls; 0, the default, for none. */
+    readonly hedgeShare?: number;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,37 +1,37 @@
 /** Adapts the known upstreams to the dispatcher. */
+import type { Logger } from "@marigolddrift/common";
 import type { DispatchRequest, DispatchTarget } from "@marigolddrift/dispatch";
-import { expectedRoundTripMs, PrefixView } from "@marigolddrift/policy";
-import type { CostModel, FairCall, RegionSlots, WorkerView } from "@marigolddrift/policy";
+import { estimatedInFlight, PrefixView } from "@marigolddrift/policy";
+import type { FairCall, RegionSlots, WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart, PromptShape } from "./call.js";
 import type { CallContext } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
+import { AffinityTable } from "./upstreams/affinityTable.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
+import { UpstreamObserver } from "./upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
+import { defaultEngineCost, maxInFlightPerSlot, UpstreamViews } from "./upstreamViews.js";
+import { scopedName } from "./workspaces.js";
 
-/** Assumed cost model of a model engine; the maximum batch size is taken from the upstream's entry. */
-export const defaultEngineCost = {
-    prefillMsPerToken: 0.017,
-    decodeBaseMs: 2.6,
-    decodePerSequenceMs: 0.02,
-    importMsPerToken: 0,
-};
-
-/** Assumed duration of a call to a plain service until one has been measured. */
+/** Assumed duration of a call to a plain service, for admission. */
 export const defaultCallMs = 30;
 
 /** Share of the maximum output that a turn is assumed to generate if the caller gives no estimate. */
 const expectedOutputShare = 0.3;
 
-/** Maximum number of calls in flight on an upstream, as a multiple of its slots. */
-const maxInFlightPerSlot = 1.5;
-
 /** Age from which on the calls of other instances are no sign that an upstream is full. */
 const maxPeerLoadAgeMs = 1_000;
 
 /** A call that is queued for an upstream. */
 export interface QueuedCall extends DispatchRequest, FairCall {
     readonly promptParts: readonly PromptPart[];
+    /** Calls of one kind take about as long at even upstreams. */
+    readonly kind: string;
+    /** Tokens that an engine of the service has memory for; undefined for plain services. */
+    readonly memoryTokens: number | undefined;
+    /** Identifies the object that the call concerns; undefined unless the route is sticky. */
+    readonly affinityKey: string | undefined;
 }
 
 /** Number of tokens that a turn is expected to generate. */
@@ -40,7 +40,8 @@
 
 /** Creates the dispatcher's request for a call; calls are queued by service. */
 export const createQueuedCall = (ctx: CallContext, excluded: ReadonlySet<string>): QueuedCall => {
-    const { program, prompt } = ctx.head;
+    const { program, prompt, affinityKey } = ctx.head;
+    const isSticky = ctx.route.isSticky && affinityKey !== undefined;
     const now = performance.now();
     const expectedTokens = prompt === undefined ? 1 : expectedOutputTokens(prompt);
     const deadline = now + ctx.progress.leftMs;
@@ -67,6 +68,9 @@
         excluded,
         bytes: ctx.body.length,
         promptParts: prompt?.parts ?? [],
+        kind: `${ctx.service.name}/${ctx.route.name}`,
+        memoryTokens: ctx.service.engine?.memoryTokens,
+        affinityKey: isSticky ? `${ctx.service.name} ${scopedName(ctx.workspace, affinityKey)}` : undefined,
     };
 };
 
@@ -80,26 +84,55 @@
 /** The upstreams as the dispatcher sees them. */
 export class UpstreamPool implements DispatchTarget<QueuedCall> {
     readonly prefixes = new PrefixView();
+    readonly observer: UpstreamObserver;
+    readonly affinity = new AffinityTable();
+    private readonly upstreamViews: UpstreamViews;
 
     constructor(
-        private readonly topology: Topology,
+        topology: Topology,
         private readonly upstreams: Upstreams,
         private readonly peerLoadOf: (upstream: string) => PeerLoad,
         private readonly limits: Pick<UpstreamLimits, "rateOf" | "shareOf" | "isClosed">,
-    ) {}
+        random: () => number,
+        log: Logger,
+    ) {
+        this.observer = new UpstreamObserver(log);
+        const { observer, affinity, prefixes } = this;
+        this.upstreamViews = new UpstreamViews({
+            topology,
+            observer,
+            affinity,
+            prefixes,
+            limits,
+            peerLoadOf,
+            random,
+        });
+    }
 
-    /** Upstreams of the instance's region; those of all regions only if the former take no call or have failed this one. */
+    /** The upstreams that are considered for a call; see {@link UpstreamViews}. */
     views(req: QueuedCall): WorkerView[] {
-        const usable = this.upstreams.usable(req.model).filter(({ entry }) => !req.excluded.has(entry.id));
-        const sameRegion = usable.filter(({ entry }) => this.topology.regionOf(entry.zone) === this.topology.region);
-        const hasFreeSlot = sameRegion.some(upstream =>
-            upstream.inFlight < upstream.entry.slots && !this.limits.isClosed(upstream)
+        return this.upstreamViews.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
+    }
+
+    /** Whether an upstream that has not got the call yet could run it at once. */
+    hasFreeUpstream(req: QueuedCall): boolean {
+        return this.views(req).some(view =>
+            !req.excluded.has(view.worker) &&
+            estimatedInFlight(view) < Math.min(view.cost.maxBatch, view.maxInFlight) &&
+            (view.observedWaitMs ?? 0) === 0
         );
-        const candidates = hasFreeSlot ? sameRegion : usable;
-        const open = candidates.filter(upstream => !this.limits.isClosed(upstream));
-        return open.length > 0 ?
-            open.map(upstream => this.createView(upstream, req)) :
-            candidates.map(upstream => this.createClosedView(upstream, req));
+    }
+
+    /** Drops what is known of an upstream that is no longer available. */
+    forget(upstream: Upstream): void {
+        this.prefixes.removeWorker(upstream.entry.id);
+        this.observer.forget(upstream);
+    }
+
+    /** Leaves out the upstreams that refused or broke the call, unless no other is left. */
+    private withoutFailed(usable: readonly Upstream[], req: QueuedCall): readonly Upstream[] {
+        const untried = usable.filter(({ entry }) => !req.excluded.has(entry.id));
+        return untried.length > 0 ? untried : usable;
     }
 
     /** Calls that the upstreams run at once for this instance; fewer than their slots where they limit the requests. */
@@ -163,43 +196,4 @@
         const { calls, ageMs } = this.peerLoadOf(entry.id);
         return inFlight + (ageMs < maxPeerLoadAgeMs ? calls : 0);
     }
-
-    /** An upstream that is out of permits; its cached prompts are left out, so that no call is bound to wait for it. */
-    private createClosedView(upstream: Upstream, req: QueuedCall): WorkerView {
-        return { ...this.createView(upstream, req), cachedTokens: 0, maxInFlight: 0 };
-    }
-
-    private createView(upstream: Upstream, req: QueuedCall): WorkerView {
-        const { entry, inFlight } = upstream;
-        const peerLoad = this.peerLoadOf(entry.id);
-        return {
-            worker: entry.id,
-            zone: entry.zone,
-            localInFlight: inFlight,
-            reportedInFlight: peerLoad.calls,
-            localInFlightAtReport: 0,
-            reportAgeMs: peerLoad.ageMs,
-            cachedTokens: this.prefixes.cachedTokens(entry.id, req.promptParts),
-            exportedTokens: 0,
-            slowdown: 1,
-            roundTripMs: expectedRoundTripMs(this.topology, {
-                zone: entry.zone,
-                region: this.topology.regionOf(entry.zone),
-            }),
-            // A few calls queue at the upstream, so that it does not idle until the release of a slot is known here.
-            maxInFlight: entry.slots * maxInFlightPerSlot,
-            cost: costOf(upstream, req),
-        };
-    }
 }
-
-const costOf = (upstream: Upstream, req: QueuedCall): CostModel =>
-    req.shape.promptTokens > 0 ?
-        { ...defaultEngineCost, maxBatch: upstream.entry.slots } :
-        {
-            prefillMsPerToken: 0,
-            decodeBaseMs: upstream.meanCallMs ?? defaultCallMs,
-            decodePerSequenceMs: 0,
-            importMsPerToken: 0,
-            maxBatch: upstream.entry.slots,
-        };
--- a/packages/gateway/src/quotas/callPermit.ts
+++ b/packages/gateway/src/quotas/callPermit.ts
@@ -9,6 +9,12 @@
     readonly granter: string;
 }
 
+/** A permit with which a call is being sent. */
+export interface TakenPermit {
+    /** Takes the permit back, because the upstream did not run the call. */
+    refund(): void;
+}
+
 /** The program of a call: its digest if this may be its first call, `started` if it is not, undefined if there is none. */
 export type ProgramMark = number | "started" | undefined;
 
@@ -26,7 +32,6 @@
  */
 export class CallPermit {
     private held: GrantedPermit | undefined;
-    private taken: GrantedPermit | undefined;
     private asking: Promise<void>;
     private isReleased = false;
 
@@ -46,15 +51,19 @@
         await progress.race(this.asking);
     }
 
-    /** Takes the permit for one attempt; to be used immediately before the call is sent. */
-    async take(progress: Progress): Promise<void> {
+    /**
+     * Takes a permit for one attempt; to be used immediately before the call is sent. Two copies of a call take two permits.
+     *
+     * @example
+     * const taken = await permit.take(progress);
+     */
+    async take(progress: Progress): Promise<TakenPermit> {
         for (;;) {
             await this.admitted(progress);
             const permit = this.held;
             this.held = undefined;
             if (permit !== undefined && performance.now() < permit.expiresAt) {
-                this.taken = permit;
-                return;
+                return { refund: () => this.refund(permit) };
             }
             if (permit !== undefined) {
                 this.pool.giveBack(permit);
@@ -63,21 +72,6 @@
         }
     }
 
-    /** Takes back the permit of the last attempt, which the upstream did not run. */
-    refund(): void {
-        const permit = this.taken;
-        this.taken = undefined;
-        if (permit === undefined) {
-            return;
-        }
-        if (this.isReleased || this.held !== undefined) {
-            this.pool.giveBack(permit);
-        }
-        else {
-            this.held = permit;
-        }
-    }
-
     /** Returns what was not used; the call has ended. */
     release(): void {
         this.isReleased = true;
@@ -87,6 +81,15 @@
         }
     }
 
+    private refund(permit: GrantedPermit): void {
+        if (this.isReleased || this.held !== undefined) {
+            this.pool.giveBack(permit);
+        }
+        else {
+            this.held = permit;
+        }
+    }
+
     private request(program: ProgramMark): Promise<void> {
         const asking = this.pool.request(program).then(permit => {
             this.onGranted();
--- a/packages/gateway/src/upstreams/loadExchange.ts
+++ b/packages/gateway/src/upstreams/loadExchange.ts
@@ -1,7 +1,13 @@
 /** Exchanges the number of calls in flight on each upstream, and of the busiest workspaces, with the other instances of the region. */
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import { largestLoads, LoadAggregator, maxKnownWorkspaces, maxReportedWorkspaces } from "@marigolddrift/policy";
+import {
+    largestLoads,
+    LoadAggregator,
+    maxKnownWorkspaces,
+    maxReportedWorkspaces,
+    smoothLoad,
+} from "@marigolddrift/policy";
 import type { WorkerLoad, WorkspaceLoad } from "@marigolddrift/policy";
 
 import { duties } from "../fleet/duties.js";
@@ -28,9 +34,19 @@
 /** Calls of the other instances on an upstream. */
 export interface PeerLoad {
     readonly calls: number;
+    /** Calls in the reports of the last seconds. */
+    readonly usualCalls: number;
+    /** Tokens of these calls; 0 if the upstream is no engine, or if the other instances do not report them. */
+    readonly tokens: number;
     readonly ageMs: number;
 }
 
+/**
+ * Key under which the tokens of an upstream's calls are reported. Ids have no spaces, and instances of earlier versions add up whatever keys
+ * they are sent.
+ */
+export const tokensKey = (upstream: string): string => `tokens ${upstream}`;
+
 /**
  * Reports the load of this instance to the region's aggregator, which replies with the load of all other instances.
  * Best effort: the load of the others may be missing or out of date.
@@ -38,6 +54,7 @@
 export class LoadExchange {
     private readonly loadAggregator = new LoadAggregator();
     private peerLoads: WorkerLoad = {};
+    private usualLoads: WorkerLoad = {};
     private updatedAt = -Infinity;
     private lastBusyAt = -Infinity;
     private isReporting = false;
@@ -59,7 +76,12 @@
 
     /** Returns the last known load of the other instances on an upstream. */
     peerLoadOf(upstream: string): PeerLoad {
-        return { calls: this.peerLoads[upstream] ?? 0, ageMs: performance.now() - this.updatedAt };
+        return {
+            calls: this.peerLoads[upstream] ?? 0,
+            usualCalls: this.usualLoads[upstream] ?? 0,
+            tokens: this.peerLoads[tokensKey(upstream)] ?? 0,
+            ageMs: performance.now() - this.updatedAt,
+        };
     }
 
     /** Returns the last known load of the other instances by workspace, for the busiest ones; empty once it is too old. */
@@ -115,6 +137,8 @@
 
     private setPeerLoads(loads: WorkerLoad): void {
         const { upstreams, workspaces } = splitLoad(loads);
+        const isFirst = performance.now() - this.updatedAt > idleReportingMs;
+        this.usualLoads = isFirst ? upstreams : smoothLoad(this.usualLoads, upstreams);
         this.peerLoads = upstreams;
         this.peerWorkspaces = workspaces;
         this.updatedAt = performance.now();
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 /** Scheduling policies as pure code: no I/O, no timers, no module state. */
 export * from "./admission.js";
+export * from "./affinity.js";
 export * from "./baselines.js";
 export * from "./cacheView.js";
 export * from "./callCost.js";
@@ -12,6 +13,8 @@
 export * from "./fairAdmission.js";
 export * from "./fairFlow.js";
 export * from "./fairQueue.js";
+export * from "./firstByteWait.js";
+export * from "./hedging.js";
 export * from "./latencyEstimate.js";
 export * from "./loadAggregator.js";
 export * from "./loopDetection.js";
@@ -27,5 +30,9 @@
 export * from "./retention.js";
 export * from "./retryBudget.js";
 export * from "./servedShares.js";
+export * from "./slowStart.js";
 export * from "./spareSlots.js";
+export * from "./spill.js";
+export * from "./staleLoad.js";
+export * from "./upstreamHealth.js";
 export * from "./workspaceLoad.js";
--- a/tests/gateway/callPermit.test.ts
+++ b/tests/gateway/callPermit.test.ts
@@ -28,8 +28,8 @@
             const pool = createPool();
             const progress = new Progress(5_000);
             const permit = new CallPermit(pool, 7);
-            await permit.take(progress);
-            permit.refund();
+            const taken = await permit.take(progress);
+            taken.refund();
             await permit.take(progress);
             permit.release();
             expect([pool.requests, pool.returned]).toEqual([[7], 0]);
@@ -50,6 +50,19 @@
         });
     });
 
+    it("should take two permits for two copies of a call that are sent at once, and return only that of the refused one", async () => {
+        await withClock(async () => {
+            const pool = createPool();
+            const progress = new Progress(5_000);
+            const permit = new CallPermit(pool, 7);
+            const [first] = await Promise.all([permit.take(progress), permit.take(progress)]);
+            permit.release();
+            first.refund();
+            expect([pool.requests.length, pool.returned]).toEqual([2, 1]);
+            progress.dispose();
+        });
+    });
+
     it("should not send with a permit that has expired, but return it and take another one", async () => {
         await withClock(async clock => {
             const pool = createPool();
@@ -70,9 +83,9 @@
             const progress = new Progress(5_000);
             new CallPermit(pool, undefined).release();
             const permit = new CallPermit(pool, undefined);
-            await permit.take(progress);
+            const taken = await permit.take(progress);
             permit.release();
-            permit.refund();
+            taken.refund();
             await clock.tickAsync(10);
             expect(pool.returned).toEqual(2);
             progress.dispose();
