Handle signals before the program is loaded

The handlers of SIGHUP and SIGTERM were set after all modules had been loaded, so that a signal that came before ended the process.

--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -89,7 +89,7 @@
     {
         name: "an instance closes its connections before its calls have ended",
         seed: 111,
-        file: "platform/src/main.ts",
+        file: "platform/src/program.ts",
         find: "await gateway.drain();",
         replace: "await Promise.race([gateway.drain(), new Promise(resolve => setTimeout(resolve, 2_000))]);",
     },
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,5 +1,6 @@
-// Bundles the platform's program into a single file, which starts faster and uses less memory than separate modules. It
-// is built from the sources, so that nothing is written outside target/.
+// Bundles the platform's program into a single file, which starts faster and uses less memory than separate modules, and
+// its entry point, which handles signals before that file is read. They are built from the sources, so that nothing is
+// written outside target/, or the directory that is given as an argument.
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { createHash } from "node:crypto";
@@ -36,9 +37,20 @@
     readdirSync("packages").map(name => [`@marigolddrift/${name}`, resolve("packages", name, "src/index.ts")]),
 );
 
-await build({
-    entryPoints: ["platform/src/main.ts"],
-    outfile: "target/marigolddrift.cjs",
+const outputDir = process.argv[2] ?? "target";
+const programFile = "marigolddrift-program.cjs";
+
+/** Leaves the program out of the entry point, which loads it from the file beside it. */
+const programBeside = {
+    name: "program-beside",
+    setup: bundler =>
+        bundler.onResolve(
+            { filter: /^\.\/program\.js$/ },
+            () => ({ path: `./${programFile}`, external: true }),
+        ),
+};
+
+const options = {
     bundle: true,
     platform: "node",
     target: "node20",
@@ -47,4 +59,14 @@
     alias,
     define: { bundledBuildId: JSON.stringify(createBuildId()) },
     tsconfig: "tsconfig.base.json",
+};
+
+await build({ ...options, entryPoints: ["platform/src/program.ts"], outfile: `${outputDir}/${programFile}` });
+await build({
+    ...options,
+    entryPoints: ["platform/src/main.ts"],
+    outfile: `${outputDir}/marigolddrift.cjs`,
+    plugins: [programBeside],
+    // An import would be resolved by the loader of ES modules, which first reads the whole file for its exports.
+    supported: { "dynamic-import": false },
 });
