Explain where a call would go now, without sending it

Operators could see where a call went, but not where one would go. It is computed by the functions that place and refuse calls; asking takes no permit, counts no call and marks nothing as cached.

--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./bundleCommands.js";
 export * from "./diffIni.js";
 export * from "./traceCommand.js";
+export * from "./whereCommand.js";
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -11,6 +11,8 @@
 import { runLoad } from "./loadCommand.js";
 import { printResult } from "./output.js";
 import { traceRequest } from "./traceCommand.js";
+import { askWhere, describeWhere } from "./whereCommand.js";
+import type { WhereQuery } from "./whereCommand.js";
 
 const exitCodes = { ok: 0, failed: 1, usage: 2, conflict: 3 } as const;
 const privateFileMode = 0o600;
@@ -147,6 +149,32 @@
             return traceRequest(options.log.split(","), request);
         })
     );
+cli.command("where <url>", "Show where a front would send a call to HOST/PATH now, and why, without sending it")
+    .option("--front <address>", "host:port of the front's metrics port, or MARIGOLDDRIFT_FRONT")
+    .option("--workspace <name>", "Name of the caller's workspace (not its key)")
+    .option("--program <id>", "Program that the call belongs to")
+    .option("--previous-turn <id>", "Turn that the call continues")
+    .option("--model <name>", "Model")
+    .option("--prompt-tokens <number>", "Tokens of the prompt (by default, those of its parts)")
+    .option("--output-tokens <number>", "Tokens that may be generated")
+    .option("--parts <parts>", "Parts of the prompt with their tokens: ID:TOKENS,ID:TOKENS")
+    .option("--affinity-key <key>", "Object that the call is about")
+    .option("--limit-ms <number>", "Time limit of the caller")
+    .option("--service <name>", "Service of the route (by default, the one with the largest weight)")
+    .action((url: string, options: CommonOptions & Omit<WhereQuery, "url"> & { front?: string; }) =>
+        run(options, async () => {
+            const front = options.front ?? process.env["MARIGOLDDRIFT_FRONT"];
+            if (front === undefined) {
+                throw new UsageError("--front is required. Pass host:port of a front's metrics port.");
+            }
+            const { workspace, program, previousTurn, model, promptTokens, outputTokens } = options;
+            const { parts, affinityKey, limitMs, service } = options;
+            const call = { url, workspace, service, program, previousTurn, model, promptTokens, outputTokens };
+            const answer = await askWhere(front, { ...call, parts, affinityKey, limitMs });
+            return options.json === true ? answer : describeWhere(answer);
+        })
+    );
+
 cli.command("drain [upstream]", "Drain an instance, or drain an upstream so that it does not get new work")
     .option("--undo", "Let the upstream get new work again")
     .action((upstream: string | undefined, options: CommonOptions & { undo?: boolean; }) =>
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -54,6 +54,18 @@
     tryAdmit(worker: string, req: R): boolean;
 }
 
+/** What would happen to a call if it were queued now. */
+export interface DispatchPreview {
+    /** Results of the placement policy, which may differ by chance. */
+    readonly placements: readonly Placement[];
+    /** Calls of the same model that wait. */
+    readonly waiting: number;
+    /** Whether the call would be dispatched before those. */
+    readonly isNext: boolean;
+    /** Expected time in the queue, in milliseconds. */
+    readonly expectedWaitMs: number;
+}
+
 /** Returns the index of the queued call to dispatch next. */
 export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
 
@@ -134,6 +146,22 @@
         return expectedWaitMs({ waiting: waiting.length + further, capacity, meanServiceMs });
     }
 
+    /**
+     * Tries the placement of a call several times, without queueing it or assigning it to a worker.
+     *
+     * @param random Returns numbers in [0, 1); not the dispatcher's own, whose sequence would change.
+     */
+    preview(req: R, views: readonly WorkerView[], tries: number, random: () => number): DispatchPreview {
+        const waiting = this.queues.get(req.model)?.waiting ?? [];
+        const place = (): Placement => this.options.place(views, req.shape, random, req.program);
+        return {
+            placements: Array.from({ length: tries }, place),
+            waiting: waiting.length,
+            isNext: this.chooseNext([...waiting, { req }]) === waiting.length,
+            expectedWaitMs: waiting.length === 0 ? 0 : this.expectedWaitMs(req.model, 0),
+        };
+    }
+
     /** Queues a call and waits until a worker is assigned to it; fails when `progress` ends. */
     async acquire(req: R, progress: Progress): Promise<DispatchLease> {
         const queue = this.queue(req.model);
@@ -205,7 +233,7 @@
         }
     }
 
-    private chooseNext(waiting: readonly QueuedCall<R>[]): number {
+    private chooseNext(waiting: readonly Pick<QueuedCall<R>, "req">[]): number {
         const calls = waiting.map(entry => ({
             ...entry.req,
             workspaceLoad: this.runningInWorkspace(entry.req.workspace),
--- a/packages/gateway/src/entry/statusServer.ts
+++ b/packages/gateway/src/entry/statusServer.ts
@@ -10,14 +10,24 @@
     readonly body: string;
 }
 
-/** Serves GET requests for a single path. */
+/** Answers a GET request with the given query. */
+export type StatusResponder = (query: URLSearchParams) => Promise<StatusResponse> | StatusResponse;
+
+/** Serves GET requests for a path, and for others that are added. */
 export class StatusServer {
     private readonly server = createServer();
     private readonly app;
 
-    constructor(path: string, respond: () => Promise<StatusResponse> | StatusResponse) {
-        this.app = polka({ server: this.server }).get(path, (_, res) => {
-            void Promise.resolve(respond()).then(({ status, contentType, body }) => {
+    constructor(path: string, respond: StatusResponder) {
+        this.app = polka({ server: this.server });
+        this.add(path, respond);
+    }
+
+    /** Serves another path. */
+    add(path: string, respond: StatusResponder): void {
+        this.app.get(path, (req, res) => {
+            const query = new URLSearchParams(req.url.split("?")[1]);
+            void Promise.resolve(respond(query)).then(({ status, contentType, body }) => {
                 res.writeHead(status, { "content-type": contentType, "content-length": Buffer.byteLength(body) });
                 res.end(body);
             });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import { CrashDetector } from "./crashes/crashDetector.js";
 import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
+import { Explainer } from "./explain/explainer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
 import { BlockFilter } from "./filters/blockFilter.js";
@@ -72,6 +73,7 @@
     readonly budgets: Budgets;
     readonly entry: EntryServer;
     readonly replyMemory: ReplyMemory;
+    readonly explainer: Explainer;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
@@ -157,7 +159,19 @@
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
         this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
-        this.entry = this.createEntry(pool, random);
+        const admission = new LimitAdmission(this.dispatcher, pool, random);
+        this.entry = this.createEntry(pool, admission, random);
+        this.explainer = new Explainer({
+            instance: options.instance,
+            topology,
+            pool,
+            upstreams: this.upstreams,
+            limits: this.limits,
+            dispatcher: this.dispatcher,
+            admission,
+            routes: () => this.activeConfig.table,
+            drainSchedule: () => this.drainController.schedule,
+        });
         const { duties, localInstance, peers } = this;
         const watchOptions = { ...options, store, localInstance, duties, peers };
         const outages = {
@@ -288,14 +302,14 @@
         }
     }
 
-    private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
+    private createEntry(pool: UpstreamPool, admission: LimitAdmission, random: () => number): EntryServer {
         const { protocol, log } = this.options;
         const { dispatcher, upstreams, turns } = this;
         const forward = new ForwardFilter({
             dispatcher,
             upstreams,
             limits: this.limits,
-            admission: new LimitAdmission(dispatcher, pool, random),
+            admission,
             crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
             blocker: this.blocker,
             protocol,
--- a/packages/gateway/src/limits/limitAdmission.ts
+++ b/packages/gateway/src/limits/limitAdmission.ts
@@ -19,11 +19,10 @@
 
     /** @throws ProblemError `overloaded` if the call is not expected to be sent in time, or was not. */
     async acquire(call: QueuedCall, ctx: CallContext): Promise<DispatchLease> {
-        if (!this.pool.isLimited(call.model)) {
+        const maxWaitMs = this.longestWaitMs(call, ctx);
+        if (maxWaitMs === undefined) {
             return await this.dispatcher.acquire(call, ctx.progress);
         }
-        const maxWaitMs = maxLimitedWaitMs(startsProgram(ctx), ctx.progress.leftMs);
-        this.checkWait(call, maxWaitMs);
         const progress = ctx.progress.child(maxWaitMs);
         try {
             return await this.dispatcher.acquire(call, progress);
@@ -40,11 +39,21 @@
         }
     }
 
-    private checkWait(call: QueuedCall, maxWaitMs: number): void {
+    /**
+     * Returns how long a call may wait because of limits; undefined if no upstream of its service limits its requests.
+     *
+     * @throws ProblemError `overloaded` if it is expected to wait longer.
+     */
+    longestWaitMs(call: QueuedCall, ctx: CallContext): number | undefined {
+        if (!this.pool.isLimited(call.model)) {
+            return undefined;
+        }
+        const maxWaitMs = maxLimitedWaitMs(startsProgram(ctx), ctx.progress.leftMs);
         const waitMs = this.pool.isExhausted(call.model) ? this.dispatcher.expectedWaitMs(call.model, 1) : 0;
         if (waitMs > maxWaitMs) {
             throw this.refusal(waitMs);
         }
+        return maxWaitMs;
     }
 
     /** Callers return spread over as long again as they would have waited. */
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -76,6 +76,11 @@
         return this.byId.size;
     }
 
+    /** Returns all upstreams of a service, also those that get no calls now. */
+    ofService(service: string): Upstream[] {
+        return [...this.byId.values()].filter(({ entry }) => entry.service === service);
+    }
+
     /** Returns the calls of this instance in flight by upstream, without idle upstreams. */
     localLoad(): Record<string, number> {
         const busy = [...this.byId.values()].filter(({ inFlight }) => inFlight > 0);
@@ -85,7 +90,7 @@
     /** Returns the available upstreams of a service; if there are none, those whose entry went missing recently. */
     usable(service: string): Upstream[] {
         const now = performance.now();
-        const all = [...this.byId.values()].filter(({ entry }) => entry.service === service);
+        const all = this.ofService(service);
         const usable = all.filter(upstream => upstream.isAvailable(now));
         return usable.length > 0 ?
             usable :
