Let the soak play workspaces with API keys

The soak's callers sent no keys, so that nothing showed whether workspaces are kept apart under faults. Its configuration has three workspaces now, whose keys are replaced while calls run, and callers that have no right to what they ask for. Checked: what runs has a key, workers are told the workspace and never a key, no turn is continued by another workspace, removed keys are refused in time, keys in force are not. `--quotas` counts what runs of a workspace over its quota; it is off until quotas are built.

--- a/bench/soak/lateCallers.ts
+++ b/bench/soak/lateCallers.ts
@@ -8,6 +8,7 @@
 import type { CallKind } from "./soakCalls.js";
 import type { Machine, SoakFleet } from "./soakFleet.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
+import { workspaceNames } from "./soakWorkspaces.js";
 
 const connections = 50;
 
@@ -67,6 +68,7 @@
         const kind = this.pick(kinds);
         const id = `${isLate ? "late" : "early"}-${this.front.name}-${Math.round(performance.now())}-${this.nextId++}`;
         const body = `${kind} ${id}`;
+        const workspace = this.pick(workspaceNames);
         const attempt: Attempt = {
             id,
             kind,
@@ -75,6 +77,8 @@
             front: this.front.name,
             startedAt: performance.now(),
             limitMs: deadlineMs,
+            key: this.pick(this.fleet.workspaces.inForce(workspace)).key,
+            workspace,
             ...(kind === "turn" && { program: `p-${id}` }),
         };
         this.record.begin(attempt);
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -28,10 +28,16 @@
 };
 
 /** Returns the number of runs in which a promise was broken. */
-const soak = async (firstSeed: number, runs: number, seconds: number, scale: number): Promise<number> => {
+const soak = async (
+    firstSeed: number,
+    runs: number,
+    seconds: number,
+    scale: number,
+    checksQuotas: boolean,
+): Promise<number> => {
     let failed = 0;
     for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-        const result = await runSoak({ seed, seconds, scale });
+        const result = await runSoak({ seed, seconds, scale, checksQuotas });
         failed += result.violations.length > 0 ? 1 : 0;
         printResult(seed, result);
     }
@@ -62,6 +68,7 @@
 cli.option("--runs <n>", "Number of runs, with consecutive seeds", { default: 1 });
 cli.option("--minutes <m>", "Length of a run", { default: defaultMinutes });
 cli.option("--scale <n>", "Machines, workers and callers, as a multiple of the usual number", { default: 1 });
+cli.option("--quotas", "Let a workspace send more than its quota, and check what runs; quotas are not built yet");
 cli.option("--variants [text]", "Run the broken variants whose names contain the text; each must be caught");
 cli.help();
 const { options } = cli.parse();
@@ -75,6 +82,7 @@
             Number(options["runs"]),
             Number(options["minutes"]) * 60,
             Number(options["scale"]),
+            options["quotas"] === true,
         );
     process.exitCode = failed > 0 ? 1 : 0;
 }
--- a/bench/soak/powerLoss.ts
+++ b/bench/soak/powerLoss.ts
@@ -6,6 +6,7 @@
 import type { Machine, SoakFleet } from "./soakFleet.js";
 import { outputOf } from "./soakRecord.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
+import { workspaceNames } from "./soakWorkspaces.js";
 
 /** Number of turns that are continued, the latest ones. */
 const maxTurns = 40;
@@ -19,7 +20,7 @@
 
 /** Ends all processes at once and wipes one disk, whose loss is tolerated, and continues turns that were answered before. */
 export class PowerLoss {
-    private readonly caller: SoakCaller;
+    private readonly callers: ReadonlyMap<string, SoakCaller>;
     private isOver = false;
 
     /** @param random Returns numbers in [0, 1). */
@@ -29,7 +30,9 @@
         random: () => number,
         private readonly wiped: Machine,
     ) {
-        this.caller = new SoakCaller("power", fleet, record, random);
+        this.callers = new Map(
+            workspaceNames.map(name => [name, new SoakCaller(`power-${name}`, name, fleet, record, random)]),
+        );
     }
 
     async run(): Promise<void> {
@@ -50,19 +53,19 @@
         turns.forEach(() => this.record.count("turn kept before power was lost"));
         this.isOver = true;
         await Promise.all(calls);
-        this.caller.stop();
+        this.callers.forEach(caller => caller.stop());
     }
 
     private latestTurns(): Attempt[] {
-        const kept = [...this.record.attempts.values()].filter(({ id, kind }) =>
-            kind === "turn" && this.record.isKept(id, keptForMs)
+        const kept = [...this.record.attempts.values()].filter(({ id, kind, workspace }) =>
+            kind === "turn" && workspace !== undefined && this.record.isKept(id, keptForMs)
         );
         return kept.sort((a, b) => b.answeredAt! - a.answeredAt!).slice(0, maxTurns);
     }
 
     private async continueUntilFound(turn: Attempt): Promise<void> {
         while (!this.isOver && !this.isFound(turn)) {
-            await this.caller.continueTurn(turn);
+            await this.callers.get(turn.workspace!)!.continueTurn(turn);
             await delay(retryMs);
         }
     }
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -5,15 +5,22 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
+import { Intruder } from "./intruder.js";
 import { PowerLoss } from "./powerLoss.js";
 import { SoakCaller } from "./soakCallers.js";
 import { SoakChecks } from "./soakChecks.js";
 import { SoakFaults } from "./soakFaults.js";
 import { builtProgram, SoakFleet } from "./soakFleet.js";
 import { SoakRecord } from "./soakRecord.js";
+import { workspaceNames } from "./soakWorkspaces.js";
+import { WorkspaceChecks } from "./workspaceChecks.js";
 
 const callerCount = 12;
 
+/** Callers without rights, and those of a workspace that sends more than its quota. */
+const intruderCount = 2;
+const crowdCount = 12;
+
 /** Share of the runs at whose end all machines lose power. */
 const powerLossShare = 0.5;
 
@@ -39,6 +46,8 @@
     readonly scale?: number;
     /** Whether all machines lose power at the end; drawn if missing. */
     readonly losesPower?: boolean;
+    /** Whether a workspace sends more than its quota, and what runs of it is counted; off if missing. */
+    readonly checksQuotas?: boolean;
 }
 
 /** Result of a run. */
@@ -57,11 +66,11 @@
  * const { violations } = await runSoak({ seed: 7, seconds: 60 });
  */
 export const runSoak = async (
-    { seed, seconds, program = builtProgram, scale = 1, losesPower }: SoakOptions,
+    { seed, seconds, program = builtProgram, scale = 1, losesPower, checksQuotas = false }: SoakOptions,
 ): Promise<SoakResult> => {
     const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
     mkdirSync(dir, { recursive: true });
-    const fleet = new SoakFleet(dir, program, scale);
+    const fleet = new SoakFleet(dir, program, scale, checksQuotas);
     const record = new SoakRecord();
     const random = createRandom(seed);
     const isPowerLost = losesPower ?? random() < powerLossShare;
@@ -70,19 +79,39 @@
         await fleet.start();
         const callers = Array.from(
             { length: callerCount * scale },
-            (_, index) => new SoakCaller(`c${index}`, fleet, record, createRandom(seed + index * seedStride)),
+            (_, index) => {
+                const workspace = workspaceNames[index % workspaceNames.length]!;
+                return new SoakCaller(`c${index}`, workspace, fleet, record, createRandom(seed + index * seedStride));
+            },
         );
-        const running = callers.map((caller, index) => index < visitorCount ? caller.visit() : caller.run());
+        const createIntruders = (name: string, count: number): Intruder[] =>
+            Array.from(
+                { length: count },
+                (_, index) =>
+                    new Intruder(`${name}${index}`, fleet, record, createRandom(seed + index + seedStride / 2)),
+            );
+        const intruders = createIntruders("intruder", intruderCount);
+        const crowd = createIntruders("crowd", checksQuotas ? crowdCount : 0);
+        const running = [
+            ...callers.map((caller, index) => index < visitorCount ? caller.visit() : caller.run()),
+            ...intruders.map(intruder => intruder.run()),
+            ...crowd.map(intruder => intruder.press()),
+        ];
         await faults.run(seconds * 1_000);
         await delay(recoveryMs);
         if (isPowerLost) {
             const stores = fleet.machines.filter(({ role }) => role === "store");
             await new PowerLoss(fleet, record, random, stores[Math.floor(random() * stores.length)]!).run();
         }
-        callers.forEach(caller => caller.stop());
+        [...callers, ...intruders, ...crowd].forEach(caller => caller.stop());
         await Promise.all(running);
         await delay(settleMs);
-        record.violations.push(...new SoakChecks(record, fleet.workers).violations());
+        const workspaceChecks = new WorkspaceChecks(record, fleet);
+        record.violations.push(
+            ...new SoakChecks(record, fleet.workers).violations(),
+            ...workspaceChecks.violations(),
+            ...(checksQuotas ? workspaceChecks.quotaViolations() : []),
+        );
     }
     finally {
         record.stalls.stop();
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -1,13 +1,13 @@
 /** Callers that run programs of turns and tool calls, and retry as the platform's do. */
 import { delay } from "@marigolddrift/common";
-import { Agent, request } from "node:http";
-import type { IncomingMessage } from "node:http";
+import { Agent } from "node:http";
 
-import { budgetTokens, headersOf, pathOf, visitBudgetTokens } from "./soakCalls.js";
+import { budgetTokens, visitBudgetTokens } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
 import type { Machine, SoakFleet } from "./soakFleet.js";
 import { outputOf } from "./soakRecord.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
+import { sendAttempt } from "./soakSend.js";
 
 const callTimeoutMs = 4_000;
 
@@ -39,6 +39,7 @@
     /** @param random Returns numbers in [0, 1). */
     constructor(
         private readonly name: string,
+        private readonly workspace: string,
         private readonly fleet: SoakFleet,
         private readonly record: SoakRecord,
         private readonly random: () => number,
@@ -140,10 +141,14 @@
                 front: front.name,
                 startedAt: performance.now(),
                 limitMs: callTimeoutMs,
+                key: this.pick(this.fleet.workspaces.inForce(this.workspace)).key,
+                workspace: this.workspace,
                 ...(program && { program }),
             };
             this.record.begin(attempt);
-            await this.send(attempt, front, body, previous);
+            const workMs = Math.ceil(this.random() ** 3 * maxWorkMs);
+            const address = this.fleet.frontAddress(front);
+            await sendAttempt(this.agent, attempt, { address, body, workMs, previous });
             attempt.endedAt = performance.now();
             if (this.record.onAnswer(attempt)) {
                 return attempt;
@@ -164,34 +169,6 @@
         return undefined;
     }
 
-    private send(attempt: Attempt, front: Machine, body: string, previous: string | undefined): Promise<void> {
-        const { kind } = attempt;
-        const path = pathOf(kind, Math.ceil(this.random() ** 3 * maxWorkMs));
-        const headers = headersOf(attempt, callTimeoutMs, previous);
-        const address = this.fleet.frontAddress(front);
-        return new Promise(resolve => {
-            const options = { ...address, method: kind === "safe" ? "GET" : "POST", path, headers, agent: this.agent };
-            const req = request(options, res => {
-                void readAnswer(res).then(({ text, isWhole }) => {
-                    const hasFrame = res.headers["content-length"] !== undefined ||
-                        res.headers["transfer-encoding"] !== undefined;
-                    const framedWhole = isWhole && hasFrame;
-                    Object.assign(attempt, { status: res.statusCode, body: text, ended: isWhole, framedWhole });
-                    resolve();
-                });
-            });
-            req.setTimeout(callTimeoutMs + 1_000, () => {
-                attempt.end = "timeout";
-                req.destroy();
-            });
-            req.on("error", () => {
-                attempt.end ??= "closed";
-                resolve();
-            });
-            req.end(kind === "safe" ? undefined : body);
-        });
-    }
-
     private fronts(): Machine[] {
         return this.fleet.machines.filter(({ role }) => role === "front");
     }
@@ -210,13 +187,3 @@
         return `${prefix}-${this.name}-${this.nextId++}`;
     }
 }
-
-/** Reads an answer to its end, or to where it breaks off. */
-const readAnswer = (res: IncomingMessage): Promise<{ readonly text: string; readonly isWhole: boolean; }> =>
-    new Promise(resolve => {
-        let text = "";
-        res.setEncoding("latin1");
-        res.on("data", (chunk: string) => text += chunk);
-        res.on("end", () => resolve({ text, isWhole: res.complete }));
-        res.on("error", () => resolve({ text, isWhole: false }));
-    });
--- a/bench/soak/soakCalls.ts
+++ b/bench/soak/soakCalls.ts
@@ -41,17 +41,22 @@
     readonly id: string;
     readonly kind: CallKind;
     readonly program?: string;
+    /** API key of the caller. */
+    readonly key?: string | undefined;
 }
 
 /** Headers of a call, but for those that frame its body. */
 export const headersOf = (
-    { id, kind, program }: CallNames,
+    { id, kind, program, key }: CallNames,
     deadlineMs: number,
     previous?: string,
 ): Record<string, string> => ({
     "Host": "soak.example",
     "Request-Id": id,
     "Deadline-Ms": String(deadlineMs),
+    // A name of the caller's own choice, which must not reach the worker.
+    "Tenant": "forged",
+    ...(key !== undefined && { "Api-Key": key }),
     ...(program !== undefined && {
         "Program-Id": program,
         "Session-Id": program,
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -8,7 +8,10 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-import { delayOfPath, turnKeepS, visitKeepS } from "./soakCalls.js";
+import { Disturbances } from "./disturbances.js";
+import { delayOfPath } from "./soakCalls.js";
+import { configOf, engine } from "./soakConfig.js";
+import { SoakWorkspaces } from "./soakWorkspaces.js";
 
 /** The program as it is built. */
 export const builtProgram = fileURLToPath(new URL("../../../platform/dist/main.js", import.meta.url));
@@ -25,6 +28,9 @@
     configApplyMs: 2_500,
     lossSlackMs: 200,
     recoverS: 12,
+    quotaWindowS: 5,
+    quotaOver: 0.1,
+    quotaSlack: 20,
 };
 
 /** The link between the regions, 21 Mbit/s each way. */
@@ -45,35 +51,13 @@
     readonly ip: string;
 }
 
-const engine = { slots: 8, kvCapacity: 90_000, tokensPerEvent: 10 };
-
-const route = (name: string, prefix: string, changes: Record<string, unknown>) => ({
-    name,
-    host: "soak.example",
-    prefix,
-    timeoutMs: 3_000,
-    latencyGoalMs: 300,
-    priority: 0,
-    maxAttempts: 2,
-    ...changes,
-});
-
-const configOf = (version: number) => ({
-    version,
-    routes: [
-        route("chat", "/chat/", { kind: "stream", service: "brain", retain: true, keepS: turnKeepS }),
-        route("visit", "/visit/", { kind: "stream", service: "brain", retain: true, keepS: visitKeepS }),
-        route("look", "/look/", { kind: "safe", service: "ops" }),
-        route("order", "/order/", { kind: "unsafe", service: "ops" }),
-    ],
-    services: [{ name: "brain", maxConns: 150, engine }, { name: "ops", maxConns: 96 }],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4 * 1024 * 1024, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-});
-
 /** The processes and stand-ins of one run. */
 export class SoakFleet {
     readonly store = new PlatformStandin();
     readonly machines: readonly Machine[];
+    readonly workspaces: SoakWorkspaces;
+    /** When processes were told to end, until they were started again. */
+    readonly restarts = new Disturbances();
     /** Processes that exited without having been stopped. */
     readonly unexpectedExits: string[] = [];
     /** All workers that have been started, also those that have left. */
@@ -89,8 +73,15 @@
      * @param dir Directory for settings, disks and logs.
      * @param program File that the processes run.
      * @param scale Number of machines and workers, as a multiple of the usual one.
+     * @param withQuotas Whether there is a workspace with a low quota.
      */
-    constructor(private readonly dir: string, private readonly program: string, private readonly scale = 1) {
+    constructor(
+        private readonly dir: string,
+        private readonly program: string,
+        private readonly scale = 1,
+        private readonly withQuotas = false,
+    ) {
+        this.workspaces = new SoakWorkspaces(withQuotas);
         // Each machine has an address of its own on loopback, since ports are the same on all machines.
         const network = `127.${20 + process.pid % 200}.0`;
         const zones = ["north-a", "north-b", "south-a"];
@@ -117,10 +108,11 @@
         await delay(2_000); // Connections between the machines are opened in the background.
     }
 
-    /** Writes a newer configuration. */
+    /** Writes a newer configuration, in which a key may have been replaced. */
     changeConfig(): void {
         this.version += 1;
-        this.store.put("op/config", configOf(this.version));
+        this.workspaces.replaceKey();
+        this.store.put("op/config", configOf(this.version, this.workspaces.tenants()));
     }
 
     async addWorker(id: string, service: "brain" | "ops", zone: string): Promise<WorkerStandin> {
@@ -143,6 +135,15 @@
 
     /** Ends a process and starts it again a moment after its end; with `wipe` it comes back with an empty disk. */
     async restart(machine: Machine, signal: "SIGKILL" | "SIGTERM", downMs: number, wipe = false): Promise<void> {
+        await this.restarts.during([machine.name], () => this.endAndStart(machine, signal, downMs, wipe));
+    }
+
+    private async endAndStart(
+        machine: Machine,
+        signal: "SIGKILL" | "SIGTERM",
+        downMs: number,
+        wipe: boolean,
+    ): Promise<void> {
         const child = this.processes.get(machine.name);
         this.stopped.add(machine.name);
         const ended = new Promise<void>(resolve => {
@@ -176,7 +177,7 @@
         return this.stopped.has(name);
     }
 
-    /** Sends SIGHUP to a front once it is ready, since a process that is only being loaded would end. */
+    /** Sends SIGHUP to a front once it is ready, since it would end a process whose runtime has only been started. */
     async hangUp(front: Machine): Promise<void> {
         if (this.isStopping(front) || await isReady(front.ip)) {
             this.signal(front, "SIGHUP");
@@ -236,7 +237,12 @@
 
     private settings({ name, zone, ip, role }: Machine, firstStart: boolean): string {
         const address = regionOf(zone) === storeRegion ? this.store.address : this.farStoreAddress;
-        const { graceS, contactMs, drainMs, configApplyMs } = bounds;
+        const { graceS, contactMs, drainMs, configApplyMs, quotaWindowS, quotaOver, quotaSlack } = bounds;
+        const quotaBounds = [
+            `quotaWindowS = ${quotaWindowS}`,
+            `quotaOver = ${quotaOver}`,
+            `quotaSlack = ${quotaSlack}`,
+        ];
         return [
             `node = "${name}"`,
             `ip = "${ip}"`,
@@ -258,6 +264,7 @@
             `contactMs = ${contactMs}`,
             `drainMs = ${drainMs}`,
             `configApplyMs = ${configApplyMs}`,
+            ...(this.withQuotas ? quotaBounds : []),
             "[platform]",
             `address = "${address}"`,
             "",
--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -11,6 +11,12 @@
     /** Body that a worker is to receive. */
     readonly expectedBody: string;
     readonly program?: string;
+    /** API key that is sent; missing if none is. */
+    readonly key?: string | undefined;
+    /** Workspace that the key was issued to. */
+    readonly workspace?: string | undefined;
+    /** Whether it names a turn of another workspace as the one before, and so must not run. */
+    readonly continuesForeignTurn?: boolean;
     /** Status that the caller got; undefined if the connection ended before. */
     status?: number;
     /** Whether the connection carried the answer to its end. */
--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -129,6 +129,35 @@
         find: "                this.addUnflushed(entry.turn, segment);",
         replace: "this.unflushedBySegment.set(segment, 0);",
     },
+    {
+        name: "the API key is forwarded to the upstream",
+        seed: 117,
+        file: "platform/src/callHeaders.ts",
+        find: "const callerHeaders = [\"api-key\", \"tenant\"];",
+        replace: "const callerHeaders = [\"tenant\"];",
+    },
+    {
+        name: "the caller's own name of a workspace wins",
+        seed: 118,
+        file: "platform/src/callHeaders.ts",
+        find: "if (caller?.workspace !== undefined) {",
+        replace: "if (caller?.workspace !== undefined && !rawHeaders.includes(\"Tenant\")) {",
+    },
+    {
+        name: "turns are not kept apart by workspace",
+        seed: 119,
+        file: `${gateway}/workspaces.ts`,
+        find: "workspace === undefined ? name :",
+        replace: "workspace !== null ? name :",
+    },
+    {
+        name: "removed keys stay valid",
+        seed: 120,
+        file: `${gateway}/workspaces.ts`,
+        find: "this.byKeyDigest.get(keyDigest(key));",
+        replace:
+            "this.byKeyDigest.get(keyDigest(key)) ?? ((globalThis as any).held ??= new Map()).get(keyDigest(key));",
+    },
 ];
 
 /** Faults that belong together, as one check hides the lack of another. */
@@ -137,6 +166,14 @@
         "if (head.callId !== undefined && head.callId !== callId) {",
         "if (head.callId === callId && head.callId !== callId) {",
     ],
+    "the caller's own name of a workspace wins": [
+        "const callerHeaders = [\"api-key\", \"tenant\"];",
+        "const callerHeaders = [\"api-key\"];",
+    ],
+    "removed keys stay valid": [
+        "this.byKeyDigest.set(keyDigest, workspace)",
+        "this.byKeyDigest.set(keyDigest, workspace) && ((globalThis as any).held ??= new Map()).set(keyDigest, workspace)",
+    ],
 };
 
 /** Builds a variant of the program into a file. */
