--- a/packages/gateway/src/explain/explanation.ts
+++ b/packages/gateway/src/explain/explanation.ts
@@ -134,7 +134,11 @@
         return { action: "wait", reason };
     }
     if (likeliest?.worker === undefined) {
-        return { action: "wait", reason: "all candidates have as many calls as they take" };
+        return {
+            action: "wait",
+            reason:
+                "all candidates have as many calls as they take, or are at the limits that they name (maxInFlight 0)",
+        };
     }
     return { action: "send", upstream: likeliest.worker, reason: placementReasons[likeliest.reason] };
 };
