--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -54,6 +54,18 @@
     tryAdmit(worker: string, req: R): boolean;
 }
 
+/** What would happen to a call if it were queued now. */
+export interface DispatchPreview {
+    /** Results of the placement policy, which may differ by chance. */
+    readonly placements: readonly Placement[];
+    /** Calls of the same model that wait. */
+    readonly waiting: number;
+    /** Whether the call would be dispatched before those. */
+    readonly isNext: boolean;
+    /** Expected time in the queue, in milliseconds. */
+    readonly expectedWaitMs: number;
+}
+
 /** Returns the index of the queued call to dispatch next. */
 export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
 
@@ -152,6 +164,28 @@
         return expectedWaitMs({ waiting: waiting.length + further, capacity, meanServiceMs });
     }
 
+    /**
+     * Tries the placement of a call several times, without queueing it or assigning it to a worker.
+     *
+     * @param random Returns numbers in [0, 1); not the dispatcher's own, whose sequence would change.
+     */
+    preview(req: R, views: readonly WorkerView[], tries: number, random: () => number): DispatchPreview {
+        const waiting = this.queues.get(req.model)?.waiting ?? [];
+        const place = (): Placement => this.options.place(views, req.shape, random, req.program);
+        return {
+            placements: Array.from({ length: tries }, place),
+            waiting: waiting.length,
+            isNext: this.wouldBeNext(req, waiting),
+            expectedWaitMs: waiting.length === 0 ? 0 : this.expectedWaitMs(req.model, 0),
+        };
+    }
+
+    /** Whether a call would be dispatched before the waiting ones. A queue that keeps its own order is not asked: it would have to take the call. */
+    private wouldBeNext(req: R, waiting: readonly QueuedCall<R>[]): boolean {
+        const keepsOrder = this.options.queueOf?.(req.model) !== undefined;
+        return waiting.length === 0 || !keepsOrder && this.firstOf([...waiting, { req }]) === waiting.length;
+    }
+
     /** Queues a call and waits until a worker is assigned to it; fails when `progress` ends. */
     async acquire(req: R, progress: Progress): Promise<DispatchLease> {
         const queue = this.queue(req.model);
@@ -233,6 +267,10 @@
         if (ordered !== undefined) {
             return chooseOrdered(ordered, waiting);
         }
+        return this.firstOf(waiting);
+    }
+
+    private firstOf(waiting: readonly Pick<QueuedCall<R>, "req">[]): number {
         const calls = waiting.map(entry => ({
             ...entry.req,
             workspaceLoad: this.runningInWorkspace(entry.req.workspace),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import { CrashDetector } from "./crashes/crashDetector.js";
 import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
+import { Explainer } from "./explain/explainer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
 import { FairAdmission } from "./fairness/fairAdmission.js";
@@ -64,6 +65,7 @@
     readonly budgets: Budgets;
     readonly entry: EntryServer;
     readonly replyMemory: ReplyMemory;
+    readonly explainer: Explainer;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
@@ -164,7 +166,19 @@
             () => this.dispatcher.dispatchAllQueued(),
             log,
         );
-        this.entry = this.createEntry(pool, random);
+        const admission = new LimitAdmission(this.dispatcher, pool, random);
+        this.entry = this.createEntry(pool, admission, random);
+        this.explainer = new Explainer({
+            instance: options.instance,
+            topology,
+            pool,
+            upstreams: this.upstreams,
+            limits: this.limits,
+            dispatcher: this.dispatcher,
+            admission,
+            routes: () => this.activeConfig.table,
+            drainSchedule: () => this.drainController.schedule,
+        });
         const watchOptions = { ...options, store: this.store, localInstance, duties, peers };
         const outages = {
             onDisconnected: () => this.upstreamFollower.onStoreLost(),
@@ -308,7 +322,7 @@
         }
     }
 
-    private createEntry(pool: UpstreamPool, random: () => number): EntryServer {
+    private createEntry(pool: UpstreamPool, admission: LimitAdmission, random: () => number): EntryServer {
         const { protocol, log, hedgeShare = 0 } = this.options;
         const { dispatcher, fairness, metrics, upstreams, turns } = this;
         const sources = { fairness, metrics, pool, random };
@@ -316,7 +330,7 @@
             dispatcher,
             upstreams,
             limits: this.limits,
-            admission: new FairAdmission(new LimitAdmission(dispatcher, pool, random), sources),
+            admission: new FairAdmission(admission, sources),
             fairness,
             crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
             blocker: this.blocker,
