Test that hostile callers do not end a front or exhaust its memory

Cause: callers can end a front or fill its machine with input that each is within the limits. No test showed that. Change: tests/hostile starts the built front as deployments do and plays one kind of crowd each; the test runner plays these files after all others, one at a time.

--- /dev/null
+++ b/tests/hostile/bodies.test.ts
@@ -0,0 +1,112 @@
+import { expect } from "earl";
+import { afterEach, before, beforeEach, describe, it } from "node:test";
+
+import { Crowd } from "./crowd.js";
+import type { HostileCaller } from "./crowd.js";
+import { buildBundle, callerLimits, headOf, HostileFront } from "./hostileFront.js";
+
+/** The smallest front. */
+const settings = { memoryMb: 178, fds: 256 };
+
+const callers = 40;
+const bodyBytes = callerLimits.maxBodyBytes;
+const pieceBytes = 64 * 1024;
+
+/** Size of a body in one-byte chunks, which costs the runtime a hundred times as much. */
+const tinyBodyBytes = 1024 * 1024;
+const tinyCallers = 8;
+
+/** Time for which a caller waits for the front to take what it has written. */
+const writeTimeoutMs = 4_000;
+
+/** Of eight bodies, seven stop short of their end. */
+const isWhole = (index: number): boolean => index % 8 === 0;
+
+const lengthHead = (): string => headOf("POST", "/order/1", [`Content-Length: ${bodyBytes}`]);
+const chunkedHead = (): string => headOf("POST", "/order/1", ["Transfer-Encoding: chunked"]);
+
+const inPieces = async (caller: HostileCaller, body: Buffer, size: number): Promise<void> => {
+    for (let at = 0; at < body.length && caller.isOpen; at += size) {
+        await caller.write(body.subarray(at, at + size), writeTimeoutMs);
+    }
+};
+
+const chunkOf = (bytes: number): string => `${bytes.toString(16)}\r\n${"x".repeat(bytes)}\r\n`;
+const chunkedEnd = "0\r\n\r\n";
+
+// Guards against callers with bodies of permitted size that together fill the memory of the machine.
+describe("bodies of permitted size from many callers at once", () => {
+    let front: HostileFront;
+    let crowd: Crowd;
+    before(buildBundle);
+    beforeEach(async () => {
+        front = await HostileFront.start(settings);
+        crowd = new Crowd(front.address);
+    });
+    afterEach(async () => {
+        crowd.close();
+        await front.close();
+    });
+
+    it("should be bounded together if they arrive whole, most one byte short", async t => {
+        const body = Buffer.alloc(bodyBytes, "x");
+        await crowd.play(callers, async (caller, index) => {
+            await caller.write(lengthHead(), writeTimeoutMs);
+            await caller.write(isWhole(index) ? body : body.subarray(1), writeTimeoutMs);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded together if they arrive piece by piece, most one byte short", async t => {
+        const body = Buffer.alloc(bodyBytes, "x");
+        await crowd.play(callers, async (caller, index) => {
+            await caller.write(lengthHead(), writeTimeoutMs);
+            await inPieces(caller, isWhole(index) ? body : body.subarray(1), pieceBytes);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded together if they arrive in large chunks, most without the last", async t => {
+        const body = Buffer.from(chunkOf(pieceBytes).repeat(bodyBytes / pieceBytes));
+        await crowd.play(callers, async (caller, index) => {
+            await caller.write(chunkedHead(), writeTimeoutMs);
+            await caller.write(body, writeTimeoutMs);
+            await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded together if they arrive in chunks of one byte, most without the last", async t => {
+        const body = Buffer.from(chunkOf(1).repeat(tinyBodyBytes));
+        await crowd.play(tinyCallers, async (caller, index) => {
+            await caller.write(chunkedHead(), writeTimeoutMs);
+            await inPieces(caller, body, 1024 * 1024);
+            await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+});
+
+// Guards against a bound that refuses a caller that is alone.
+describe("a single body of permitted size", () => {
+    let front: HostileFront;
+    beforeEach(async () => front = await HostileFront.start(settings));
+    afterEach(() => front.close());
+
+    it("should be served whole, in large chunks and in chunks of one byte", async t => {
+        const texts = [
+            lengthHead() + "x".repeat(bodyBytes),
+            chunkedHead() + chunkOf(pieceBytes).repeat(bodyBytes / pieceBytes) + chunkedEnd,
+            chunkedHead() + chunkOf(1).repeat(tinyBodyBytes) + chunkedEnd,
+        ];
+        const statuses: string[] = [];
+        for (const text of texts) {
+            const one = new Crowd(front.address);
+            await one.play(1, caller => caller.write(text, writeTimeoutMs * 4));
+            statuses.push(one.callers[0]!.received.slice(0, 15));
+            one.close();
+        }
+        expect(statuses).toEqual(texts.map(() => "HTTP/1.1 200 OK"));
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+});
--- /dev/null
+++ b/tests/hostile/heads.test.ts
@@ -0,0 +1,55 @@
+import { expect } from "earl";
+import { afterEach, before, beforeEach, describe, it } from "node:test";
+
+import { Crowd, writeFor } from "./crowd.js";
+import { buildBundle, callerLimits, headOf, HostileFront } from "./hostileFront.js";
+
+/** The smallest front, with fewer descriptors than the crowd has connections. */
+const settings = { memoryMb: 178, fds: 256 };
+
+const callers = 300;
+const playMs = 5_000;
+const writeTimeoutMs = 4_000;
+
+/** A head of many small lines costs the runtime the most. */
+const smallLines = "ab: cd\r\n".repeat(1_024);
+
+// Guards against callers that never send a request, and so are never answered and never closed.
+describe("connections without a request", () => {
+    let front: HostileFront;
+    let crowd: Crowd;
+    before(buildBundle);
+    beforeEach(async () => {
+        front = await HostileFront.start(settings);
+        crowd = new Crowd(front.address);
+    });
+    afterEach(async () => {
+        crowd.close();
+        await front.close();
+    });
+
+    it("should be bounded if their heads are over the limit", async t => {
+        const filler = `X-Filler: ${"x".repeat(callerLimits.maxHeaderBytes * 4)}`;
+        await crowd.play(callers, caller => caller.write(headOf("GET", "/look/1", [filler]), writeTimeoutMs));
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded if their heads never end", async t => {
+        await crowd.play(callers, async caller => {
+            await caller.write(headOf("GET", "/look/1", [], true), writeTimeoutMs);
+            await writeFor(caller, smallLines, playMs, 250);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded if their heads stop short of their end", async t => {
+        const filler = `X-Filler: ${"x".repeat(callerLimits.maxHeaderBytes / 2)}`;
+        await crowd.play(callers, caller => caller.write(headOf("GET", "/look/1", [filler], true), writeTimeoutMs));
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+
+    it("should be bounded if they send empty lines without end", async t => {
+        await crowd.play(callers, caller => writeFor(caller, "\r\n".repeat(512), playMs, 100));
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+});
--- a/tests/runner/run.test.ts
+++ b/tests/runner/run.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { spawnSync } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { after, before, describe, it } from "node:test";
@@ -47,4 +47,23 @@
         expect(runTests(passing, "test: should be gone\n").status).toEqual(1);
         expect(runTests(passing, "").status).toEqual(0);
     });
+
+    // Guards against tests that measure a process's memory beside others that take the machine's processors.
+    it("should run tests in hostile/ after all others, one file at a time", () => {
+        const journal = join(root, "journal.txt");
+        const writing = (name: string): string =>
+            `import { appendFileSync } from "node:fs";
+            import { it } from "node:test";
+            const write = text => appendFileSync(${JSON.stringify(journal)}, text);
+            it("should write ${name}", async () => {
+                write("<${name}");
+                await new Promise(resolve => setTimeout(resolve, 300));
+                write("${name}>");
+            });`;
+        mkdirSync(join(root, "hostile"));
+        ["a", "b"].forEach(name => writeFileSync(join(root, "hostile", `${name}.test.js`), writing(name)));
+        expect(runTests(writing("z"), "").status).toEqual(0);
+        rmSync(join(root, "hostile"), { recursive: true });
+        expect(readFileSync(journal, "utf8")).toEqual("<zz><aa><bb>");
+    });
 });
