Bound the memory of all input from callers, and the number of their connections

Cause: bodies, heads, requests that wait on a connection and answers that are not read were bounded one by one or not at all, so that a crowd of callers could fill the memory of a small machine; a body in chunks of one byte cost a hundred times its size. Change: one bound for all of it (an eighth of the process's memory), with the runtime's overhead. From three quarters of it on, larger inputs are not read; after 250 ms, or at the bound, what holds the most for the longest is refused with 503 or closed. Small pieces of bodies are copied together. Heads that are late or too large, and empty lines, end their connection; the parser's limit follows the configured one. At most 60 % of the descriptors are for callers: the connection without use for the longest is closed. Eight requests may wait on a connection before it is no longer read. Streams that are not read stop their upstream. A refusal of a request that has not arrived whole reads on for up to a second, so that the caller gets it. The test of a single body waits for the answers instead of 1.5 s: 1 MB in chunks of one byte takes 3 s.

--- a/packages/common/src/verdict.ts
+++ b/packages/common/src/verdict.ts
@@ -55,6 +55,10 @@
     upstream_failed: [502, "Send an idempotent request again; check others with the service."],
     call_blocked: [502, "Do not send it again unchanged: upstreams end when they begin to run it."],
     not_configured: [503, "Wait for Retry-After; this instance has no configuration yet."],
+    input_refused: [
+        503,
+        "Wait for Retry-After and send it again; callers send more than this instance has memory for.",
+    ],
     prompt_too_large: [503, "Send a shorter prompt; no engine of the service has the memory for it."],
     no_upstream: [503, "Wait for Retry-After and send it again."],
     not_durable: [503, "The platform's store is away; wait for Retry-After and send it again."],
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -1,5 +1,5 @@
 /** HTTP server for callers: selects the route of each request and runs the filter chain. */
-import { asError, listen, ProblemError, Progress, runChain, sendProblem, toProblemError } from "@marigolddrift/common";
+import { asError, listen, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -12,14 +12,23 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { CallProtocol } from "../protocol.js";
 import { chooseTarget } from "../routes.js";
-import type { CallerLimits, Route, RouteTable } from "../routes.js";
-import type { Workspace } from "../workspaces.js";
+import type { CallerLimits, RouteTable } from "../routes.js";
+import { BodyReader } from "./bodyReader.js";
+import { checkCaller, checkHeaderBytes, identifyWorkspace, pendingInputRead, toProblem } from "./callChecks.js";
+import { CallerConnections } from "./callerConnections.js";
+import type { HeadRefusal } from "./callerConnections.js";
 import { DrainableServer } from "./drainableServer.js";
 import type { DrainSchedule } from "./drainSchedule.js";
+import type { InputBounds } from "./inputBounds.js";
+import { closeLingering, isLingering, lingerAfterAnswer } from "./lingeringClose.js";
 import { RequestSequence } from "./requestSequence.js";
+import { UnsentAnswer } from "./unsentAnswer.js";
 
-/** Maximum size of the request headers for the HTTP parser; the configured limit is checked after parsing. */
-const parserHeaderBytes = 128 * 1024;
+/** Maximum size of the request headers for the HTTP parser until there is a configuration. */
+const maxParserHeaderBytes = 128 * 1024;
+
+/** The parser's limit as a multiple of the configured one, which is checked after parsing. */
+const parserHeaderFactor = 2;
 
 /** Time for which idle connections stay open beyond the configured idle timeout. */
 const keepAliveSlackMs = 1_000;
@@ -30,8 +39,8 @@
 /** Time after which callers may retry if the instance has no configuration yet. */
 const notReadyRetryAfterSeconds = 0.5;
 
-/** Time for which a connection stays open after a refusal that ends it, so that the caller can read it. */
-const refusalLingerMs = 1_000;
+/** Time within which a head must be complete until there is a configuration. */
+const defaultHeadersTimeoutMs = 3_000;
 
 /** Settings and dependencies of an {@link EntryServer}. */
 export interface EntryServerOptions {
@@ -40,6 +49,9 @@
     routes(): RouteTable | undefined;
     /** Set while the instance is stopping, so that callers should close their connections. */
     drainSchedule(): DrainSchedule | undefined;
+    readonly input: InputBounds;
+    /** Maximum size of a body. */
+    maxBodyBytes(): number;
     readonly random: () => number;
     readonly metrics: GatewayMetrics;
     readonly log: Logger;
@@ -52,22 +64,27 @@
     private readonly progresses = new Set<Progress>();
     private readonly server: DrainableServer;
     private readonly app: Polka;
-    /** Open connections from callers, with the responses on them that have not been sent to their end: a refusal waits for these. */
-    private readonly sockets = new Map<Socket, Set<ServerResponse>>();
+    private readonly callers: CallerConnections;
     private readonly sequence = new RequestSequence();
+    private headLimits = { timeoutMs: defaultHeadersTimeoutMs, maxBytes: maxParserHeaderBytes };
 
     constructor(private readonly options: EntryServerOptions) {
         this.server = new DrainableServer({
-            maxHeaderSize: parserHeaderBytes,
+            maxHeaderSize: maxParserHeaderBytes,
             requestTimeout: requestTimeoutMs,
             noDelay: true,
             keepAliveTimeout: 0,
         });
         this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
-        this.server.on("connection", socket => {
-            this.sockets.set(socket, new Set());
-            socket.on("close", () => this.sockets.delete(socket));
+        const { memory, maxConnections, refusals } = options.input;
+        this.callers = new CallerConnections({
+            memory,
+            maxConnections,
+            limits: () => this.headLimits,
+            refuseHead: (socket, refusal) => this.refuseHead(socket, refusal),
+            onTooMany: heldMs => refusals.add("connections", { connections: this.connections, heldMs }),
         });
+        this.server.on("connection", socket => this.callers.add(socket));
         this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
     }
 
@@ -77,10 +94,14 @@
 
     /** Number of open connections from callers. */
     get connections(): number {
-        return this.sockets.size;
+        return this.callers.size;
     }
 
     applyLimits(limits: CallerLimits): void {
+        const maxBytes = Math.min(maxParserHeaderBytes, limits.maxHeaderBytes * parserHeaderFactor);
+        this.headLimits = { timeoutMs: limits.headersTimeoutMs, maxBytes };
+        // The server reads the property for each new connection; its types have only the option.
+        Object.assign(this.server, { maxHeaderSize: maxBytes });
         this.server.headersTimeout = limits.headersTimeoutMs;
         this.server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveSlackMs;
     }
@@ -103,36 +124,52 @@
     }
 
     close(): void {
+        this.callers.close();
         this.server.close();
         this.server.closeAllConnections();
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const connection = this.callers.get(req.socket);
+        if (connection === undefined || req.socket.destroyed) {
+            // The parser goes on with what had been read when the connection was closed.
+            return;
+        }
         this.active += 1;
         const isSent = new Promise(resolve => res.once("close", resolve));
-        const unsent = this.sockets.get(req.socket);
-        unsent?.add(res);
+        connection.enter(res);
         const arrivedAt = performance.now();
+        const body = new BodyReader(req, this.options.input.memory, this.options.maxBodyBytes());
+        if (res.socket === null) {
+            // Read ahead: only a connection that is read tells that its caller has left.
+            body.start();
+        }
         if (await this.sequence.enter(req, res)) {
-            await this.serve(req, res, arrivedAt);
+            await this.serve(req, res, body, arrivedAt);
             await isSent;
         }
-        else {
+        else if (!connection.isRefused) {
             const waitedMs = Math.round(performance.now() - arrivedAt);
             this.options.log.info("request dropped", { method: req.method, path: req.url, waitedMs });
         }
+        body.release();
         this.active -= 1;
-        unsent?.delete(res);
+        connection.leave(res);
     }
 
-    private async serve(req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
+    private async serve(
+        req: IncomingMessage,
+        res: ServerResponse,
+        body: BodyReader,
+        arrivedAt: number,
+    ): Promise<void> {
         const trace: CallTrace = {};
         let progress: Progress | undefined;
         try {
             if (this.options.drainSchedule() !== undefined && this.sequence.isNewest(req, res)) {
                 res.setHeader("Connection", "close");
             }
-            const ctx = this.createContext(req, res, arrivedAt, trace);
+            const ctx = this.createContext(req, res, body, arrivedAt, trace);
             progress = ctx.progress;
             this.progresses.add(progress);
             await pendingInputRead();
@@ -140,9 +177,11 @@
             await runChain(this.options.filters, ctx);
         }
         catch (err) {
+            body.release();
             this.onFailed(req, res, trace, toProblem(err, progress));
         }
         finally {
+            body.release();
             progress?.dispose();
             this.progresses.delete(progress!);
             this.recordCall(req, arrivedAt, trace);
@@ -152,6 +191,7 @@
     private createContext(
         req: IncomingMessage,
         res: ServerResponse,
+        body: BodyReader,
         arrivedAt: number,
         trace: CallTrace,
     ): CallContext {
@@ -201,6 +241,8 @@
             arrivedAt,
             progress,
             body: Buffer.alloc(0),
+            readBody: () => body.read(),
+            unsent: new UnsentAnswer(res, this.options.input.memory),
             conversation: undefined,
             reservation: undefined,
             trace,
@@ -225,6 +267,7 @@
         if (!req.complete) {
             res.setHeader("Connection", "close");
             req.resume();
+            lingerAfterAnswer(req.socket);
         }
         sendProblem(res, err);
     }
@@ -238,6 +281,10 @@
 
     private onClientError(err: Error, socket: Socket): void {
         const { code } = err as { code?: string; };
+        if (isLingering(socket) || this.callers.get(socket)?.isEnding) {
+            // The parser reports what follows on a connection that is already refused.
+            return;
+        }
         if (code === "ECONNRESET" || !socket.writable) {
             socket.destroy();
             return;
@@ -251,72 +298,23 @@
         void this.refuse(socket, status);
     }
 
+    private refuseHead(socket: Socket, refusal: HeadRefusal): void {
+        this.options.input.refusals.add(refusal === "late" ? "head late" : "head too large");
+        void this.refuse(socket, refusal === "late" ? "408 Request Timeout" : "431 Request Header Fields Too Large");
+    }
+
     /** Answers what is no request, after the whole requests before it: a caller takes answers in the order of its requests. */
     private async refuse(socket: Socket, status: string): Promise<void> {
-        const unsent = [...this.sockets.get(socket) ?? []].filter(res => res.req.complete);
+        const connection = this.callers.get(socket);
+        if (connection === undefined || connection.isEnding) {
+            return;
+        }
+        connection.isEnding = true;
+        const unsent = [...connection.unsent].filter(res => res.req.complete);
         await Promise.all(unsent.map(res => new Promise(resolve => res.once("close", resolve))));
         if (socket.writable) {
-            socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-            // The caller may keep its side open, with a request on it that waits.
-            setTimeout(() => socket.destroy(), refusalLingerMs).unref();
+            socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+            closeLingering(socket);
         }
     }
 }
-
-/**
- * Resolves once the input has been read that was pending when the request was. Load pattern: more requests than the process can
- * read at once, so that they wait, and the callers of many have left when their turn comes. The end of a connection is read only
- * in the turn of the event loop after its last data.
- */
-const pendingInputRead = async (): Promise<void> => {
-    await nextCheckPhase();
-    await nextCheckPhase();
-};
-
-const nextCheckPhase = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
-
-/** Nobody waits for the answer any more, and to run the call would take time from those that others wait for. */
-const checkCaller = (req: IncomingMessage, res: ServerResponse): void => {
-    const { socket } = req;
-    // A connection that is half closed counts as closed; one that has been refused gets no further answer.
-    const isClosed = socket.destroyed || socket.readableEnded || socket.writableEnded;
-    const isGone = isClosed || (res.closed && !res.writableFinished);
-    if (isGone) {
-        throw new ProblemError("caller_gone", "notRun", "The caller closed the connection before its call was sent.");
-    }
-};
-
-/**
- * Assigns a call to the workspace that has its API key; undefined for callers that need none.
- *
- * @throws ProblemError `unauthorized` if the route needs a key, and this one is missing or unknown.
- */
-const identifyWorkspace = (table: RouteTable, route: Route, key: string | undefined): Workspace | undefined => {
-    const workspace = table.workspaces?.identify(key);
-    if (table.workspaces !== undefined && workspace === undefined && !route.isPublic) {
-        throw new ProblemError("unauthorized", "notRun", "The API key is missing or unknown.");
-    }
-    return workspace;
-};
-
-const checkHeaderBytes = (req: IncomingMessage, maxBytes: number): void => {
-    const headerBytes = req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-    if (headerBytes + (req.url?.length ?? 0) > maxBytes) {
-        throw new ProblemError(
-            "headers_too_large",
-            "notRun",
-            `The head is larger than ${maxBytes} bytes.`,
-        );
-    }
-};
-
-/** Prefers the reason for which the call was aborted over the error that the abort caused. */
-const toProblem = (err: unknown, progress: Progress | undefined): ProblemError => {
-    const reason: unknown = progress?.signal.aborted ? progress.signal.reason : undefined;
-    const mayHaveRun = err instanceof ProblemError && err.verdict !== "notRun";
-    // The status of a refusal would promise that the call has not run.
-    if (reason instanceof ProblemError && mayHaveRun && reason.code !== "draining") {
-        return new ProblemError(reason.code, "mayHaveRun", reason.message);
-    }
-    return toProblemError(err, "mayHaveRun");
-};
--- /dev/null
+++ b/packages/gateway/src/entry/inputMemory.ts
@@ -0,0 +1,194 @@
+/** Bounds the memory that everything that callers send, or do not read, needs together. */
+
+/** What holds memory: a request that is read, requests that wait behind others, a head, or an answer that is not read. */
+export type InputKind = "request" | "pipelined" | "head" | "answer";
+
+/** Share of the bound from which reading stops. The rest is for what small requests need meanwhile. */
+const pausedShare = 3 / 4;
+
+/** Size up to which an input is read on when reading stops for others, so that ordinary requests are served. */
+const unpausedBytes = 64 * 1024;
+
+/** Time for which reading stops before an input is refused to make room: running calls may free memory until then. */
+const pauseMs = 250;
+
+/** How an input is stopped or refused. */
+export interface InputControl {
+    readonly kind: InputKind;
+    /** Stops or resumes reading. Missing if there is nothing to be read. */
+    setPaused?(isPaused: boolean): void;
+    /** Called at most once, when the input is refused; its memory no longer counts. */
+    refuse(): void;
+}
+
+/** The memory of one input. */
+export interface HeldInput {
+    /** Sets the present size. To be called before the memory is allocated. */
+    resize(bytes: number): void;
+    /** Counts the input from now on without refusing it, since its call may run. */
+    keep(): void;
+    /** The input needs no memory any more. */
+    release(): void;
+}
+
+/** An input that was refused. */
+export interface RefusedInput {
+    readonly kind: InputKind;
+    readonly bytes: number;
+    readonly heldMs: number;
+    /** Size of all inputs before the refusal. */
+    readonly totalBytes: number;
+}
+
+interface Holder {
+    readonly control: InputControl;
+    readonly since: number;
+    bytes: number;
+    isRefusable: boolean;
+}
+
+/**
+ * Load pattern: many callers whose requests are each within the limits, but are never completed, or whose answers are never
+ * read. Together they would fill the memory of a small machine, and the calls of all others would end with the process.
+ */
+export class InputMemory {
+    private readonly holders = new Set<Holder>();
+    private readonly paused = new Set<Holder>();
+    private totalBytes = 0;
+    private timer: NodeJS.Timeout | undefined;
+
+    /** @param maxBytes Size of all inputs together beyond which inputs are refused. */
+    constructor(
+        private readonly maxBytes: number,
+        private readonly onRefused: (input: RefusedInput) => void = () => {},
+        private readonly now: () => number = () => performance.now(),
+    ) {}
+
+    /** Size of all inputs, with what the runtime needs for them. */
+    get heldBytes(): number {
+        return this.totalBytes;
+    }
+
+    /** Number of inputs that are not read at present. */
+    get pausedInputs(): number {
+        return this.paused.size;
+    }
+
+    /**
+     * Registers an input with size 0.
+     *
+     * @example
+     * const held = memory.hold({ kind: "head", refuse: () => socket.destroy() });
+     * held.resize(16_384);
+     * held.release();
+     */
+    hold(control: InputControl): HeldInput {
+        const holder: Holder = { control, since: this.now(), bytes: 0, isRefusable: true };
+        this.holders.add(holder);
+        return {
+            resize: bytes => this.resize(holder, bytes),
+            keep: () => this.keep(holder),
+            release: () => this.release(holder),
+        };
+    }
+
+    private resize(holder: Holder, bytes: number): void {
+        if (!this.holders.has(holder)) {
+            return;
+        }
+        this.totalBytes += bytes - holder.bytes;
+        holder.bytes = bytes;
+        this.refuseUntil(this.maxBytes);
+        const isTooMuch = this.totalBytes > this.pauseBytes && bytes > unpausedBytes;
+        if (isTooMuch && holder.isRefusable && this.holders.has(holder)) {
+            this.pause(holder);
+        }
+        this.resumeIfRoom();
+    }
+
+    private keep(holder: Holder): void {
+        holder.isRefusable = false;
+        if (this.paused.delete(holder)) {
+            holder.control.setPaused?.(false);
+        }
+    }
+
+    private release(holder: Holder): void {
+        if (!this.holders.delete(holder)) {
+            return;
+        }
+        this.totalBytes -= holder.bytes;
+        if (this.paused.delete(holder)) {
+            holder.control.setPaused?.(false);
+        }
+        this.resumeIfRoom();
+    }
+
+    private get pauseBytes(): number {
+        return this.maxBytes * pausedShare;
+    }
+
+    private pause(holder: Holder): void {
+        if (holder.control.setPaused !== undefined && !this.paused.has(holder)) {
+            this.paused.add(holder);
+            holder.control.setPaused(true);
+            this.startTimer();
+        }
+    }
+
+    private startTimer(): void {
+        this.timer ??= setTimeout(() => this.onPausedLong(), pauseMs).unref();
+    }
+
+    private onPausedLong(): void {
+        this.timer = undefined;
+        if (this.paused.size > 0) {
+            this.refuseUntil(this.pauseBytes);
+            this.resumeIfRoom();
+        }
+        if (this.paused.size > 0) {
+            this.startTimer();
+        }
+    }
+
+    private resumeIfRoom(): void {
+        if (this.paused.size === 0 || this.totalBytes > this.pauseBytes) {
+            return;
+        }
+        const resumed = [...this.paused];
+        this.paused.clear();
+        resumed.forEach(({ control }) => control.setPaused?.(false));
+    }
+
+    /** Refuses inputs until the others fit, or none is left that may be refused. */
+    private refuseUntil(maxBytes: number): void {
+        while (this.totalBytes > maxBytes) {
+            const worst = this.findWorst();
+            if (worst === undefined) {
+                return;
+            }
+            const { control: { kind }, bytes, since } = worst;
+            const refused = { kind, bytes, heldMs: Math.round(this.now() - since), totalBytes: this.totalBytes };
+            this.holders.delete(worst);
+            this.paused.delete(worst);
+            this.totalBytes -= bytes;
+            this.onRefused(refused);
+            worst.control.refuse();
+        }
+    }
+
+    /** The input that holds the most for the longest: the product of both is the largest. */
+    private findWorst(): Holder | undefined {
+        const now = this.now();
+        // An input that has just begun counts, too: one that is too large by itself must be found.
+        const score = ({ bytes, since }: Holder): number => bytes * (now - since + 1);
+        let worst: Holder | undefined;
+        for (const holder of this.holders) {
+            const isCandidate = holder.isRefusable && holder.bytes > 0;
+            if (isCandidate && (worst === undefined || score(holder) > score(worst))) {
+                worst = holder;
+            }
+        }
+        return worst;
+    }
+}
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -5,6 +5,7 @@
 import type { Reservation } from "../budgets/budgets.js";
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
+import type { UnsentAnswer } from "../entry/unsentAnswer.js";
 import type { ForwardedCaller } from "../protocol.js";
 import type { Route, Service } from "../routes.js";
 import type { Conversation } from "../turns/turnRecord.js";
@@ -63,6 +64,10 @@
     /** Aborted at the caller's deadline or the route's timeout, or when the caller disconnects. */
     readonly progress: Progress;
     body: Buffer;
+    /** Reads the whole body, within the bounds on input. */
+    readBody(): Promise<Buffer>;
+    /** Counts what the caller has not read of the response. */
+    readonly unsent: UnsentAnswer;
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
     readonly trace: CallTrace;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -151,7 +151,7 @@
             const detail = "the upstream has just said that it is leaving";
             return { kind: "notRun", detail, endedBy: "upstream", unreachable: false };
         }
-        const response = ctx.route.isStreaming ? new StreamedResponse(ctx.res) : new BufferedResponse();
+        const response = ctx.route.isStreaming ? new StreamedResponse(ctx.unsent) : new BufferedResponse();
         const { prompt } = ctx.head;
         const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
             upstream: upstream.entry.id,
@@ -202,7 +202,7 @@
         }
         ctx.trace.status = response.status;
         if (response instanceof BufferedResponse) {
-            response.send(ctx.res);
+            response.send(ctx.unsent);
             return;
         }
         if (response.isSuccess) {
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -1,14 +1,22 @@
 /** Sinks that send the response to the caller, either buffered or as a stream. */
 import type { ServerResponse } from "node:http";
 
+import type { UnsentAnswer } from "../entry/unsentAnswer.js";
 import type { ReplyHead } from "../protocol.js";
 import type { ResponseSink } from "../upstreams/attempt.js";
 import { EventCollector } from "../upstreams/eventCollector.js";
 
+/**
+ * Size of what a caller has not read of a stream from which no more is read from the upstream. Large enough that only a caller
+ * that has stopped reading is noticed.
+ */
+const maxUnsentBytes = 512 * 1024;
+
 /** Buffers a response, which is sent only once it is complete. */
 export class BufferedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    onFull: ResponseSink["onFull"] = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
 
@@ -40,17 +48,21 @@
     }
 
     /** Sends the buffered response. */
-    send(res: ServerResponse): void {
-        const body = Buffer.concat(this.chunks);
+    send(answer: UnsentAnswer): void {
+        const { res } = answer;
         const { status, headers } = this.head!;
         const hasBody = status !== 204 && status !== 304;
         if (hasBody && this.head!.endsWithConnection) {
             writeUnframedHead(res, this.head!);
         }
         else {
-            res.writeHead(status, [...headers, ...(hasBody ? ["Content-Length", String(body.length)] : [])]);
+            res.writeHead(status, [...headers, ...(hasBody ? ["Content-Length", String(this.receivedBytes)] : [])]);
         }
-        res.end(body);
+        // Not joined, which would need the memory of the whole a second time.
+        res.cork();
+        this.chunks.forEach(chunk => res.write(chunk));
+        res.end();
+        answer.update();
     }
 }
 
@@ -61,13 +73,18 @@
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
     onLeaving: ResponseSink["onLeaving"] = () => {};
+    onFull: ResponseSink["onFull"] = () => {};
     readonly events = new EventCollector();
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
     receivedBytes = 0;
     private head: ReplyHead | undefined;
+    private readonly res: ServerResponse;
+    private isFull = false;
 
-    constructor(private readonly res: ServerResponse) {}
+    constructor(private readonly answer: UnsentAnswer) {
+        this.res = answer.res;
+    }
 
     get status(): number | undefined {
         return this.head?.status;
@@ -100,6 +117,15 @@
         this.receivedBytes += chunk.length;
         this.events.feed(chunk);
         this.res.write(chunk);
+        this.answer.update();
+        if (!this.isFull && this.res.writableLength > maxUnsentBytes) {
+            this.isFull = true;
+            this.onFull(true);
+            this.res.once("drain", () => {
+                this.isFull = false;
+                this.onFull(false);
+            });
+        }
     }
 
     /** Ends the response as complete. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,8 @@
 import { CrashDetector } from "./crashes/crashDetector.js";
 import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
+import { createInputBounds } from "./entry/inputBounds.js";
+import type { InputBounds } from "./entry/inputBounds.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
 import { BlockFilter } from "./filters/blockFilter.js";
@@ -72,6 +74,7 @@
     readonly budgets: Budgets;
     readonly entry: EntryServer;
     readonly replyMemory: ReplyMemory;
+    readonly input: InputBounds;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
@@ -107,6 +110,7 @@
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
         this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes);
+        this.input = createInputBounds(options, this.metrics, log);
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
@@ -177,6 +181,7 @@
         addGauges(this.metrics, {
             entry: this.entry,
             replyMemory: this.replyMemory,
+            inputMemory: this.input.memory,
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
@@ -308,7 +313,7 @@
         const maxBytes = (): number => this.activeConfig.table?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
         return new EntryServer({
             filters: [
-                new BodyFilter(maxBytes),
+                new BodyFilter(),
                 new BlockFilter(this.blocker),
                 new PromptSizeFilter(),
                 new HistoryFilter(turns),
@@ -318,6 +323,8 @@
             protocol,
             routes: () => this.activeConfig.table,
             drainSchedule: () => this.drainController.schedule,
+            input: this.input,
+            maxBodyBytes: maxBytes,
             random,
             metrics: this.metrics,
             log,
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,6 +1,7 @@
 /** Gauges of an instance that serves callers. */
 import type { CallBlocker } from "./crashes/callBlocker.js";
 import type { EntryServer } from "./entry/entryServer.js";
+import type { InputMemory } from "./entry/inputMemory.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { StallMonitor } from "./stallMonitor.js";
 import type { ActiveConfig } from "./state/activeConfig.js";
@@ -10,7 +11,8 @@
 
 /** The components whose state the gauges show. */
 export interface GaugedComponents {
-    readonly entry: Pick<EntryServer, "active">;
+    readonly entry: Pick<EntryServer, "active" | "connections">;
+    readonly inputMemory: Pick<InputMemory, "heldBytes" | "pausedInputs">;
     readonly replyMemory: Pick<ReplyMemory, "heldBytes">;
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size">;
@@ -25,6 +27,9 @@
 export const addGauges = (metrics: GatewayMetrics, of: GaugedComponents): void => {
     metrics.addGauge("calls_active", "Calls whose answers have not ended", () => of.entry.active);
     metrics.addGauge("reply_bytes", "Bytes of replies in progress", () => of.replyMemory.heldBytes);
+    metrics.addGauge("input_bytes", "Bytes that callers have sent or not read", () => of.inputMemory.heldBytes);
+    metrics.addGauge("inputs_paused", "Inputs that are not read for lack of memory", () => of.inputMemory.pausedInputs);
+    metrics.addGauge("caller_connections", "Open connections from callers", () => of.entry.connections);
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -42,6 +42,10 @@
     readonly graceMs: number;
     /** Memory for the replies of all calls in progress. */
     readonly maxReplyMemoryBytes: number;
+    /** Memory for what all callers have sent and not read; a default for a process of 200 MB if missing. */
+    readonly maxInputMemoryBytes?: number;
+    /** Maximum number of open connections from callers. */
+    readonly maxCallerConnections?: number;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./budgets/regionBudgets.js";
 export * from "./call.js";
 export * from "./entry/drainSchedule.js";
+export * from "./entry/inputMemory.js";
 export * from "./entry/statusServer.js";
 export * from "./facts/factExchange.js";
 export * from "./facts/factTable.js";
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -30,6 +30,8 @@
     onLimit(requestsPerSecond: number | undefined): void;
     /** Called for a reply, also a refusal, in which the upstream says that it is about to stop. */
     onLeaving(): void;
+    /** Set by the attempt: to be called when the caller does not read, and when it does again. */
+    onFull: (isFull: boolean) => void;
     onHead(head: ReplyHead): void;
     onData(chunk: Buffer): void;
     /**
@@ -73,6 +75,7 @@
             resolve(result);
         };
         const listener = new AttemptListener(attempt, finish, abort);
+        attempt.sink.onFull = isFull => isFull ? active.call?.pause() : active.call?.resume();
         active.call = upstream.connections.send(attempt.call, listener);
         progress.signal.addEventListener("abort", onAbort, { once: true });
         if (progress.signal.aborted) {
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -39,6 +39,9 @@
 /** A call in progress. */
 export interface RunningCall {
     abort(reason: Error): void;
+    /** Stops reading the reply. */
+    pause(): void;
+    resume(): void;
 }
 
 /** How a connection ends: the upstream has closed it in order, or it failed. */
@@ -138,6 +141,14 @@
         }
     }
 
+    pause(): void {
+        this.controller?.pause();
+    }
+
+    resume(): void {
+        this.controller?.resume();
+    }
+
     onRequestStart(controller: HttpDispatcher.DispatchController): void {
         if (this.abortReason !== undefined) {
             controller.abort(this.abortReason);
--- a/tests/hostile/bodies.test.ts
+++ b/tests/hostile/bodies.test.ts
@@ -19,6 +19,9 @@
 /** Time for which a caller waits for the front to take what it has written. */
 const writeTimeoutMs = 4_000;
 
+/** Time for which a caller that is alone waits for its answer, however slow the machine is. */
+const answerTimeoutMs = 25_000;
+
 /** Of eight bodies, seven stop short of their end. */
 const isWhole = (index: number): boolean => index % 8 === 0;
 
@@ -102,7 +105,10 @@
         const statuses: string[] = [];
         for (const text of texts) {
             const one = new Crowd(front.address);
-            await one.play(1, caller => caller.write(text, writeTimeoutMs * 4));
+            await one.play(1, async caller => {
+                await caller.write(text, answerTimeoutMs);
+                await caller.answered(answerTimeoutMs);
+            });
             statuses.push(one.callers[0]!.received.slice(0, 15));
             one.close();
         }
--- a/tests/hostile/crowd.ts
+++ b/tests/hostile/crowd.ts
@@ -43,6 +43,14 @@
         });
     }
 
+    /** Resolves once anything has been received, or the connection has ended, or after `timeoutMs`. */
+    async answered(timeoutMs: number): Promise<void> {
+        const endsAt = performance.now() + timeoutMs;
+        while (this.received === "" && !this.socket.destroyed && performance.now() < endsAt) {
+            await sleep(20);
+        }
+    }
+
     close(): void {
         this.socket.destroy();
     }
