Do not read on from peers whose requests are not handled yet

Cause: a peer may send any number of frames of up to 4 MB, which were all decoded and handled at once. Change: from 8 MB of requests in progress on, the connections that bring more are not read.

--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -10,10 +10,14 @@
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 
+import { PeerInput } from "./peerInput.js";
 import type { JournalRequest, PeerRequest, RequestFrame, ResponseFrame } from "./peerMessages.js";
 
 const maxFrameBytes = 4 * 1024 * 1024;
 
+/** Size of all requests that are being handled from which no more are read: two of the largest. */
+const maxInputBytes = 2 * maxFrameBytes;
+
 /** Handles a request. An error that it throws is sent as a failed response. */
 export type RequestHandler = (request: PeerRequest | JournalRequest, progress: Progress) => Promise<unknown>;
 
@@ -21,6 +25,7 @@
 export class PeerServer {
     private readonly packr = new Packr({ useRecords: false });
     private readonly http = createServer();
+    private readonly input = new PeerInput(maxInputBytes);
     private readonly server = new WebSocketServer({
         server: this.http,
         path: "/peer",
@@ -66,13 +71,15 @@
 
     private onConnection(socket: WebSocket): void {
         socket.on("error", err => this.log.info("peer connection failed", { error: err.message }));
+        socket.on("close", () => this.input.forget(socket));
         socket.on("message", (data: Buffer) => {
             const frame = this.readFrame(data);
             if (frame === undefined) {
                 socket.terminate();
                 return;
             }
-            void this.respond(frame).then(response => socket.send(this.packr.pack(response)));
+            const release = this.input.add(socket, data.length);
+            void this.respond(frame).then(response => socket.send(this.packr.pack(response))).finally(release);
         });
     }
 
