Answer in order what is written behind a call, and notice that its caller has left

Cause: three open faults with requests behind another one on a connection: a refusal reset the connection and cut the answer before; a body that waits kept the connection from being read, so that its caller's leaving was not noticed; CONNECT closed the connection before the call was answered. Change: CONNECT is refused with 400 after the answers before it; a module of its own for refusals of what is no request; a test of each fault.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -1,5 +1,5 @@
 /** HTTP server for callers: selects the route of each request and runs the filter chain. */
-import { asError, listen, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
+import { listen, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -16,11 +16,11 @@
 import { BodyReader } from "./bodyReader.js";
 import { checkCaller, checkHeaderBytes, identifyWorkspace, pendingInputRead, toProblem } from "./callChecks.js";
 import { CallerConnections } from "./callerConnections.js";
-import type { HeadRefusal } from "./callerConnections.js";
+import { ConnectionRefuser } from "./connectionRefuser.js";
 import { DrainableServer } from "./drainableServer.js";
 import type { DrainSchedule } from "./drainSchedule.js";
 import type { InputBounds } from "./inputBounds.js";
-import { closeLingering, isLingering, lingerAfterAnswer } from "./lingeringClose.js";
+import { lingerAfterAnswer } from "./lingeringClose.js";
 import { RequestSequence } from "./requestSequence.js";
 import { UnsentAnswer } from "./unsentAnswer.js";
 
@@ -65,6 +65,7 @@
     private readonly server: DrainableServer;
     private readonly app: Polka;
     private readonly callers: CallerConnections;
+    private readonly refuser: ConnectionRefuser;
     private readonly sequence = new RequestSequence();
     private headLimits = { timeoutMs: defaultHeadersTimeoutMs, maxBytes: maxParserHeaderBytes };
 
@@ -75,16 +76,19 @@
             noDelay: true,
             keepAliveTimeout: 0,
         });
-        this.server.on("clientError", (err, socket) => this.onClientError(err, socket as Socket));
+        this.server.on("clientError", (err, socket) => this.refuser.onClientError(err, socket as Socket));
         const { memory, maxConnections, refusals } = options.input;
         this.callers = new CallerConnections({
             memory,
             maxConnections,
             limits: () => this.headLimits,
-            refuseHead: (socket, refusal) => this.refuseHead(socket, refusal),
+            refuseHead: (socket, refusal) => this.refuser.onHead(socket, refusal),
             onTooMany: heldMs => refusals.add("connections", { connections: this.connections, heldMs }),
         });
+        this.refuser = new ConnectionRefuser(this.callers, refusals, options.log);
         this.server.on("connection", socket => this.callers.add(socket));
+        // Without a listener the server closes the connection before the calls on it have been answered.
+        this.server.on("connect", (_, socket) => this.refuser.onTunnel(socket as Socket));
         this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
     }
 
@@ -278,43 +282,4 @@
         metrics.onCall(trace.route ?? "none", trace.error ?? String(trace.status ?? "gone"), ms);
         log.info("call", { method: req.method, path: req.url, ...trace, ms });
     }
-
-    private onClientError(err: Error, socket: Socket): void {
-        const { code } = err as { code?: string; };
-        if (isLingering(socket) || this.callers.get(socket)?.isEnding) {
-            // The parser reports what follows on a connection that is already refused.
-            return;
-        }
-        if (code === "ECONNRESET" || !socket.writable) {
-            socket.destroy();
-            return;
-        }
-        const status = code === "HPE_HEADER_OVERFLOW" ?
-            "431 Request Header Fields Too Large" :
-            code === "ERR_HTTP_REQUEST_TIMEOUT" ?
-            "408 Request Timeout" :
-            "400 Bad Request";
-        this.options.log.info("request refused", { error: asError(err).message, code, status });
-        void this.refuse(socket, status);
-    }
-
-    private refuseHead(socket: Socket, refusal: HeadRefusal): void {
-        this.options.input.refusals.add(refusal === "late" ? "head late" : "head too large");
-        void this.refuse(socket, refusal === "late" ? "408 Request Timeout" : "431 Request Header Fields Too Large");
-    }
-
-    /** Answers what is no request, after the whole requests before it: a caller takes answers in the order of its requests. */
-    private async refuse(socket: Socket, status: string): Promise<void> {
-        const connection = this.callers.get(socket);
-        if (connection === undefined || connection.isEnding) {
-            return;
-        }
-        connection.isEnding = true;
-        const unsent = [...connection.unsent].filter(res => res.req.complete);
-        await Promise.all(unsent.map(res => new Promise(resolve => res.once("close", resolve))));
-        if (socket.writable) {
-            socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-            closeLingering(socket);
-        }
-    }
 }
--- a/tests/platform/pipelining.test.ts
+++ b/tests/platform/pipelining.test.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 
-import { Deployment, waitUntil } from "./deployment.js";
+import { config, Deployment, waitUntil } from "./deployment.js";
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -14,6 +14,14 @@
     return `${method} ${path} HTTP/1.1\r\n${head}\r\nContent-Length: 4\r\n\r\nonce`;
 };
 
+const largeBodyBytes = 300_000;
+const answerBytes = 2 * 1024 * 1024;
+
+const largeRequest = (id: string, sentBytes = largeBodyBytes): string => {
+    const head = `Host: carts.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 2000`;
+    return `POST /order/1 HTTP/1.1\r\n${head}\r\nContent-Length: ${largeBodyBytes}\r\n\r\n${"y".repeat(sentBytes)}`;
+};
+
 /** A caller that writes several requests on one connection without awaiting the answers. */
 class PipeliningCaller {
     received = "";
@@ -89,4 +97,49 @@
         expect(caller.isClosed).toEqual(false);
         caller.socket.destroy();
     });
+
+    // Guards against a reset, which also discards what the caller has not read of the answer before.
+    for (const [part, sentBytes] of [["whole", largeBodyBytes], ["a part of them", largeBodyBytes - 1]] as const) {
+        it(`should not cut the answer before theirs when they are refused and ${part} has arrived`, async () => {
+            deployment.plainWorker.answerBytes = answerBytes;
+            const caller = new PipeliningCaller(deployment.gateways[0]!.port);
+            caller.socket.pause();
+            const refused = largeRequest("too-large", sentBytes);
+            caller.socket.write(requestText("GET", "/look/1", "large") + refused);
+            await sleep(400);
+            caller.socket.resume();
+            await waitUntil(() => caller.isClosed || caller.statuses.length === 2, 5_000);
+            expect(caller.statuses).toEqual(["200", "413"]);
+            expect(/x+/.exec(caller.received)![0].length).toEqual(answerBytes);
+            expect(hasRun("too-large")).toEqual(false);
+            caller.socket.destroy();
+        });
+    }
+
+    // Guards against calls that run on for nobody: a connection that is not read does not tell that its caller has left.
+    it("should not hide that the caller has left, however large they are", async () => {
+        const gateway = deployment.gateways[0]!;
+        const { limits, ...others } = config(4);
+        deployment.store.put("op/config", { ...others, limits: { ...limits, maxBodyBytes: 1024 * 1024 } });
+        await waitUntil(() => gateway.configVersion === 4);
+        deployment.plainWorker.delayMs = 2_000;
+        const caller = new PipeliningCaller(gateway.port);
+        caller.socket.write(requestText("GET", "/look/1", "running") + largeRequest("behind"));
+        await waitUntil(() => hasRun("running"));
+        await sleep(100);
+        caller.socket.destroy();
+        await waitUntil(() => deployment.plainWorker.abandonedRequestIds.includes("running"), 1_000);
+        await waitUntil(() => gateway.entry.active === 0);
+        expect(gateway.input.memory.heldBytes).toEqual(0);
+        expect(hasRun("behind")).toEqual(false);
+    });
+
+    it("should be refused after the answer before them if they ask for a tunnel", async () => {
+        deployment.plainWorker.delayMs = 100;
+        const caller = new PipeliningCaller(deployment.gateways[0]!.port);
+        const tunnel = "CONNECT elsewhere.example:443 HTTP/1.1\r\nHost: elsewhere.example:443\r\n\r\n";
+        caller.socket.write(requestText("POST", "/order/1", "before") + tunnel);
+        await waitUntil(() => caller.isClosed, 5_000);
+        expect(caller.statuses).toEqual(["200", "400"]);
+    });
 });
