Keep unread answers within the memory of the machine

Cause: unread answers were bounded apart from replies in progress, and the runtime collects up to 64 MB of unused buffers only later. One run of the test of large answers that are not read reached 183 MB of 178; others 147 to 176. Change: an answer counts among the replies until its caller has read it. When 16 MB of input or replies have been refused, their buffers are collected, at most every 150 ms.

--- a/packages/gateway/src/entry/inputBounds.ts
+++ b/packages/gateway/src/entry/inputBounds.ts
@@ -3,6 +3,7 @@
 
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayOptions } from "../gatewayOptions.js";
+import { BufferCollector } from "./bufferCollector.js";
 import { InputMemory } from "./inputMemory.js";
 import { RefusalLog } from "./refusalLog.js";
 
@@ -16,6 +17,7 @@
     /** Maximum number of open connections from callers. */
     readonly maxConnections: number;
     readonly refusals: RefusalLog;
+    readonly collector: BufferCollector;
 }
 
 /** Creates the bounds that the options name. */
@@ -25,12 +27,14 @@
     log: Logger,
 ): InputBounds => {
     const refusals = new RefusalLog(metrics, log);
+    const collector = new BufferCollector();
     return {
-        memory: new InputMemory(
-            maxInputMemoryBytes ?? defaultMaxBytes,
-            input => refusals.add("memory", { ...input }),
-        ),
+        memory: new InputMemory(maxInputMemoryBytes ?? defaultMaxBytes, input => {
+            refusals.add("memory", { ...input });
+            collector.onRefused(input.bytes);
+        }),
         maxConnections: maxCallerConnections ?? defaultMaxConnections,
         refusals,
+        collector,
     };
 };
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -203,6 +203,7 @@
         ctx.trace.status = response.status;
         if (response instanceof BufferedResponse) {
             response.send(ctx.unsent);
+            ctx.unsent.countAsReply(this.options.replyMemory);
             return;
         }
         if (response.isSuccess) {
@@ -210,6 +211,7 @@
             await this.saveTurn(ctx, response);
         }
         response.end();
+        ctx.unsent.countAsReply(this.options.replyMemory);
     }
 
     /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -109,8 +109,9 @@
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
-        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes);
         this.input = createInputBounds(options, this.metrics, log);
+        const { collector } = this.input;
+        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes, bytes => collector.onRefused(bytes));
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.entry.applyLimits(config.limits), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
--- a/packages/gateway/src/upstreams/replyMemory.ts
+++ b/packages/gateway/src/upstreams/replyMemory.ts
@@ -22,7 +22,7 @@
     private totalBytes = 0;
 
     /** @param maxBytes Size of all replies together beyond which the largest one is broken off. */
-    constructor(private readonly maxBytes: number) {}
+    constructor(private readonly maxBytes: number, private readonly onBrokenOff: (bytes: number) => void = () => {}) {}
 
     /** Size of all replies in progress. */
     get heldBytes(): number {
@@ -54,6 +54,7 @@
         while (this.totalBytes > this.maxBytes) {
             const largest = this.findLargest();
             this.release(largest);
+            this.onBrokenOff(largest.bytes);
             largest.breakOff();
         }
     }
