--- a/packages/gateway/src/explain/explainer.ts
+++ b/packages/gateway/src/explain/explainer.ts
@@ -1,11 +1,10 @@
 /** Explains where a described call would go now. Reads the state of the instance and changes none of it. */
 import { ProblemError, Progress } from "@marigolddrift/common";
 import type { Dispatcher } from "@marigolddrift/dispatch";
-import type { IncomingMessage, ServerResponse } from "node:http";
 
 import type { DrainSchedule } from "../entry/drainSchedule.js";
 import type { StatusResponse } from "../entry/statusServer.js";
-import type { CallContext } from "../filters/callContext.js";
+import type { CallDescription } from "../filters/callContext.js";
 import { checkPromptSize } from "../filters/promptSizeFilter.js";
 import type { LimitAdmission } from "../limits/limitAdmission.js";
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
@@ -48,7 +47,7 @@
     explain(call: DescribedCall): Explanation {
         const { instance } = this.of;
         const known: KnownFields = {};
-        let ctx: CallContext | undefined;
+        let ctx: CallDescription | undefined;
         try {
             ctx = this.createContext(call, known);
             const outcome = this.explainPlacement(ctx, known);
@@ -66,7 +65,7 @@
     }
 
     /** Applies the checks of the entry server in their order. */
-    private createContext(call: DescribedCall, known: KnownFields): CallContext {
+    private createContext(call: DescribedCall, known: KnownFields): CallDescription {
         const table = this.of.routes();
         if (table === undefined) {
             throw new ProblemError("not_configured", "notRun", "This instance has not read the configuration yet.");
@@ -89,31 +88,18 @@
             throw new ProblemError("draining", "notRun", "The instance is stopping.");
         }
         return {
-            // There is no request; placement reads its decoded head only.
-            req: {} as IncomingMessage,
-            res: {} as ServerResponse,
             head: call.head,
             id: call.head.program?.id ?? "explained",
             route,
             service,
             workspace,
-            caller: table.workspaces && { workspace: workspace?.name },
             priority: known.priority,
-            arrivedAt: performance.now(),
             progress: new Progress(limitMs),
             body: Buffer.alloc(0),
-            conversation: undefined,
-            permit: undefined,
-            reservation: undefined,
-            trace: {},
-            checkCaller: () => {},
-            fingerprints: () => {
-                throw new Error("a call that is not sent has no fingerprint");
-            },
         };
     }
 
-    private explainPlacement(ctx: CallContext, known: KnownFields): Outcome {
+    private explainPlacement(ctx: CallDescription, known: KnownFields): Outcome {
         const queued = createQueuedCall(ctx, new Set());
         const views = this.of.pool.views(queued);
         const preview = this.of.dispatcher.preview(queued, views, placementTries, Math.random);
--- a/packages/gateway/src/filters/answerWriter.ts
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -1,6 +1,7 @@
 /** Ends the answer to a call whose upstream has replied completely; turns are saved before. */
 import { createTurn } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
+import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import { scopedName } from "../workspaces.js";
 import type { CallContext } from "./callContext.js";
 import type { AttemptOutcome } from "./hedge.js";
@@ -14,6 +15,7 @@
 export class AnswerWriter {
     constructor(
         private readonly turns: TurnStore,
+        private readonly replyMemory: ReplyMemory,
         private readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void,
     ) {}
 
@@ -33,7 +35,8 @@
     async complete(ctx: CallContext, response: StreamedResponse | BufferedResponse): Promise<void> {
         ctx.trace.status = response.status;
         if (response instanceof BufferedResponse) {
-            response.send(ctx.res);
+            response.send(ctx.unsent);
+            ctx.unsent.countAsReply(this.replyMemory);
             return;
         }
         if (response.isSuccess) {
@@ -41,6 +44,7 @@
             await this.saveTurn(ctx, response);
         }
         response.end();
+        ctx.unsent.countAsReply(this.replyMemory);
     }
 
     /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -5,6 +5,7 @@
 import type { Reservation } from "../budgets/budgets.js";
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
+import type { UnsentAnswer } from "../entry/unsentAnswer.js";
 import type { ForwardedCaller } from "../protocol.js";
 import type { CallPermit } from "../quotas/callPermit.js";
 import type { Route, Service } from "../routes.js";
@@ -76,6 +77,10 @@
     /** Aborted at the caller's deadline or the route's timeout, or when the caller disconnects. */
     readonly progress: Progress;
     body: Buffer;
+    /** Reads the whole body, within the bounds on input. */
+    readBody(): Promise<Buffer>;
+    /** Counts what the caller has not read of the response. */
+    readonly unsent: UnsentAnswer;
     conversation: Conversation | undefined;
     reservation: Reservation | undefined;
     /** Undefined if the call counts towards no quota. */
@@ -87,6 +92,12 @@
     fingerprints(): Fingerprints;
 }
 
+/** What decides where a call goes; also known of a call that is only described, for which there is no request. */
+export type CallDescription = Pick<
+    CallContext,
+    "head" | "id" | "route" | "service" | "workspace" | "priority" | "progress" | "body"
+>;
+
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
 export const outgoingBody = (ctx: CallContext): Buffer =>
     ctx.conversation === undefined ? ctx.body : Buffer.concat([ctx.conversation.history, ctx.body]);
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -59,7 +59,7 @@
     private readonly leases: UpstreamLeases;
 
     constructor(private readonly options: ForwardFilterOptions) {
-        this.answers = new AnswerWriter(options.turns, options.onPromptProcessed);
+        this.answers = new AnswerWriter(options.turns, options.replyMemory, options.onPromptProcessed);
         this.leases = new UpstreamLeases(options);
     }
 
@@ -260,7 +260,7 @@
     if (!ctx.route.isStreaming) {
         return new BufferedResponse();
     }
-    const response = new StreamedResponse(ctx.res);
+    const response = new StreamedResponse(ctx.unsent);
     response.isRaced = lane.isRaced;
     response.claim = lane.claim;
     return response;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,23 +1,21 @@
 /** Assembles, starts and stops the components of an instance that serves plain HTTP calls. */
-import type { Logger, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 import { Dispatcher } from "@marigolddrift/dispatch";
 import { nextCall, placeNear } from "@marigolddrift/policy";
-import type { StoreChange, VersionedStore } from "@marigolddrift/store";
+import type { VersionedStore } from "@marigolddrift/store";
 
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
 import { CallBlocker } from "./crashes/callBlocker.js";
-import { CrashDetector } from "./crashes/crashDetector.js";
 import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
+import { createInputBounds } from "./entry/inputBounds.js";
+import type { InputBounds } from "./entry/inputBounds.js";
 import { Explainer } from "./explain/explainer.js";
 import { FactExchange } from "./facts/factExchange.js";
 import { FactClock } from "./facts/factTable.js";
-import { FairAdmission } from "./fairness/fairAdmission.js";
 import { Fairness } from "./fairness/fairness.js";
 import { createCallFilters } from "./filters/callFilters.js";
-import { ForwardFilter } from "./filters/forwardFilter.js";
-import { Hedger } from "./filters/hedger.js";
 import { Duties } from "./fleet/duties.js";
 import { Succession } from "./fleet/succession.js";
 import { addGauges } from "./gatewayGauges.js";
@@ -28,11 +26,13 @@
 import { PermitGranter } from "./limits/permitGranter.js";
 import { Permits } from "./limits/permits.js";
 import { UpstreamLimits } from "./limits/upstreamLimits.js";
+import { createFrontHandler } from "./peers/frontRequests.js";
 import { peerName } from "./peers/peerMessages.js";
-import type { JournalRequest, LocalInstance, PeerRequest } from "./peers/peerMessages.js";
+import type { LocalInstance } from "./peers/peerMessages.js";
 import { Peers } from "./peers/peers.js";
 import { PeerServer } from "./peers/peerServer.js";
-import { handleStoreRequest, RelayStore } from "./peers/relayStore.js";
+import type { RequestHandler } from "./peers/peerServer.js";
+import { RelayStore } from "./peers/relayStore.js";
 import { UpstreamPool } from "./placement.js";
 import type { QueuedCall } from "./placement.js";
 import { Quotas } from "./quotas/quotas.js";
@@ -45,7 +45,6 @@
 import type { WatchedPrefix } from "./state/watchedPrefix.js";
 import type { Exchange } from "./trafficMeter.js";
 import { StoreArchive } from "./turns/storeArchive.js";
-import { packTurn } from "./turns/turnRecord.js";
 import { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
@@ -66,6 +65,7 @@
     readonly entry: EntryServer;
     readonly replyMemory: ReplyMemory;
     readonly explainer: Explainer;
+    readonly input: InputBounds;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
     private peerPort = 0;
@@ -103,14 +103,16 @@
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
-        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes);
+        this.input = createInputBounds(options, this.metrics, log);
+        const { collector } = this.input;
+        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes, bytes => collector.onRefused(bytes));
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.onConfig(config), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         this.peers = this.createPeers();
         this.peerServer = new PeerServer(
             () => this.peers.key,
-            (request, progress) => this.handleRequest(request, progress),
+            (request, progress) => answerPeer(request, progress),
             log,
         );
         const topology = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
@@ -160,12 +162,8 @@
         const queueOf = this.fairness.queueOf.bind(this.fairness);
         const policy = { place: placeNear, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
-        this.upstreamFollower = new UpstreamFollower(
-            this.upstreams,
-            layout,
-            () => this.dispatcher.dispatchAllQueued(),
-            log,
-        );
+        const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
+        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
         const admission = new LimitAdmission(this.dispatcher, pool, random);
         this.entry = this.createEntry(pool, admission, random);
         this.explainer = new Explainer({
@@ -187,16 +185,18 @@
         this.config = watchPrefix(watchOptions, layout.configKey, {
             ...outages,
             onSnapshot: values => values.forEach(stored => this.activeConfig.apply(stored, directSource)),
-            onChanges: changes => this.onConfigChanges(changes),
+            onChanges: changes => this.activeConfig.applyChanges(changes, this.config.reader.source),
         });
         this.upstreamEntries = watchPrefix(watchOptions, layout.upstreamsPrefix, {
             ...outages,
             onSnapshot: values => this.upstreamFollower.onSnapshot(values),
             onChanges: changes => changes.forEach(change => this.upstreamFollower.onChange(change)),
         });
+        const answerPeer = this.createPeerHandler();
         addGauges(this.metrics, {
             entry: this.entry,
             replyMemory: this.replyMemory,
+            inputMemory: this.input.memory,
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
@@ -283,81 +283,52 @@
         );
     }
 
-    private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
-        switch (request.kind) {
-            case "standing":
-                return this.drainController.standing(this.isInformed);
-            case "returnBudget":
-                return await this.budgets.returnUnspent(request.program, progress);
-            case "followed": {
-                const { prefix, revision, waitMs } = request;
-                const { reader } = prefix === this.options.layout.configKey ? this.config : this.upstreamEntries;
-                return await reader.readForPeer(prefix, revision, waitMs, progress);
-            }
-            case "shareLoad":
-                return this.loadExchange.onReport(request.instance, request.load);
-            case "shareFacts":
-                return await this.facts.onRequest(request, progress);
-            case "takePermits":
-                return await this.permits.onRequest(request, progress);
-            case "takeQuota":
-                return this.quotas?.onRequest(request);
-            case "loadTurn": {
-                const turn = await this.journalArchive.loadForPeer(request, progress);
-                return turn && packTurn(turn);
-            }
-            case "reserveTokens":
-                return await this.regionBudgets.reserveForPeer(request, progress);
-            case "settleTokens":
-                return await this.regionBudgets.settleForPeer(request);
-            case "get":
-            case "range":
-            case "changes":
-            case "txn":
-                return await handleStoreRequest(this.options.store, request, progress);
-            case "keepTurn":
-            case "findTurn":
-            case "turnsFlushed":
-                throw new Error("this instance keeps no turns");
-        }
+    private createPeerHandler(): RequestHandler {
+        const { drainController, budgets, regionBudgets, loadExchange, facts, permits, quotas, journalArchive } = this;
+        const { layout, store } = this.options;
+        return createFrontHandler({
+            drainController,
+            budgets,
+            regionBudgets,
+            loadExchange,
+            facts,
+            permits,
+            quotas,
+            journalArchive,
+            store,
+            isInformed: () => this.isInformed,
+            followed: prefix => prefix === layout.configKey ? this.config : this.upstreamEntries,
+        });
     }
 
     private createEntry(pool: UpstreamPool, admission: LimitAdmission, random: () => number): EntryServer {
         const { protocol, log, hedgeShare = 0 } = this.options;
-        const { dispatcher, fairness, metrics, upstreams, turns } = this;
-        const sources = { fairness, metrics, pool, random };
-        const forward = new ForwardFilter({
-            dispatcher,
-            upstreams,
-            limits: this.limits,
-            admission: new FairAdmission(admission, sources),
-            fairness,
-            crashes: new CrashDetector(upstreams, ({ key }, calls) => this.blocker.onCrash(key, calls), log),
-            blocker: this.blocker,
-            protocol,
-            turns,
-            replyMemory: this.replyMemory,
-            observer: pool.observer,
-            affinity: pool.affinity,
-            hedger: hedgeShare > 0 ?
-                new Hedger({ share: hedgeShare, dispatcher, pool, metrics: this.metrics }) :
-                undefined,
-            log,
-            recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
-            onPromptProcessed: (upstream, ctx) => pool.prefixes.onPrefilled(upstream, ctx.head.prompt?.parts ?? []),
-        });
+        const { blocker, dispatcher, fairness, limits, metrics, replyMemory, upstreams, turns } = this;
         return new EntryServer({
             filters: createCallFilters({
-                maxBodyBytes: () => this.activeConfig.maxBodyBytes,
-                blocker: this.blocker,
+                blocker,
                 requestPermit: this.quotas?.requestPermit,
                 turns,
                 budgets: this.regionBudgets,
-                forward,
+                dispatcher,
+                pool,
+                upstreams,
+                limits,
+                admission,
+                fairness,
+                protocol,
+                replyMemory,
+                hedgeShare,
+                recordTraffic: (upstream, exchange) => this.recordUpstreamTraffic(upstream, exchange),
+                random,
+                metrics,
+                log,
             }),
             protocol,
             routes: () => this.activeConfig.table,
             drainSchedule: () => this.drainController.schedule,
+            input: this.input,
+            maxBodyBytes: () => this.activeConfig.maxBodyBytes,
             random,
             metrics,
             log,
@@ -373,9 +344,4 @@
         this.entry.applyLimits(limits);
         this.quotas?.applyWorkspaces(workspaces);
     }
-
-    private onConfigChanges(changes: readonly StoreChange[]): void {
-        const puts = changes.filter(change => change.kind === "put");
-        puts.forEach(({ stored }) => this.activeConfig.apply(stored, this.config.reader.source));
-    }
 }
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -47,6 +47,10 @@
     readonly quotas?: QuotaSettings | undefined;
     /** Second copies of late repeatable calls, as a share of these calls; 0, the default, for none. */
     readonly hedgeShare?: number;
+    /** Memory for what all callers have sent and not read; a default for a process of 200 MB if missing. */
+    readonly maxInputMemoryBytes?: number;
+    /** Maximum number of open connections from callers. */
+    readonly maxCallerConnections?: number;
     readonly random?: () => number;
     /** Receives the bytes exchanged with peers and upstreams. */
     readonly recordTraffic?: TrafficRecorder;
--- a/packages/gateway/src/limits/limitAdmission.ts
+++ b/packages/gateway/src/limits/limitAdmission.ts
@@ -3,7 +3,7 @@
 import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
 import { maxLimitedWaitMs } from "@marigolddrift/policy";
 
-import type { CallContext } from "../filters/callContext.js";
+import type { CallContext, CallDescription } from "../filters/callContext.js";
 import type { QueuedCall, UpstreamPool } from "../placement.js";
 
 /** Shortest time after which a refused caller may return. */
@@ -49,7 +49,7 @@
      *
      * @throws ProblemError `overloaded` if it is expected to wait longer.
      */
-    longestWaitMs(call: QueuedCall, ctx: CallContext): number | undefined {
+    longestWaitMs(call: QueuedCall, ctx: CallDescription): number | undefined {
         if (!this.pool.isLimited(call.model)) {
             return undefined;
         }
@@ -71,5 +71,5 @@
 }
 
 /** Whether the call is known to be the first of its program. Calls of tools and callers that send the history do not tell. */
-const startsProgram = ({ head, route }: CallContext): boolean =>
+const startsProgram = ({ head, route }: CallDescription): boolean =>
     head.prompt !== undefined && route.turnRetentionMs > 0 && head.program?.previousTurnId === undefined;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -5,7 +5,7 @@
 import type { FairCall, RegionSlots, WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart, PromptShape } from "./call.js";
-import type { CallContext } from "./filters/callContext.js";
+import type { CallDescription } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
 import { AffinityTable } from "./upstreams/affinityTable.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
@@ -39,7 +39,7 @@
     prompt.expectedOutputTokens ?? prompt.maxOutputTokens * expectedOutputShare;
 
 /** Creates the dispatcher's request for a call; calls are queued by service. */
-export const createQueuedCall = (ctx: CallContext, excluded: ReadonlySet<string>): QueuedCall => {
+export const createQueuedCall = (ctx: CallDescription, excluded: ReadonlySet<string>): QueuedCall => {
     const { program, prompt, affinityKey } = ctx.head;
     const isSticky = ctx.route.isSticky && affinityKey !== undefined;
     const now = performance.now();
--- a/packages/gateway/src/state/activeConfig.ts
+++ b/packages/gateway/src/state/activeConfig.ts
@@ -1,6 +1,6 @@
 /** The configuration that is in force on this instance. */
 import type { Logger } from "@marigolddrift/common";
-import type { StoredValue } from "@marigolddrift/store";
+import type { StoreChange, StoredValue } from "@marigolddrift/store";
 
 import type { StoreLayout } from "../gatewayOptions.js";
 import { RouteTable } from "../routes.js";
@@ -29,6 +29,12 @@
         return this.routeTable?.config.limits.maxBodyBytes ?? defaultMaxBodyBytes;
     }
 
+    /** Applies the versions among changes of the store; see {@link apply}. */
+    applyChanges(changes: readonly StoreChange[], source: string): void {
+        const puts = changes.filter(change => change.kind === "put");
+        puts.forEach(({ stored }) => this.apply(stored, source));
+    }
+
     /**
      * Applies a stored value if it is a newer version of the configuration.
      *
