--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,7 +99,7 @@
     private readonly stallMonitor: StallMonitor;
 
     constructor(private readonly options: GatewayOptions) {
-        const { log, layout } = options;
+        const { log, layout, observesUpstreams = true } = options;
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
@@ -147,8 +147,9 @@
         this.blocker = new CallBlocker(factClock, this.metrics, log);
         const sources = { limits: this.limits, crashes: this.blocker };
         this.facts = new FactExchange(this.localInstance, this.duties, this.peers, factClock, sources, log);
+        const { upstreams, limits } = this;
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
-        const pool = new UpstreamPool(topology, this.upstreams, peerLoadOf, this.limits, random, log);
+        const pool = new UpstreamPool(topology, upstreams, peerLoadOf, limits, random, log, observesUpstreams);
         this.writer = new BatchWriter(this.store, batchDelayMs, log);
         this.storeArchive = new StoreArchive(this.store, this.writer, log);
         this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -7,11 +7,13 @@
 import type { PromptPart, PromptShape } from "./call.js";
 import type { CallDescription } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
+import { RegionalViews } from "./regionalViews.js";
 import { AffinityTable } from "./upstreams/affinityTable.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import { UpstreamObserver } from "./upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
 import { defaultEngineCost, maxInFlightPerSlot, UpstreamViews } from "./upstreamViews.js";
+import type { ViewBuilder } from "./upstreamViews.js";
 import { scopedName } from "./workspaces.js";
 
 /** Assumed duration of a call to a plain service, for admission. */
@@ -86,7 +88,7 @@
     readonly prefixes = new PrefixView();
     readonly observer: UpstreamObserver;
     readonly affinity = new AffinityTable();
-    private readonly upstreamViews: UpstreamViews;
+    private readonly viewBuilder: ViewBuilder;
 
     constructor(
         topology: Topology,
@@ -95,23 +97,17 @@
         private readonly limits: Pick<UpstreamLimits, "rateOf" | "shareOf" | "isClosed">,
         random: () => number,
         log: Logger,
+        observesUpstreams: boolean,
     ) {
         this.observer = new UpstreamObserver(log);
         const { observer, affinity, prefixes } = this;
-        this.upstreamViews = new UpstreamViews({
-            topology,
-            observer,
-            affinity,
-            prefixes,
-            limits,
-            peerLoadOf,
-            random,
-        });
+        const sources = { topology, observer, affinity, prefixes, limits, peerLoadOf, random };
+        this.viewBuilder = observesUpstreams ? new UpstreamViews(sources) : new RegionalViews(sources);
     }
 
-    /** The upstreams that are considered for a call; see {@link UpstreamViews}. */
+    /** The upstreams that are considered for a call; see {@link ViewBuilder}. */
     views(req: QueuedCall): WorkerView[] {
-        return this.upstreamViews.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
+        return this.viewBuilder.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
     }
 
     /** Whether an upstream that has not got the call yet could run it at once. */
--- a/packages/gateway/src/upstreamViews.ts
+++ b/packages/gateway/src/upstreamViews.ts
@@ -17,7 +17,7 @@
     importMsPerToken: 0,
 };
 
-/** Maximum number of calls in flight on an upstream, as a multiple of its slots. */
+/** Maximum number of calls in flight on an upstream, as a multiple of its slots: a few queue there, so that it does not idle until a release is known here. */
 export const maxInFlightPerSlot = 1.5;
 
 /** Number of upstreams of other regions that are considered for a call. */
@@ -44,8 +44,14 @@
     readonly isSetBack: boolean;
 }
 
-/** Creates the views of upstreams that are usable for a call. */
-export class UpstreamViews {
+/** Describes the upstreams that are considered for a call. */
+export interface ViewBuilder {
+    /** @param usable Upstreams that may get the call. */
+    of(usable: readonly Upstream[], req: QueuedCall): WorkerView[];
+}
+
+/** Describes upstreams by what has been observed of each: service times, failures, waits and memory. */
+export class UpstreamViews implements ViewBuilder {
     constructor(private readonly sources: ViewSources) {}
 
     /** Returns the views of the upstreams that are considered for a call; if all are out of permits, closed ones. */
@@ -137,7 +143,6 @@
             exportedTokens: 0,
             slowdown,
             roundTripMs: networkMs + (upstream.needsConnection(performance.now()) ? newConnectionMs : 0),
-            // A few calls queue at the upstream, so that it does not idle until the release of a slot is known here.
             maxInFlight: entry.slots * maxInFlightPerSlot,
             cost: this.costOf(upstream, req),
             observedWaitMs: observer.waitMs(upstream),
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -143,7 +143,9 @@
     const callMs = view.meanCallMs ?? ownMs;
     const load = estimatedInFlight(view);
     const queued = Math.max(0, load + 1 - maxBatch);
-    const riskMs = view.meanCallMs === undefined ? 0 : riskOfQueueMs(load / maxBatch, callMs);
+    // Calls with a prompt are spread by the delay that they cause to others; a further term would outweigh what is cached of it.
+    const isMeasuredPlainCall = view.meanCallMs !== undefined && call.promptTokens === 0;
+    const riskMs = isMeasuredPlainCall ? riskOfQueueMs(load / maxBatch, callMs) : 0;
     const slotMs = (queued / maxBatch) * callMs + riskMs;
     if (memory === undefined) {
         return slotMs;
@@ -176,20 +178,23 @@
  *
  * A conversation moves only to a worker with less than half of its batch in use, or from a queue to one that has some slots
  * free, never from one queue to another: when all workers queue, the additional prefill would take engine time from all
- * waiting calls. A worker at its concurrency limit gets no further calls, also not of conversations that it caches: they would
- * wait there until their deadline while others have room.
+ * waiting calls. A worker with a measured load that is at its concurrency limit gets no further calls, also not of conversations
+ * that it caches: they would wait there until their deadline while others have room.
  */
 export const placeSampled = (views: readonly WorkerView[], call: CallShape, random: () => number): Placement => {
     const holders = conversationHolders(views, call);
-    const bestOfOthers: Fallback = (all, tried, shape) => bestUnsampled(sampleOpen(all, random), tried, shape);
+    const isMeasured = hasMeasuredLoads(views);
+    const bestOfOthers: Fallback = isMeasured ?
+        (all, tried, shape) => bestUnsampled(sampleOpen(all, random), tried, shape) :
+        bestUnsampled;
     if (holders.length === 0) {
         return placeOnBest(views, sampleCachedAndOthers(views, random), call, bestOfOthers);
     }
-    const spareLoad = holders.every(hasLongQueue) ? maxEscapeLoad : maxMigrationLoad;
+    const spareLoad = isMeasured && holders.every(hasLongQueue) ? maxEscapeLoad : maxMigrationLoad;
     const free = views.filter(view => !holders.includes(view) && hasSpareCapacity(view, spareLoad));
     const candidates = [...sample(holders, random), ...sample(free, random)];
     const scores = candidates.map(view => scoreWorker(view, call)).sort(byTotalDelay);
-    const best = scores.find(({ open }) => open) ?? bestOfOthers(views, candidates, call);
+    const best = isMeasured ? scores.find(({ open }) => open) ?? bestOfOthers(views, candidates, call) : scores[0];
     if (best === undefined) {
         return { worker: undefined, reason: "allBusy", scores };
     }
@@ -267,6 +272,9 @@
     return isConversationCached ? views.filter(view => reusableTokens(view) >= most * minHolderShare) : [];
 };
 
+const hasMeasuredLoads = (views: readonly WorkerView[]): boolean =>
+    views.some(({ meanCallMs }) => meanCallMs !== undefined);
+
 const hasSpareCapacity = (view: WorkerView, maxLoad: number): boolean =>
     estimatedInFlight(view) < view.cost.maxBatch * maxLoad;
 
@@ -279,7 +287,7 @@
 const sample = (views: readonly WorkerView[], random: () => number): WorkerView[] => {
     const left = [...views];
     const sampled: WorkerView[] = [];
-    const size = views.some(({ meanCallMs }) => meanCallMs !== undefined) ? measuredSampleSize : sampleSize;
+    const size = hasMeasuredLoads(views) ? measuredSampleSize : sampleSize;
     while (sampled.length < size && left.length > 0) {
         const index = Math.floor(random() * left.length);
         sampled.push(left[index]!);
