Put comments and internal names of quotas, input bounds and placement in plain terms

Renames QuotaLink.skip to dropIfDone, GrantedWorkspace.dryUntil to borrowPausedUntil and lentHere to recentlyBorrowed, and thinOut to sampleByWeight. No behaviour, check, log event or metric changes.

--- a/packages/gateway/src/entry/bufferCollector.ts
+++ b/packages/gateway/src/entry/bufferCollector.ts
@@ -5,7 +5,7 @@
 /** Size of refused input from which its buffers are collected. */
 const collectBytes = 16 * 1024 * 1024;
 
-/** Time between two collections, each of which takes 10 to 20 ms with the heap of a front. */
+/** Time between two collections, each of which takes 10 to 20 ms with the heap of an instance. */
 const minIntervalMs = 150;
 
 /**
--- a/packages/gateway/src/entry/callChecks.ts
+++ b/packages/gateway/src/entry/callChecks.ts
@@ -18,7 +18,10 @@
 
 const nextCheckPhase = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
-/** Nobody waits for the answer any more, and to run the call would take time from those that others wait for. */
+/**
+ * Throws `caller_gone` if the caller has closed its connection: nobody waits for the answer, and running the call would delay
+ * others.
+ */
 export const checkCaller = (req: IncomingMessage, res: ServerResponse): void => {
     const { socket } = req;
     // A connection that is half closed counts as closed; one that has been refused gets no further answer.
--- a/packages/gateway/src/entry/callerConnections.ts
+++ b/packages/gateway/src/entry/callerConnections.ts
@@ -34,7 +34,7 @@
     readonly maxConnections: number;
     limits(): HeadLimits;
     refuseHead(socket: Socket, refusal: HeadRefusal): void;
-    /** A connection was closed since there are too many; `heldMs` is the time since it was last of use. */
+    /** A connection was closed since there are too many; `heldMs` is the time since it last had a request. */
     onTooMany(heldMs: number): void;
 }
 
@@ -44,9 +44,9 @@
     readonly unsent = new Set<ServerResponse>();
     /** Monotonic time since which the connection has had no request. */
     idleSince = performance.now();
-    /** Set once the connection has been closed for what it holds. */
+    /** Set once the connection has been closed to free memory or to make room for others. */
     isRefused = false;
-    /** Set once what has arrived is no request: the connection ends after the answers to those before. */
+    /** Set once input has arrived that is not a valid request: the connection ends after the answers to those before. */
     isEnding = false;
     private readBytes = 0;
     private headSince: number | undefined;
@@ -132,7 +132,7 @@
         return this.connections.get(socket);
     }
 
-    /** Registers a new connection. If there are too many, the one that has been without use for the longest is closed. */
+    /** Registers a new connection. If there are too many, the one that has had no request for the longest time is closed. */
     add(socket: Socket): void {
         const connection = new CallerConnection(socket, this.options.memory);
         this.connections.set(socket, connection);
--- a/packages/gateway/src/entry/connectionRefuser.ts
+++ b/packages/gateway/src/entry/connectionRefuser.ts
@@ -1,4 +1,4 @@
-/** Refuses what arrives on a connection and is no request that can be served. */
+/** Refuses input on a connection that is not a request that can be served. */
 import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import type { Socket } from "node:net";
@@ -19,7 +19,7 @@
         private readonly log: Logger,
     ) {}
 
-    /** The parser has found what is no request, or the server has given up waiting for one. */
+    /** The parser has found input that is not a valid request, or the server has given up waiting for one. */
     onClientError(err: Error, socket: Socket): void {
         if (isLingering(socket) || this.callers.get(socket)?.isEnding) {
             // The parser reports what follows on a connection that is already refused.
@@ -39,7 +39,7 @@
         void this.refuse(socket, status);
     }
 
-    /** A head does not end. */
+    /** A head was not completed within its limits of time and size. */
     onHead(socket: Socket, refusal: HeadRefusal): void {
         this.refusals.add(refusal === "late" ? "head late" : "head too large");
         void this.refuse(socket, refusal === "late" ? late : headTooLarge);
--- a/packages/gateway/src/entry/readGate.ts
+++ b/packages/gateway/src/entry/readGate.ts
@@ -18,12 +18,14 @@
         socket.on("resume", () => this.reasons.size > 0 && socket.pause());
     }
 
+    /** Returns the gate of a connection; there is one for each. */
     static of(socket: Socket): ReadGate {
         const gate = this.gates.get(socket) ?? new ReadGate(socket);
         this.gates.set(socket, gate);
         return gate;
     }
 
+    /** Adds or removes a reason for which the connection is not read; it is read again once there is none. */
     set(reason: object, isPaused: boolean): void {
         const { socket } = this;
         if (isPaused && !this.isOpen) {
--- a/packages/gateway/src/entry/refusalLog.ts
+++ b/packages/gateway/src/entry/refusalLog.ts
@@ -3,6 +3,7 @@
 
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 
+/** Shortest time between two log lines with the same reason. */
 const intervalMs = 1_000;
 
 /** Why input is refused. */
@@ -14,7 +15,7 @@
     unlogged: number;
 }
 
-/** Bounded log line and counters: a crowd that is refused must not fill the log. */
+/** Counts refusals, and bounds their log lines: many refusals at once must not fill the log. */
 export class RefusalLog {
     private readonly recent = new Map<RefusalReason, Recent>();
 
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -18,13 +18,13 @@
 import { defaultEngineCost } from "../upstreamViews.js";
 import type { WorkspaceTable } from "../workspaces.js";
 
-/** Number of refused calls that are remembered. */
+/** Largest number of refused calls that are remembered. */
 const maxRefused = 5_000;
 
 /** Time for which a refused call is remembered: callers return after a third of their time at most, once or twice. */
 const refusedTtlMs = 60_000;
 
-/** Number of programs that are known to have begun. */
+/** Largest number of programs that are remembered as having begun. */
 const maxPrograms = 10_000;
 
 /** Time after its last call for which a program is known to have begun. */
@@ -85,7 +85,7 @@
         return calls;
     }
 
-    /** Adds to a call what fair queueing goes by. */
+    /** Returns a call with the properties by which fair queueing orders it. */
     describe(call: QueuedCall, ctx: CallContext): QueuedCall {
         const { program } = ctx.head;
         const cost = this.costs.expectedMs(ctx.route.name, predictedMs(ctx));
--- a/packages/gateway/src/filters/answerWriter.ts
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -32,6 +32,7 @@
         }
     }
 
+    /** Sends what is left of a complete answer. The turn of a successful stream is saved before the stream ends. */
     async complete(ctx: CallContext, response: StreamedResponse | BufferedResponse): Promise<void> {
         ctx.trace.status = response.status;
         if (response instanceof BufferedResponse) {
--- a/packages/gateway/src/filters/hedger.ts
+++ b/packages/gateway/src/filters/hedger.ts
@@ -43,6 +43,7 @@
         return this.delays.delayMs(kind);
     }
 
+    /** Records the time to the first byte of a first attempt, or the time after which its copy won. */
     recordFirstByte(kind: string, ms: number): void {
         this.delays.record(kind, ms);
     }
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -45,7 +45,10 @@
     readonly maxReplyMemoryBytes: number;
     /** Bounds of the workspaces' quotas; without them, no quotas are enforced. */
     readonly quotas?: QuotaSettings | undefined;
-    /** Whether calls are placed by what is observed of each upstream, which may be uneven or fail behind a good health check; the default. */
+    /**
+     * Whether calls are placed by what is observed of each upstream, since upstreams may differ in speed or fail while their health check
+     * passes; the default.
+     */
     readonly observesUpstreams?: boolean;
     /** Second copies of late repeatable calls, as a share of these calls; 0, the default, for none. */
     readonly hedgeShare?: number;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -28,7 +28,7 @@
 /** A call that is queued for an upstream. */
 export interface QueuedCall extends DispatchRequest, FairCall {
     readonly promptParts: readonly PromptPart[];
-    /** Calls of one kind take about as long at even upstreams. */
+    /** Calls of one kind take about as long at upstreams of the same speed. */
     readonly kind: string;
     /** Tokens that an engine of the service has memory for; undefined for plain services. */
     readonly memoryTokens: number | undefined;
--- a/packages/gateway/src/quotas/grantedWorkspace.ts
+++ b/packages/gateway/src/quotas/grantedWorkspace.ts
@@ -1,4 +1,4 @@
-/** What a granting instance keeps of one workspace. */
+/** The state that a granting instance keeps for one workspace. */
 import {
     createPacing,
     createQuotaBucket,
@@ -29,7 +29,7 @@
 /** Time of demand that is kept back when another region borrows. */
 const reserveMs = 150;
 
-/** Longest time ahead of which refused callers are spread. */
+/** Longest time over which the returns of refused callers are spread. */
 const maxQueueMs = 5_000;
 
 /** Windows after a refusal in which programs that start are held back. */
@@ -37,18 +37,21 @@
 
 /** Grants the permits of one workspace from the shares that are lent to this instance, and from what it borrows. */
 export class GrantedWorkspace {
-    /** Until this time the other region has nothing to lend. */
-    dryUntil = -Infinity;
+    /** Monotonic time before which no permits are borrowed, because the other region had none to lend. */
+    borrowPausedUntil = -Infinity;
     private bucket: QuotaBucket;
     private pacing: ProgramPacing;
     private scaled: ScaledQuota;
     private borrowed: { readonly count: number; readonly until: number; }[] = [];
     private readonly demand = new RecentCount(demandMemoryMs);
     private readonly served = new RecentCount(servedMemoryMs);
-    private readonly lentHere = new RecentCount(servedMemoryMs);
+    /** Permits borrowed from the other region. */
+    private readonly recentlyBorrowed = new RecentCount(servedMemoryMs);
     /** Time at which the last refused caller can be served. */
     private queuedUntil = -Infinity;
+    /** Time at which the last program that was held back may start. */
     private startsQueuedUntil = -Infinity;
+    /** Time at which a call was last refused, or a program last held back. */
     private shortAt = -Infinity;
 
     /** @param mayHoldWhole Whether this instance may hold a whole permit with a small share. */
@@ -93,6 +96,7 @@
         return granted;
     }
 
+    /** Takes back permits that were not used. */
     giveBack(count: number, now: number): void {
         this.bucket = returnQuota(this.bucket, this.scaled, count, now);
     }
@@ -113,7 +117,7 @@
     /** Adds permits that were borrowed, which may be granted until a time. */
     addBorrowed(count: number, until: number, now: number): void {
         this.borrowed.push({ count, until });
-        this.lentHere.add(count, now);
+        this.recentlyBorrowed.add(count, now);
     }
 
     /** Records requests, whether or not they are granted. */
@@ -162,6 +166,7 @@
         return 0;
     }
 
+    /** Records that a new program was admitted. */
     recordStart(now: number): void {
         this.pacing = recordStart(this.pacing, this.pacedRate(now), this.settings.windowMs, now);
     }
@@ -176,7 +181,7 @@
         this.pacing = recordPlain(this.pacing, served, this.scaled.perSecond, this.settings.windowMs);
     }
 
-    /** Time until half of the bucket is there, which is kept for the next requests of programs that have started. */
+    /** Time until there is a permit beyond the half of the bucket that is kept for the next requests of programs that have started. */
     private reserveDelayMs(now: number): number {
         const { capacity, perSecond } = this.scaled;
         const missing = 1 + Math.min(capacity / 2, capacity - 1) - refillQuota(this.bucket, this.scaled, now).level;
@@ -193,7 +198,7 @@
 
     /** Rate of the lent shares and of what is borrowed. */
     private pacedRate(now: number): number {
-        return this.scaled.perSecond + this.lentHere.perSecond(now);
+        return this.scaled.perSecond + this.recentlyBorrowed.perSecond(now);
     }
 
     private takeBorrowed(count: number, now: number): number {
--- a/packages/gateway/src/quotas/quotaClient.ts
+++ b/packages/gateway/src/quotas/quotaClient.ts
@@ -267,7 +267,7 @@
         this.waiting.delete(waiter);
     }
 
-    /** Asks the granting instance of another region for calls whose own one is silent. */
+    /** Asks the granting instance of another region for calls if that of their own region does not respond. */
     private askOthers(link: QuotaLink, batch: QuotaBatch): void {
         const waiters = [
             ...batch.calls.flatMap(({ ordinary, programs }) => [...ordinary, ...programs]),
--- a/packages/gateway/src/quotas/quotaGranter.ts
+++ b/packages/gateway/src/quotas/quotaGranter.ts
@@ -18,16 +18,16 @@
 /** Longest time for which calls wait for the bucket to refill instead of being refused. */
 const maxRefillWaitMs = 100;
 
-/** Time of demand for which permits are borrowed at once. */
+/** Permits are borrowed for the demand that is expected in this time. */
 const borrowAheadMs = 100;
 
 /**
- * Time after an unsuccessful attempt to borrow in which calls are refused without another one: until the other region expects its
- * next permit, or if it did not respond.
+ * Bounds of the time after an unsuccessful attempt to borrow in which no other one is made and calls are refused; within them, it
+ * lasts until the other region expects its next permit. The last value applies if that region did not respond.
  */
-const minDryMs = 50;
-const maxDryMs = 1_000;
-const unansweredDryMs = 250;
+const minBorrowPauseMs = 50;
+const maxBorrowPauseMs = 1_000;
+const unansweredPauseMs = 250;
 
 /** Time for which a program is known after its last request here; its instance may not ask for it for as long as it knows it. */
 const programTtlMs = 180_000;
@@ -187,7 +187,7 @@
         if (this.borrowing.has(name)) {
             return true;
         }
-        if (now < workspace.dryUntil) {
+        if (now < workspace.borrowPausedUntil) {
             return false;
         }
         const count = short + Math.floor(workspace.demandIn(borrowAheadMs, now));
@@ -209,19 +209,19 @@
         sentAt: number,
     ): void {
         const now = performance.now();
-        const [granted, retryInMs] = result ?? [0, unansweredDryMs];
+        const [granted, retryInMs] = result ?? [0, unansweredPauseMs];
         if (granted > 0) {
             workspace.addBorrowed(granted, sentAt + permitTtlMs(this.options.settings) / 2, now);
             this.options.onBorrowed(granted);
         }
         else {
-            workspace.dryUntil = now + Math.min(maxDryMs, Math.max(minDryMs, retryInMs));
+            workspace.borrowPausedUntil = now + Math.min(maxBorrowPauseMs, Math.max(minBorrowPauseMs, retryInMs));
         }
     }
 
     private lend([name, count]: QuotaBorrow, now: number): readonly [number, number] {
         const { granted, retryInMs } = this.workspaces.get(name)?.lend(count, now) ??
-            { granted: 0, retryInMs: maxDryMs };
+            { granted: 0, retryInMs: maxBorrowPauseMs };
         return [granted, retryInMs];
     }
 
--- a/packages/gateway/src/quotas/quotaLink.ts
+++ b/packages/gateway/src/quotas/quotaLink.ts
@@ -1,4 +1,4 @@
-/** What is to be asked of one granting instance. At most one request is outstanding; what comes up meanwhile goes with the next one. */
+/** Collects what is asked of one granting instance. At most one request is outstanding; calls that arrive meanwhile share the next one. */
 import type { ShareOffer } from "@marigolddrift/policy";
 
 import type { PeerRequest, QuotaAsk, QuotaBorrow, QuotaResponse } from "../peers/peerMessages.js";
@@ -12,6 +12,7 @@
     readonly waitUntil: number;
     /** Number of requests that may still bring a permit. */
     pending: number;
+    /** Whether the call has been granted a permit or refused. */
     isDone: boolean;
     resolve(permit: GrantedPermit): void;
     reject(err: Error): void;
@@ -63,10 +64,12 @@
         readonly send: (request: Extract<PeerRequest, { kind: "takeQuota"; }>) => Promise<QuotaResponse | undefined>,
     ) {}
 
+    /** Whether there are calls to ask for or permits to borrow. Permits to return go with the next request and cause none. */
     get hasWork(): boolean {
         return this.waiters.size > 0 || this.borrows.length > 0;
     }
 
+    /** Adds a call to those that the next request asks for. */
     add(waiter: QuotaWaiter): void {
         const waiters = this.waiters.get(waiter.workspace) ?? [];
         this.waiters.set(waiter.workspace, waiters);
@@ -79,6 +82,7 @@
         this.returns.set(workspace, (this.returns.get(workspace) ?? 0) + 1);
     }
 
+    /** Borrows with the next request; resolves to undefined if the instance did not answer it. */
     borrow(workspace: string, count: number): Promise<BorrowResult | undefined> {
         return new Promise(resolve => this.borrows.push({ ask: [workspace, count], resolve }));
     }
@@ -93,7 +97,7 @@
         const calls: AskedCalls[] = [];
         const asks: QuotaAsk[] = [];
         for (const workspace of names) {
-            const waiters = (this.waiters.get(workspace) ?? []).filter(waiter => !this.skip(waiter));
+            const waiters = (this.waiters.get(workspace) ?? []).filter(waiter => !this.dropIfDone(waiter));
             const continued = waiters.filter(({ program }) => program === "started");
             const plain = waiters.filter(({ program }) => program === undefined);
             const programs = waiters.filter(({ program }) => typeof program === "number");
@@ -127,7 +131,8 @@
         this.returns.clear();
     }
 
-    private skip(waiter: QuotaWaiter): boolean {
+    /** Gives up the request for a call that has already been granted or refused; returns whether it has. */
+    private dropIfDone(waiter: QuotaWaiter): boolean {
         if (waiter.isDone) {
             waiter.pending -= 1;
         }
--- a/packages/gateway/src/quotas/quotaRefusals.ts
+++ b/packages/gateway/src/quotas/quotaRefusals.ts
@@ -7,7 +7,7 @@
 /** Shortest time after which a refused caller may return. */
 const minRetryMs = 100;
 
-/** Part of the time after which refused callers may return by which it is prolonged at random. */
+/** Largest random extension of the time after which refused callers may return, as a part of that time. */
 const retrySpread = 0.25;
 
 /** Creates the errors of refused calls, and logs at most one line a second for each workspace. */
--- a/packages/gateway/src/quotas/quotas.ts
+++ b/packages/gateway/src/quotas/quotas.ts
@@ -23,7 +23,7 @@
 /** Timeout of a request to a granting instance. */
 const askTimeoutMs = 400;
 
-/** Time for which an instance is not asked that does not know the request. */
+/** Time for which an instance that does not know the request is not asked again. */
 const unsupportedMs = 5_000;
 
 /** Time for which a program is known after its last request. */
--- a/packages/gateway/src/quotas/recentCount.ts
+++ b/packages/gateway/src/quotas/recentCount.ts
@@ -5,7 +5,7 @@
     private count = 0;
     private at = 0;
 
-    /** @param memoryMs Time in which the weight falls to a third. */
+    /** @param memoryMs Age at which an event counts 1/e. */
     constructor(private readonly memoryMs: number) {}
 
     add(count: number, now: number): void {
--- a/packages/gateway/src/quotas/workspacePermits.ts
+++ b/packages/gateway/src/quotas/workspacePermits.ts
@@ -1,4 +1,4 @@
-/** What an instance that asks for permits keeps of one workspace. */
+/** The state that an instance that asks for permits keeps for one workspace. */
 import type { QuotaTerms } from "@marigolddrift/policy";
 
 import type { GrantedPermit } from "./callPermit.js";
@@ -7,7 +7,7 @@
 /** Time over which the use of permits is averaged. */
 const useMemoryMs = 1_000;
 
-/** Time of use for which permits are asked in advance. */
+/** Permits are asked for in advance for the use that is expected in this time. */
 const aheadMs = 150;
 
 /** Time before its end from which an idle permit is not used for another call. */
--- a/packages/gateway/src/regionalViews.ts
+++ b/packages/gateway/src/regionalViews.ts
@@ -1,4 +1,4 @@
-/** Views of upstreams for deployments whose upstreams are even and tell the truth about their health. */
+/** Views of upstreams for deployments whose upstreams are equally fast and have health checks that can be trusted. */
 import { expectedRoundTripMs } from "@marigolddrift/policy";
 import type { CostModel, WorkerView } from "@marigolddrift/policy";
 
--- a/packages/gateway/src/upstreamViews.ts
+++ b/packages/gateway/src/upstreamViews.ts
@@ -1,5 +1,5 @@
 /** Chooses the upstreams that are considered for a call, and describes them to the placement policy. */
-import { expectedRoundTripMs, isClearlyBusier, thinOut } from "@marigolddrift/policy";
+import { expectedRoundTripMs, isClearlyBusier, sampleByWeight } from "@marigolddrift/policy";
 import type { CostModel, PrefixView, WorkerView } from "@marigolddrift/policy";
 
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
@@ -83,7 +83,7 @@
 
     /** New upstreams are considered more often while no other has a free slot; failing ones are not. */
     private consider(candidates: readonly Candidate[]): Upstream[] {
-        const thinned = thinOut(candidates, this.sources.random);
+        const thinned = sampleByWeight(candidates, this.sources.random);
         const hasFreeSlot = thinned.some(({ upstream }) => upstream.inFlight < upstream.entry.slots);
         const sound = hasFreeSlot ? [] : candidates.filter(({ isSetBack }) => !isSetBack);
         return (sound.length > 0 ? sound : thinned).map(({ upstream }) => upstream);
--- a/packages/gateway/src/upstreams/upstreamObserver.ts
+++ b/packages/gateway/src/upstreams/upstreamObserver.ts
@@ -14,7 +14,7 @@
 
 /** What is known of a call when it is sent. */
 export interface ObservedCall {
-    /** Calls of one kind take about as long at even upstreams. */
+    /** Calls of one kind take about as long at upstreams of the same speed. */
     readonly kind: string;
     readonly shape: CallShape;
     /** Expected times at the chosen upstream. */
--- a/packages/gateway/src/workspaces.ts
+++ b/packages/gateway/src/workspaces.ts
@@ -40,7 +40,7 @@
 export const scopedName = (workspace: Workspace | undefined, name: string): string =>
     workspace === undefined ? name : `${name}@${digest("workspace", workspace.name).slice(0, scopeLength)}`;
 
-/** Limits of the weight of a workspace, so that an odd quota neither silences others nor itself. */
+/** Bounds of the weight of a workspace, so that an extreme quota starves neither the others nor the workspace itself. */
 const minWeight = 1 / 8;
 const maxWeight = 8;
 
--- a/packages/policy/src/callCost.ts
+++ b/packages/policy/src/callCost.ts
@@ -9,7 +9,7 @@
 /** Number of calls from which on an estimate is used to refuse others. */
 const minSamples = 20;
 
-/** Number of kinds that are remembered. */
+/** Largest number of kinds that are remembered; the one that was used longest ago is dropped first. */
 const maxKinds = 1_000;
 
 interface Kind {
@@ -37,6 +37,7 @@
         return (this.kinds.get(kind)?.samples ?? 0) >= minSamples;
     }
 
+    /** Learns from the slot time of a call that has ended. */
     onEnded(kind: string, predictedMs: number, tookMs: number): void {
         const known = this.kinds.get(kind) ?? { ratio: 1, samples: 0 };
         known.samples += 1;
--- a/packages/policy/src/engineUrgency.ts
+++ b/packages/policy/src/engineUrgency.ts
@@ -15,6 +15,7 @@
     readonly waitedShare: number;
 }
 
+/** Largest value, for the calls that are served last. */
 const lowestUrgency = 9;
 
 /** Multiples of its fair share of running calls from which on a workspace's calls are one or two steps less urgent. */
@@ -35,7 +36,7 @@
 export const engineUrgency = ({ priority, isContinuation, runningShare, waitedShare }: UrgencyInput): number => {
     const byPriority = 2 * priority + (isContinuation ? 2 : 3);
     const over = runningShare === undefined ? 0 : overShares.filter(share => runningShare >= share).length;
-    // The instance let the call pass for the share that its urgency is due; the engine must not hold it back again.
+    // This instance's queue has let the call pass so that its urgency gets its share; the engine's queue must not hold it back again.
     const isDue = runningShare !== undefined && over === 0 && waitedShare >= longWaitShare;
     return Math.min(lowestUrgency, isDue ? Math.min(highestOfNew, byPriority) : byPriority + over);
 };
--- a/packages/policy/src/fairAdmission.ts
+++ b/packages/policy/src/fairAdmission.ts
@@ -40,7 +40,7 @@
 /** Largest wait of a first call of a program, as a share of its time: new programs are refused before begun ones. */
 const firstCallWaitShare = 0.25;
 
-/** The same for callers that return, so that a newcomer is refused before them. */
+/** The same for callers that return, so that new callers are refused before them. */
 const returningWaitShare = 0.5;
 
 /** The same for calls of programs that have begun; the rest is a margin for errors of the estimate. */
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -99,7 +99,7 @@
 const unseenQueueShare = 0.2;
 
 /**
- * What a full worker is worse than an idle one besides, in milliseconds. The zones of a region are a few milliseconds apart, which
+ * Additional cost of a full worker compared with an idle one, in milliseconds. The zones of a region are a few milliseconds apart, which
  * would otherwise give the closest workers all calls until their slots are taken.
  */
 const balanceMs = 60;
--- a/packages/policy/src/quota/programPacing.ts
+++ b/packages/policy/src/quota/programPacing.ts
@@ -14,7 +14,7 @@
     readonly continued: number;
 }
 
-/** Time in which the weight of past requests falls to a third. */
+/** Age at which a past request counts 1/e. */
 const memoryMs = 60_000;
 
 /** Part of the quota that is committed to programs; the rest serves what they ask beyond the mean. */
--- a/packages/policy/src/quota/shareLease.ts
+++ b/packages/policy/src/quota/shareLease.ts
@@ -43,14 +43,24 @@
 const membersPerGranter = 16;
 const maxGranters = 16;
 
-/** Time between renewals of a lease in a region with a number of members. */
+/** Time between renewals of a lease, in milliseconds, in a region with a number of members. */
 export const renewalMsFor = (members: number): number =>
     Math.max(minLeaseMs / renewalsPerLease, members * 1_000 / maxRenewalsPerSecond);
 
-/** Time of a lease in a region with a number of members. */
+/**
+ * Time of a lease, in milliseconds, in a region with a number of members.
+ *
+ * @example
+ * leaseMsFor(10) === 600;
+ */
 export const leaseMsFor = (members: number): number => Math.round(renewalMsFor(members) * renewalsPerLease);
 
-/** Number of instances of a region that grant permits at a time. */
+/**
+ * Number of instances of a region that grant permits at a time.
+ *
+ * @example
+ * grantersFor(53) === 4;
+ */
 export const grantersFor = (members: number): number => Math.min(maxGranters, Math.ceil(members / membersPerGranter));
 
 /** Offers to borrow a share; the time of the lease starts now, before the owner has received the offer. */
--- a/packages/policy/src/slowStart.ts
+++ b/packages/policy/src/slowStart.ts
@@ -9,7 +9,7 @@
 /** Share of calls at the beginning. */
 const initialWeight = 0.1;
 
-/** Longest time for which a worker's word that it is cold is taken. */
+/** Longest time for which a worker's own report that it is still slow is used. */
 const maxColdMs = 60_000;
 
 /**
@@ -37,9 +37,9 @@
  * @param random Returns numbers in [0, 1).
  * @returns At least one worker unless there is none.
  * @example
- * const considered = thinOut([{ id: "w1", weight: 1 }, { id: "w2", weight: 0.1 }], Math.random);
+ * const considered = sampleByWeight([{ id: "w1", weight: 1 }, { id: "w2", weight: 0.1 }], Math.random);
  */
-export const thinOut = <T extends Weighted>(workers: readonly T[], random: () => number): readonly T[] => {
+export const sampleByWeight = <T extends Weighted>(workers: readonly T[], random: () => number): readonly T[] => {
     const largest = Math.max(...workers.map(({ weight }) => weight));
     return workers.every(({ weight }) => weight === largest) ?
         workers :
--- a/packages/policy/src/upstreamHealth.ts
+++ b/packages/policy/src/upstreamHealth.ts
@@ -6,10 +6,10 @@
 /** Time after which an observation has half of its weight. */
 const halfLifeMs = 20_000;
 
-/** Number of calls after which an upstream's expected service time follows new calls slowly. */
+/** Number of calls after which the expected service time of a kind follows new calls slowly. */
 const expectationCalls = 100;
 
-/** Standard errors by which a worker must differ before it is taken for different; 2.5 makes chance findings rare among many workers. */
+/** Standard errors by which a worker must differ from the others before the difference counts; 2.5 makes chance findings rare among many workers. */
 const confidence = 2.5;
 
 /** Fewest calls, weighted by age, from which the service time is judged. */
@@ -18,6 +18,7 @@
 /** Least relative deviation of service times that is assumed, because a few calls may be alike by chance. */
 const minDeviation = 0.25;
 
+/** Bounds of the service time relative to the median worker's. */
 const minSlowdown = 0.25;
 const maxSlowdown = 8;
 
@@ -36,7 +37,7 @@
 /** How a call ended at a worker. Calls that were ended by the caller, the deadline or a stop of the instance are not recorded. */
 export interface ServedCall {
     readonly worker: string;
-    /** Calls of one kind take about as long at even workers, relative to `predictedMs`. */
+    /** Calls of one kind take about as long at workers of the same speed, relative to `predictedMs`. */
     readonly kind: string;
     /** Time that the cost model gives for the call; 1 where there is none. */
     readonly predictedMs: number;
--- a/packages/policy/src/workspaceLoad.ts
+++ b/packages/policy/src/workspaceLoad.ts
@@ -47,6 +47,11 @@
     return busiest.length < 2 ? 0 : busiest[Math.floor((busiest.length - 1) / 2)]!;
 };
 
-/** Calls of a workspace as a multiple of those of a usual one; 0 if it has too few calls to tell. */
+/**
+ * Calls of a workspace as a multiple of those of a usual one; 0 if it has too few calls to tell.
+ *
+ * @example
+ * relativeLoad(40, 1, 5) === 8;
+ */
 export const relativeLoad = (calls: number, weight: number, usual: number): number =>
     calls < minRunning || usual === 0 ? 0 : calls / weight / usual;
--- a/tests/policy/upstreamHealth.test.ts
+++ b/tests/policy/upstreamHealth.test.ts
@@ -1,4 +1,4 @@
-import { slowStartWeight, thinOut, UpstreamHealth } from "@marigolddrift/policy";
+import { sampleByWeight, slowStartWeight, UpstreamHealth } from "@marigolddrift/policy";
 import { createRandom } from "@marigolddrift/workload";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -31,7 +31,10 @@
     let total = 0;
     for (; now < seconds * 1_000; now += 50) {
         const weights = health.weights(workers, now);
-        const considered = thinOut(workers.map(worker => ({ worker, weight: weights.get(worker) ?? 1 })), random);
+        const considered = sampleByWeight(
+            workers.map(worker => ({ worker, weight: weights.get(worker) ?? 1 })),
+            random,
+        );
         const { worker } = considered[Math.floor(random() * considered.length)]!;
         const { failureShare, slowness } = behaviorAt(worker, now);
         const failed = random() < failureShare;
@@ -128,7 +131,7 @@
         const shareAfter = (sinceMs: number, coldLeftMs = 0): number => {
             let chosen = 0;
             for (let call = 0; call < 4_000; call++) {
-                const considered = thinOut([
+                const considered = sampleByWeight([
                     { name: "new", weight: slowStartWeight(sinceMs, coldLeftMs) },
                     { name: "old", weight: 1 },
                 ], random);
@@ -143,7 +146,7 @@
     });
 
     it("should not keep calls waiting if all upstreams are new", () => {
-        const considered = thinOut([{ weight: 0.1 }, { weight: 0.1 }], () => 0.99);
+        const considered = sampleByWeight([{ weight: 0.1 }, { weight: 0.1 }], () => 0.99);
         expect(considered.length).toEqual(2);
     });
 });
