--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -68,7 +68,7 @@
 cli.option("--runs <n>", "Number of runs, with consecutive seeds", { default: 1 });
 cli.option("--minutes <m>", "Length of a run", { default: defaultMinutes });
 cli.option("--scale <n>", "Machines, workers and callers, as a multiple of the usual number", { default: 1 });
-cli.option("--quotas", "Let a workspace send more than its quota, and check what runs; quotas are not built yet");
+cli.option("--quotas", "Let a workspace send more than its quota, and check what runs in each window");
 cli.option("--variants [text]", "Run the broken variants whose names contain the text; each must be caught");
 cli.help();
 const { options } = cli.parse();
--- a/packages/gateway/src/fairness/fairness.ts
+++ b/packages/gateway/src/fairness/fairness.ts
@@ -13,8 +13,9 @@
 import type { RegionSlots, WorkspaceLoad } from "@marigolddrift/policy";
 
 import type { CallContext } from "../filters/callContext.js";
-import { defaultCallMs, expectedOutputTokens } from "../placement.js";
+import { expectedOutputTokens } from "../placement.js";
 import type { QueuedCall } from "../placement.js";
+import { defaultCallMs } from "../upstreams/upstreamObserver.js";
 import { defaultEngineCost } from "../upstreamViews.js";
 import type { WorkspaceTable } from "../workspaces.js";
 
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -10,15 +10,12 @@
 import { RegionalViews } from "./regionalViews.js";
 import { AffinityTable } from "./upstreams/affinityTable.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
-import { UpstreamObserver } from "./upstreams/upstreamObserver.js";
+import { defaultCallMs, UpstreamObserver } from "./upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "./upstreams/upstreams.js";
 import { defaultEngineCost, maxInFlightPerSlot, UpstreamViews } from "./upstreamViews.js";
 import type { ViewBuilder } from "./upstreamViews.js";
 import { scopedName } from "./workspaces.js";
 
-/** Assumed duration of a call to a plain service, for admission. */
-export const defaultCallMs = 30;
-
 /** Share of the maximum output that a turn is assumed to generate if the caller gives no estimate. */
 const expectedOutputShare = 0.3;
 
--- a/packages/gateway/src/quotas/quotaClient.ts
+++ b/packages/gateway/src/quotas/quotaClient.ts
@@ -1,7 +1,7 @@
 /** Asks the granting instances for the permits of this instance's calls. */
 import { asError } from "@marigolddrift/common";
 import type { Logger, Metrics } from "@marigolddrift/common";
-import { renewalMsFor, returnDelayMs } from "@marigolddrift/policy";
+import { renewalMsFor, returnDelayMs, shareRenewalsPerLease } from "@marigolddrift/policy";
 import type { ShareOffer } from "@marigolddrift/policy";
 
 import type { PackedOffer, QuotaAnswer, QuotaResponse } from "../peers/peerMessages.js";
@@ -325,7 +325,9 @@
         for (const granter of lender.granters()) {
             const link = this.options.linkTo(granter);
             const leaseMs = link.offer?.offer.leaseMs;
-            const renewalMs = leaseMs === undefined ? renewalMsFor(lender.regionMemberCount) : leaseMs / 3;
+            const renewalMs = leaseMs === undefined ?
+                renewalMsFor(lender.regionMemberCount) :
+                leaseMs / shareRenewalsPerLease;
             if (now - link.sentAt >= renewalMs - tickMs / 2) {
                 this.pump(link, true);
             }
--- a/packages/gateway/src/regionalViews.ts
+++ b/packages/gateway/src/regionalViews.ts
@@ -3,13 +3,11 @@
 import type { CostModel, WorkerView } from "@marigolddrift/policy";
 
 import type { QueuedCall } from "./placement.js";
+import { defaultCallMs } from "./upstreams/upstreamObserver.js";
 import type { Upstream } from "./upstreams/upstreams.js";
 import { defaultEngineCost, maxInFlightPerSlot } from "./upstreamViews.js";
 import type { ViewBuilder, ViewSources } from "./upstreamViews.js";
 
-/** Assumed duration of a call to a plain service until one has been measured. */
-const defaultCallMs = 30;
-
 /** Describes upstreams by their slots and the calls in flight only; other regions are used once no slot of the own one is free. */
 export class RegionalViews implements ViewBuilder {
     constructor(private readonly sources: Pick<ViewSources, "topology" | "prefixes" | "limits" | "peerLoadOf">) {}
--- a/packages/policy/src/quota/shareLease.ts
+++ b/packages/policy/src/quota/shareLease.ts
@@ -34,7 +34,7 @@
 const minLeaseMs = 400;
 
 /** Renewals in the time of a lease; the offer that a renewal accepts is one renewal old, so that one renewal may be late. */
-const renewalsPerLease = 3;
+export const shareRenewalsPerLease = 3;
 
 /** Renewals a second that one granting instance handles, by which its control traffic stays under 9 KB/s. */
 const maxRenewalsPerSecond = 50;
@@ -45,7 +45,7 @@
 
 /** Time between renewals of a lease, in milliseconds, in a region with a number of members. */
 export const renewalMsFor = (members: number): number =>
-    Math.max(minLeaseMs / renewalsPerLease, members * 1_000 / maxRenewalsPerSecond);
+    Math.max(minLeaseMs / shareRenewalsPerLease, members * 1_000 / maxRenewalsPerSecond);
 
 /**
  * Time of a lease, in milliseconds, in a region with a number of members.
@@ -53,7 +53,7 @@
  * @example
  * leaseMsFor(10) === 600;
  */
-export const leaseMsFor = (members: number): number => Math.round(renewalMsFor(members) * renewalsPerLease);
+export const leaseMsFor = (members: number): number => Math.round(renewalMsFor(members) * shareRenewalsPerLease);
 
 /**
  * Number of instances of a region that grant permits at a time.
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -15,4 +15,11 @@
             expect(faults.length).toSatisfy(count => count > 10);
         });
     }
+
+    // Guards against quotas that are exceeded or lost while instances crash, freeze and restart.
+    it("should keep the quota of a workspace that sends far too much, seed 9410", async () => {
+        const { violations, counts } = await runSoak({ seed: 9_410, seconds, losesPower: true, checksQuotas: true });
+        expect(violations).toEqual([]);
+        expect((counts["order 429"] ?? 0) > 0).toEqual(true);
+    });
 });
