--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -2,6 +2,7 @@
 import {
     callHeaders,
     parseHedgeShare,
+    parsePlacement,
     parseSettings,
     PlatformStandin,
     PlatformStore,
@@ -46,6 +47,11 @@
         }
     });
 
+    it("should place by observation only if the operator has chosen it, and refuse a value that it does not know", () => {
+        expect([undefined, "regional", "observed"].map(parsePlacement)).toEqual([false, false, true]);
+        expect(() => parsePlacement("best")).toThrow("MARIGOLDDRIFT_PLACEMENT");
+    });
+
     it("should be parsed, and new fields left out", () => {
         const cfg = parseSettings(settings);
         expect(cfg.listen.front).toEqual({ host: "10.1.0.38", port: 8149 });
