Wait for ports that are not free instead of ending the process

What callers saw: instances that never came, or were never back after a restart. A port that was taken for a moment, as by a predecessor that still answered its last calls, ended the process with 1 or 2; the metrics port alone was enough, so that of several processes at one address only one started. Cause: each listener was opened once, and its failure was one of the whole process; that of the HTTP server below the WebSocket server had no listener at all.

Now a port that is not free is tried again until the process is told to stop, and the log says so ('waiting for port', 'port opened'). The ready and metrics endpoints are opened beside the start, and end nothing. A front uses the first free one of its inner ports. Errors of an open server are logged ('listener failed'). A front counts as ready once callers can connect. The same in packages/daemon.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -167,7 +167,7 @@
     async start(): Promise<void> {
         const { cfg } = this;
         this.ports.peer = await this.peers.listen(cfg.peer.host, cfg.peer.port);
-        this.ports.admin = await this.admin.listen(cfg.admin.host, cfg.admin.port);
+        this.ports.admin = await this.admin.listen(cfg.admin.host, cfg.admin.port, this.log);
         await this.membership.start();
         await this.bundles.start();
         await this.slots.start();
--- a/packages/daemon/src/http/adminServer.ts
+++ b/packages/daemon/src/http/adminServer.ts
@@ -1,9 +1,9 @@
 /** HTTP server for operators: health checks, status and commands. */
-import { asError, listen, sendJson } from "@marigolddrift/common";
+import { asError, attachRouter, openPort, sendJson } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import polka from "polka";
-import type { Polka } from "polka";
 
 import { macEquals } from "../peers/handshake.js";
 
@@ -26,29 +26,28 @@
 
 /** Serves operators' requests. */
 export class AdminServer {
-    private readonly app: Polka;
     private readonly server: Server = createServer();
 
     constructor(private readonly keys: AdminKeys, private readonly actions: AdminActions) {
-        this.app = polka({
-            server: this.server,
+        const app = polka({
             onNoMatch: (_, res) => sendJson(res, 404, { error: "There is no such path." }),
         });
-        this.app.get("/health", (_, res) => sendJson(res, 200, { healthy: true }));
-        this.app.get("/ready", (_, res) => sendJson(res, actions.isReady() ? 200 : 503, { ready: actions.isReady() }));
+        app.get("/health", (_, res) => sendJson(res, 200, { healthy: true }));
+        app.get("/ready", (_, res) => sendJson(res, actions.isReady() ? 200 : 503, { ready: actions.isReady() }));
         for (const [path, view] of Object.entries(actions.views)) {
-            this.app.get(`/${path}`, (req, res) => void this.handle(req, res, () => view(queryOf(req))));
+            app.get(`/${path}`, (req, res) => void this.handle(req, res, () => view(queryOf(req))));
         }
         for (const [path, order] of Object.entries(actions.orders)) {
-            this.app.post(
+            app.post(
                 `/${path}`,
                 (req, res) => void this.handle(req, res, async () => await order(await readJson(req))),
             );
         }
+        attachRouter(this.server, app);
     }
 
-    listen(host: string, port: number): Promise<number> {
-        return listen(this.app, this.server, host, port);
+    listen(host: string, port: number, log: Logger): Promise<number> {
+        return openPort(this.server, { name: "admin", host, ports: [port], log });
     }
 
     close(): void {
--- a/packages/daemon/src/http/callerServer.ts
+++ b/packages/daemon/src/http/callerServer.ts
@@ -1,5 +1,14 @@
 /** HTTP server for callers. */
-import { asError, listen, ProblemError, Progress, runChain, sendProblem, toProblemError } from "@marigolddrift/common";
+import {
+    asError,
+    attachRouter,
+    openPort,
+    ProblemError,
+    Progress,
+    runChain,
+    sendProblem,
+    toProblemError,
+} from "@marigolddrift/common";
 import type { Bundle, Filter, Logger, Metrics } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -44,14 +53,14 @@
         });
         this.server.on("clientError", onClientError);
         this.app = polka({
-            server: this.server,
             onNoMatch: (req, res) => sendProblem(res, notFound(req.method ?? "", req.path)),
         });
+        attachRouter(this.server, this.app);
         this.addRoutes();
     }
 
     listen(host: string, port: number): Promise<number> {
-        return listen(this.app, this.server, host, port);
+        return openPort(this.server, { name: "callers", host, ports: [port], log: this.deps.log });
     }
 
     /** Stops accepting connections; requests in progress continue. */
--- a/packages/daemon/src/peers/peerServer.ts
+++ b/packages/daemon/src/peers/peerServer.ts
@@ -1,10 +1,9 @@
 /** Server for connections from peers. */
-import { asError, Progress, toProblemError } from "@marigolddrift/common";
+import { asError, openPort, Progress, toProblemError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import type { Server as TlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 
@@ -53,15 +52,13 @@
             maxPayload: maxFrameBytes,
             perMessageDeflate: false,
         });
+        // The WebSocket server passes the errors of the HTTP server on, which are handled there.
+        this.sockets.on("error", () => {});
         this.sockets.on("connection", socket => new PeerSession(socket, identity, keys, handlers, log));
     }
 
-    async listen(host: string, port: number): Promise<number> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, resolve);
-        });
-        return (this.server.address() as AddressInfo).port;
+    listen(host: string, port: number): Promise<number> {
+        return openPort(this.server, { name: "peers", host, ports: [port], log: this.log });
     }
 
     /** Reloads the certificate files; open connections are not affected. */
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -1,10 +1,9 @@
 /** HTTP server for callers: selects the route of each request and runs the filter chain. */
-import { listen, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
+import { attachRouter, openPort, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import polka from "polka";
-import type { Polka } from "polka";
 
 import { fingerprintsOf } from "../crashes/fingerprint.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
@@ -63,7 +62,6 @@
     active = 0;
     private readonly progresses = new Set<Progress>();
     private readonly server: DrainableServer;
-    private readonly app: Polka;
     private readonly callers: CallerConnections;
     private readonly refuser: ConnectionRefuser;
     private readonly sequence = new RequestSequence();
@@ -89,11 +87,13 @@
         this.server.on("connection", socket => this.callers.add(socket));
         // Without a listener the server closes the connection before the calls on it have been answered.
         this.server.on("connect", (_, socket) => this.refuser.onTunnel(socket as Socket));
-        this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
+        const app = polka({ onNoMatch: (req, res) => void this.handle(req, res) });
+        attachRouter(this.server, app);
     }
 
-    listen(host: string, port: number): Promise<number> {
-        return listen(this.app, this.server, host, port);
+    /** @param signal Ends the wait for the port. */
+    listen(host: string, port: number, signal?: AbortSignal): Promise<number> {
+        return openPort(this.server, { name: "callers", host, ports: [port], log: this.options.log, signal });
     }
 
     /** Number of open connections from callers. */
--- a/packages/gateway/src/entry/statusServer.ts
+++ b/packages/gateway/src/entry/statusServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for a status endpoint, such as readiness or metrics, on its own port. */
-import { listen } from "@marigolddrift/common";
+import { asError, attachRouter, openPort, silentLogger } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
 import { createServer } from "node:http";
 import polka from "polka";
 
@@ -18,8 +19,9 @@
     private readonly server = createServer();
     private readonly app;
 
-    constructor(path: string, respond: StatusResponder) {
+    constructor(private readonly path: string, respond: StatusResponder, private readonly log: Logger = silentLogger) {
         this.app = polka({ server: this.server });
+        attachRouter(this.server, this.app);
         this.add(path, respond);
     }
 
@@ -34,8 +36,20 @@
         });
     }
 
-    listen(host: string, port: number): Promise<number> {
-        return listen(this.app, this.server, host, port);
+    /**
+     * Resolves to the port once the server listens, or to undefined if it can't: an endpoint that only observes ends nothing.
+     *
+     * @param signal Ends the wait for the port.
+     */
+    async listen(host: string, port: number, signal?: AbortSignal): Promise<number | undefined> {
+        const { log, path } = this;
+        try {
+            return await openPort(this.server, { name: path, host, ports: [port], log, signal });
+        }
+        catch (err) {
+            log.error("listener not opened", { listener: path, host, port, error: asError(err).message });
+            return undefined;
+        }
     }
 
     close(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,7 +211,7 @@
 
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
-        return this.drainController.schedule === undefined && this.isInformed;
+        return this.drainController.schedule === undefined && this.canServe;
     }
 
     /** Version of the configuration in force; undefined until one has been read. */
@@ -219,18 +219,19 @@
         return this.activeConfig.table?.config.version;
     }
 
-    /** Whether the instance knows what it needs to serve callers. */
-    private get isInformed(): boolean {
-        return this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
+    /** Whether callers can connect, and the instance knows what it needs to serve them. */
+    private get canServe(): boolean {
+        return this.port !== 0 && this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
     }
 
+    /** Resolves once callers can connect. Waits for ports that are not free. */
     async start(): Promise<void> {
-        const { host } = this.options;
-        this.peerPort = await this.peerServer.listen(host, this.options.peerPort);
+        const { host, port, peerPorts, stopSignal } = this.options;
+        this.peerPort = await this.peerServer.listen(host, peerPorts, stopSignal);
         this.peers.start();
         this.config.watcher.start();
         this.upstreamEntries.watcher.start();
-        this.port = await this.entry.listen(host, this.options.port);
+        this.port = await this.entry.listen(host, port, stopSignal);
     }
 
     /** Stops taking calls; resolves when those that were taken have been answered. */
@@ -297,7 +298,7 @@
             quotas,
             journalArchive,
             store,
-            isInformed: () => this.isInformed,
+            canServe: () => this.canServe,
             followed: prefix => prefix === layout.configKey ? this.config : this.upstreamEntries,
         });
     }
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -29,7 +29,10 @@
     readonly port: number;
     /** Name of the machine, which stays the same after a restart. */
     readonly machine: string;
-    readonly peerPort: number;
+    /** Ports for peers, of which the first free one is used. */
+    readonly peerPorts: readonly number[];
+    /** Aborted when the process is told to stop, which ends the wait for ports. */
+    readonly stopSignal?: AbortSignal;
     readonly store: VersionedStore;
     readonly layout: StoreLayout;
     readonly protocol: CallProtocol;
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -30,7 +30,10 @@
 export interface JournalServerOptions {
     readonly peerAddress: Omit<PeerAddress, "port" | "keepsTurns">;
     readonly machine: string;
+    /** Port for peers. The process that has it owns the directory, which no other may write. */
     readonly peerPort: number;
+    /** Aborted when the process is told to stop, which ends the wait for the port. */
+    readonly stopSignal?: AbortSignal | undefined;
     /** Directory of the journal. */
     readonly dir: string;
     /** Whether the whole system starts for the first time, in which case an empty disk is complete. */
@@ -89,7 +92,8 @@
 
     /** Resolves once the journal accepts turns, which it does only after peers can discover the server. */
     async start(): Promise<void> {
-        this.peerPort = await this.server.listen(this.options.peerAddress.host, this.options.peerPort);
+        const { peerAddress, peerPort, stopSignal } = this.options;
+        this.peerPort = await this.server.listen(peerAddress.host, [peerPort], stopSignal);
         this.peers.start();
         while (!this.peers.isRegistered && !this.closed) {
             await new Promise(resolve => setTimeout(resolve, registrationPollMs));
@@ -119,9 +123,11 @@
     async close(): Promise<void> {
         this.closed = true;
         this.peers.stop();
-        this.server.close();
+        this.server.disconnect();
         this.remover.close();
         await this.journal.close();
+        // Whoever gets the port may write the directory.
+        this.server.close();
     }
 
     private async handleRequest(request: PeerRequest | JournalRequest, progress: Progress): Promise<unknown> {
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -29,8 +29,8 @@
     readonly journalArchive: Pick<JournalArchive, "loadForPeer">;
     /** The platform's store, reached directly. */
     readonly store: VersionedStore;
-    /** Whether the instance knows what it needs to serve callers. */
-    isInformed(): boolean;
+    /** Whether callers can connect, and the instance knows what it needs to serve them. */
+    canServe(): boolean;
     /** The followed part of the store that has a prefix. */
     followed(prefix: string): Pick<WatchedPrefix, "reader">;
 }
@@ -51,7 +51,7 @@
 ): Promise<unknown> => {
     switch (request.kind) {
         case "standing":
-            return of.drainController.standing(of.isInformed());
+            return of.drainController.standing(of.canServe());
         case "returnBudget":
             return await of.budgets.returnUnspent(request.program, progress);
         case "followed": {
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -1,12 +1,11 @@
 /** Server for the requests of peers. */
-import { asError, Progress } from "@marigolddrift/common";
+import { asError, openPort, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import { HistoryGoneError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 import { timingSafeEqual } from "node:crypto";
 import { createServer } from "node:http";
 import type { IncomingMessage } from "node:http";
-import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 
@@ -25,13 +24,14 @@
 export class PeerServer {
     private readonly packr = new Packr({ useRecords: false });
     private readonly http = createServer();
+    private isDisconnected = false;
     private readonly input = new PeerInput(maxInputBytes);
     private readonly server = new WebSocketServer({
         server: this.http,
         path: "/peer",
         maxPayload: maxFrameBytes,
         perMessageDeflate: false,
-        verifyClient: ({ req }: { req: IncomingMessage; }) => this.isAuthorized(req),
+        verifyClient: ({ req }: { req: IncomingMessage; }) => this.mayConnect(req),
     });
 
     constructor(
@@ -40,19 +40,33 @@
         private readonly log: Logger,
     ) {
         this.server.on("connection", socket => this.onConnection(socket));
+        // The WebSocket server passes the errors of the HTTP server on, which are handled there.
+        this.server.on("error", () => {});
     }
 
-    async listen(host: string, port: number): Promise<number> {
-        await new Promise<void>((resolve, reject) => {
-            this.http.once("error", reject);
-            this.http.listen(port, host, () => resolve());
-        });
-        return (this.http.address() as AddressInfo).port;
+    /**
+     * Opens the first of the ports that is free; waits while none is.
+     *
+     * @param signal Ends the wait.
+     */
+    listen(host: string, ports: readonly number[], signal?: AbortSignal): Promise<number> {
+        return openPort(this.http, { name: "peers", host, ports, log: this.log, signal });
     }
 
-    close(): void {
+    /** Ends all connections and refuses new ones, but keeps the port. */
+    disconnect(): void {
+        this.isDisconnected = true;
         this.server.clients.forEach(client => client.terminate());
+    }
+
+    close(): void {
+        this.disconnect();
         this.http.close();
+        this.http.closeAllConnections();
+    }
+
+    private mayConnect(req: IncomingMessage): boolean {
+        return !this.isDisconnected && this.isAuthorized(req);
     }
 
     private isAuthorized(req: IncomingMessage): boolean {
--- a/tests/gateway/peerClient.test.ts
+++ b/tests/gateway/peerClient.test.ts
@@ -15,7 +15,7 @@
     test: (client: PeerClient, port: number) => Promise<void>,
 ): Promise<void> => {
     const server = new PeerServer(key, handleRequest, silentLogger);
-    const port = await server.listen("127.0.0.1", 0);
+    const port = await server.listen("127.0.0.1", [0]);
     const address = { instance: "b", host: "127.0.0.1", port, zone: "z", region: "r", keepsTurns: false };
     const client = new PeerClient(address, key);
     try {
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -28,7 +28,7 @@
         const key = { value: "" };
         const servers = await Promise.all(others.map(async other => {
             const server = new PeerServer(() => key.value, async () => true, silentLogger);
-            const port = await server.listen("127.0.0.1", 0);
+            const port = await server.listen("127.0.0.1", [0]);
             store.state.beginRevision();
             store.state.put(
                 `marigolddrift/members/${other.instance}`,
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -99,7 +99,7 @@
             regionOf: () => "north",
             host: "127.0.0.1",
             port: 0,
-            peerPort: 0,
+            peerPorts: [0],
             store: new PlatformStore(proxy.address),
             layout: storeLayout,
             protocol: callHeaders,
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -63,7 +63,7 @@
             regionOf: zone => zone,
             host,
             port: 0,
-            peerPort: 0,
+            peerPorts: [0],
             store: new PlatformStore(storeAddress),
             layout: storeLayout,
             protocol: callHeaders,
