End only the connection to a peer whose frames cannot be decoded

What callers saw: instances that ended by themselves, all at once. One peer that answered with bytes that are no frame (another version, or something else at its address) ended every front that asked it, with exit code 1, 0.6 s after its start. Cause: the listener for messages of PeerClient decoded them without a handler for errors, so that the error of one connection was one of the process.

Such a connection ends now, and with it the requests on it, which say why; the peer is tried again after the usual backoff.

--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -207,10 +207,7 @@
                 this.usableFrom = -Infinity;
                 resolve(socket);
             });
-            socket.on(
-                "message",
-                (data: Buffer) => this.onResponse(this.packr.unpack(data) as ResponseFrame, data.length),
-            );
+            socket.on("message", (data: Buffer) => this.onMessage(socket, data));
             socket.on("error", err => {
                 this.onFailure();
                 reject(new StoreError("no", `cannot connect to peer ${this.address.instance}`, err));
@@ -219,6 +216,18 @@
         });
     }
 
+    /** What can't be decoded says nothing about any request: the connection ends, and with it the requests on it. */
+    private onMessage(socket: WebSocket, data: Buffer): void {
+        const frame = decodeResponse(this.packr, data);
+        if (frame === undefined) {
+            this.onFailure();
+            this.rejectPending(`peer ${this.address.instance} sent a frame that cannot be decoded`);
+            socket.terminate();
+            return;
+        }
+        this.onResponse(frame, data.length);
+    }
+
     private onResponse(frame: ResponseFrame, bytes: number): void {
         this.lastFrameAt = performance.now();
         const pending = this.pending.get(frame.id);
@@ -239,7 +248,24 @@
         if (this.socket === socket) {
             this.socket = undefined;
         }
-        const err = new StoreError("unknown", `connection to peer ${this.address.instance} closed before the response`);
+        this.rejectPending(`connection to peer ${this.address.instance} closed before the response`);
+    }
+
+    private rejectPending(reason: string): void {
+        const err = new StoreError("unknown", reason);
         this.pending.forEach(pending => pending.reject(err));
     }
 }
+
+/** Returns undefined if the bytes are no response; a peer may run other code, or something else may have its address. */
+const decodeResponse = (packr: Packr, data: Buffer): ResponseFrame | undefined => {
+    try {
+        const frame = packr.unpack(data) as Partial<ResponseFrame> | undefined;
+        const isError = (error: unknown): boolean =>
+            error === undefined || (typeof error === "object" && Boolean(error));
+        return typeof frame?.id === "number" && isError(frame.error) ? frame as ResponseFrame : undefined;
+    }
+    catch {
+        return undefined;
+    }
+};
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -99,9 +99,9 @@
 
     private readFrame(data: Buffer): RequestFrame | undefined {
         try {
-            const frame = this.packr.unpack(data) as Partial<RequestFrame>;
-            const isValid = typeof frame.id === "number" && typeof frame.leftMs === "number" &&
-                typeof frame.question === "object";
+            const frame = this.packr.unpack(data) as Partial<RequestFrame> | undefined;
+            const isValid = typeof frame?.id === "number" && typeof frame.leftMs === "number" &&
+                typeof frame.question === "object" && Boolean(frame.question);
             return isValid ? frame as RequestFrame : undefined;
         }
         catch (err) {
