Open a disk again that could not be opened at the start

What was seen: a machine whose data folder could not be made yet ended with 2, 0.4 s after its start. Cause: the log was opened once. A machine without its disk still relays calls to the store, and takes no turns; so the disk is opened again every 0.5 s, and the log says why it could not be ('disk not opened').

--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -4,6 +4,7 @@
 import { mkdir, open, readdir, readFile, unlink } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
 import { dirname, join } from "node:path";
+import { setTimeout } from "node:timers/promises";
 import { crc32 } from "node:zlib";
 
 /** Size at which a segment is closed and a new one is created. */
@@ -12,6 +13,10 @@
 /** Size of the length and checksum that precede each payload. */
 const frameHeaderBytes = 8;
 
+/** Interval at which a directory that cannot be opened is tried again, and after which that is logged again. */
+const openRetryMs = 500;
+const openLogIntervalMs = 5_000;
+
 /** File that says since when the disk has held all turns that the machine acknowledged. */
 const stateFile = "disk-state";
 
@@ -52,6 +57,31 @@
 
     constructor(private readonly dir: string, private readonly log: Logger) {}
 
+    /**
+     * Opens the log, and tries again while that fails, as on a disk that is not there yet.
+     *
+     * @param isClosed Whether the log is no longer needed.
+     * @throws Error if the log is closed before it could be opened.
+     */
+    async openWhenPossible(newDiskIncompleteMs: number, isClosed: () => boolean): Promise<LogContents> {
+        let loggedAt = -Infinity;
+        for (;;) {
+            try {
+                return await this.open(newDiskIncompleteMs);
+            }
+            catch (err) {
+                if (isClosed()) {
+                    throw err;
+                }
+                if (performance.now() - loggedAt > openLogIntervalMs) {
+                    loggedAt = performance.now();
+                    this.log.error("disk not opened", { dir: this.dir, error: asError(err).message });
+                }
+            }
+            await setTimeout(openRetryMs);
+        }
+    }
+
     /**
      * Reads the log that earlier processes have written. An incomplete or corrupt end of a segment is skipped.
      *
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -56,6 +56,7 @@
     private appendsInFlight = 0;
     private accepting = false;
     private isDraining = false;
+    private isClosed = false;
     /** Resolves once the turns on the disk are known. */
     private readonly opened: Promise<void>;
     private onOpened: () => void = () => {};
@@ -98,7 +99,8 @@
         mayAccept: Promise<void> = Promise.resolve(),
         onOpened: (incompleteMs: number) => void = () => {},
     ): Promise<void> {
-        const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
+        const isClosed = (): boolean => this.isClosed;
+        const { payloads, segments, incompleteMs } = await this.disk.openWhenPossible(newDiskIncompleteMs, isClosed);
         segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
         for (const { segment, payload } of payloads) {
             const entry = packr.unpack(payload) as LogEntry;
@@ -163,6 +165,7 @@
     }
 
     async close(): Promise<void> {
+        this.isClosed = true;
         this.accepting = false;
         clearInterval(this.timer);
         await this.disk.close();
