Reset the workers of a test deployment in one place

calls.test.ts and endlessReplies.test.ts reset the workers between their tests with the same loop. Deployment.resetWorkers() now does it for both, and resets the delay and the count of endless bytes as well.

--- a/tests/platform/calls.test.ts
+++ b/tests/platform/calls.test.ts
@@ -16,13 +16,7 @@
     let deployment: Deployment;
     before(async () => deployment = await Deployment.start(1));
     after(() => deployment.close());
-    beforeEach(() => {
-        for (const worker of [deployment.streamingWorker, deployment.plainWorker]) {
-            worker.fault = "none";
-            worker.ran.length = 0;
-            worker.delayMs = 1;
-        }
-    });
+    beforeEach(() => deployment.resetWorkers());
 
     it("should pass a call on unchanged except for headers that are reserved for the system", async () => {
         const headers = { "Request-Id": "a1", "X-Note": "kept", "Hold": "7", "Pin-Ms": "9", "Kv-Backup": "1.2.3.4:5" };
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -145,6 +145,16 @@
         return this.call("POST", "/chat/turn", headers, input, gateway);
     }
 
+    /** Removes the workers' faults and forgets the calls that they ran, so that tests can share a deployment. */
+    resetWorkers(): void {
+        for (const worker of [this.streamingWorker, this.plainWorker]) {
+            worker.fault = "none";
+            worker.ran.length = 0;
+            worker.delayMs = 1;
+            worker.endlessBytes = 0;
+        }
+    }
+
     /** Closes one gateway's connections to the store and refuses new ones. */
     disconnectFromStore(index: number): void {
         this.storeProxies[index]!.block();
--- a/tests/platform/endlessReplies.test.ts
+++ b/tests/platform/endlessReplies.test.ts
@@ -15,13 +15,7 @@
     let deployment: Deployment;
     before(async () => deployment = await Deployment.start(1));
     after(() => deployment.close());
-    beforeEach(() => {
-        for (const worker of [deployment.streamingWorker, deployment.plainWorker]) {
-            worker.fault = "none";
-            worker.ran.length = 0;
-            worker.endlessBytes = 0;
-        }
-    });
+    beforeEach(() => deployment.resetWorkers());
 
     const callAll = async (call: (index: number) => Promise<unknown>): Promise<{ ms: number; results: unknown[]; }> => {
         const startedAt = performance.now();
