--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -14,29 +14,13 @@
 import { after, before, describe, it } from "node:test";
 
 import { config, waitUntil } from "./deployment.js";
+import { machineSettings } from "./machineSettings.js";
 
-const settings = `
-node = "front-north-a-1"
-ip = "10.1.0.38"
-zone = "north-a"
-region = "north"
-innerPorts = [7380,7395]
-somethingNew = true
-[zones]
-north-a = "north"
-[listen]
-front = "10.1.0.38:8149"
-ready = "10.1.0.38:8141"
-[tolerate]
-machines = 1
-[bounds]
-graceS = 8
-contactMs = 4000
-drainMs = 2500
-configApplyMs = 2500
-[platform]
-address = "10.200.1.7:8142"
-`;
+const settings = machineSettings({
+    node: "front-north-a-1",
+    fields: ["somethingNew = true"],
+    listen: ["front = \"10.1.0.38:8149\"", "ready = \"10.1.0.38:8141\""],
+});
 
 describe("platform settings", () => {
     // Guards against a front that sends copies of calls because of a mistyped setting.
--- a/tests/platform/earlySignals.test.ts
+++ b/tests/platform/earlySignals.test.ts
@@ -10,6 +10,7 @@
 import { after, before, describe, it } from "node:test";
 
 import { waitUntil } from "./deployment.js";
+import { machineSettings } from "./machineSettings.js";
 
 /** Times after the program's first statements at which signals are sent; the modules are loaded within these. */
 const signalTimesMs = Array.from({ length: 16 }, (_, index) => index * 20);
@@ -68,30 +69,15 @@
     }
 }
 
-const settings = (name: string, role: Role, ip: string, dataDir: string, store: string): string =>
-    [
-        `node = "${name}"`,
-        `ip = "${ip}"`,
-        "zone = \"north-a\"",
-        "region = \"north\"",
-        "innerPorts = [7380, 7395]",
-        "firstStart = true",
-        ...(role === "store" ? [`dataDir = "${dataDir}"`] : []),
-        "[zones]",
-        "north-a = \"north\"",
-        "[listen]",
-        ...(role === "front" ? [`front = "${ip}:8149"`, `ready = "${ip}:8141"`] : []),
-        "[tolerate]",
-        "machines = 1",
-        "[bounds]",
-        "graceS = 4",
-        "contactMs = 4000",
-        "drainMs = 2500",
-        "configApplyMs = 2500",
-        "[platform]",
-        `address = "${store}"`,
-        "",
-    ].join("\n");
+const settings = (node: string, role: Role, ip: string, dataDir: string, store: string): string =>
+    machineSettings({
+        node,
+        ip,
+        store,
+        fields: ["firstStart = true", ...(role === "store" ? [`dataDir = "${dataDir}"`] : [])],
+        listen: role === "front" ? [`front = "${ip}:8149"`, `ready = "${ip}:8141"`] : [],
+        graceS: 4,
+    });
 
 // Guards against processes that end because a signal comes while their modules are loaded.
 describe("a signal that comes while the program is loading", () => {
--- a/tests/platform/emptiedMachine.test.ts
+++ b/tests/platform/emptiedMachine.test.ts
@@ -1,18 +1,20 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { packTurn, PeerClient } from "@marigolddrift/gateway";
-import type { PeerAddress } from "@marigolddrift/gateway";
+import type { PeerClient } from "@marigolddrift/gateway";
 import { parseSettings, PlatformStandin, PlatformStore, StoreMachine } from "@marigolddrift/platform";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
 import { baseBounds } from "../bounds.js";
-import { turnOf } from "../gateway/journalNode.js";
 import { withDir } from "../gateway/withDir.js";
 import { waitUntil } from "./deployment.js";
+import { connectToDisk, keepTurn, memberKey } from "./diskClient.js";
+import { machineSettings } from "./machineSettings.js";
 
-const memberKey = "marigolddrift/members/disk-1";
 const slowReadMs = 1_000;
 
+/** Number of the copy that the machine keeps. */
+const copy = 1;
+
 /** A store whose reads of the requests to empty machines are slow, as when an answer is lost. */
 class SlowRequestsStore extends PlatformStore {
     override async range(...args: Parameters<PlatformStore["range"]>): ReturnType<PlatformStore["range"]> {
@@ -30,40 +32,14 @@
     }
 }
 
-const settingsOf = (dataDir: string, address: string) =>
-    parseSettings(`
-node = "disk-1"
-ip = "127.0.0.1"
-zone = "north-a"
-region = "north"
-innerPorts = [0,0]
-firstStart = true
-dataDir = ${JSON.stringify(dataDir)}
-[zones]
-north-a = "north"
-[listen]
-[tolerate]
-machines = 1
-[bounds]
-graceS = 8
-contactMs = 4000
-drainMs = 2500
-configApplyMs = 2500
-[platform]
-address = "${address}"
-`);
-
-/** Sends a copy of a turn until the machine has said something about it. */
-const keepOnce = async (client: PeerClient, id: string): Promise<unknown> => {
-    const progress = new Progress(1_000);
-    try {
-        const turn = { id, record: packTurn(turnOf(id)), keepMs: 60_000, copy: 1, holders: [] };
-        return await client.ask({ kind: "keepTurn", turn }, progress);
-    }
-    finally {
-        progress.dispose();
-    }
-};
+const settingsOf = (dataDir: string, store: string) =>
+    parseSettings(machineSettings({
+        node: "disk-1",
+        ip: "127.0.0.1",
+        innerPorts: [0, 0],
+        fields: ["firstStart = true", `dataDir = ${JSON.stringify(dataDir)}`],
+        store,
+    }));
 
 describe("machine that is to be emptied", () => {
     // Guards against turns lost with a machine that had reported to be empty, and took turns again after a restart.
@@ -80,13 +56,11 @@
                 const machine = new StoreMachine({ settings, instance: "disk-1-1", store, log: silentLogger });
                 const started = machine.start();
                 await waitUntil(() => platform.state.get(memberKey) !== undefined);
-                const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
-                const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
-                const client = new PeerClient(address, () => key);
+                const client = connectToDisk(platform);
                 const answers: unknown[] = [];
                 const endsAt = performance.now() + baseBounds.contactMs;
                 for (let turn = 0; performance.now() < endsAt; turn++) {
-                    answers.push(await keepOnce(client, `t${turn}`));
+                    answers.push(await keepTurn(client, `t${turn}`, copy));
                     await new Promise(resolve => setTimeout(resolve, 50));
                 }
                 expect([answers.includes(true), answers.includes("uncounted")]).toEqual([!isRequested, false]);
@@ -110,16 +84,14 @@
                 const machine = new StoreMachine({ settings, instance: "disk-1-1", store, log: silentLogger });
                 void machine.start();
                 await waitUntil(() => platform.state.get(memberKey) !== undefined);
-                const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
-                const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
-                const client = new PeerClient(address, () => key);
+                const client = connectToDisk(platform);
                 await use(client);
                 client.close();
                 await machine.stop();
                 await store.close();
             };
             await run(new PlatformStore(platform.address), async client => {
-                while (await keepOnce(client, "t1") !== true) {
+                while (await keepTurn(client, "t1", copy) !== true) {
                     await new Promise(resolve => setTimeout(resolve, 50));
                 }
             });
@@ -133,7 +105,7 @@
                     await new Promise(resolve => setTimeout(resolve, 50));
                 }
                 expect(found?.record).not.toEqual(undefined);
-                expect(await keepOnce(client, "t2")).toEqual(false);
+                expect(await keepTurn(client, "t2", copy)).toEqual(false);
             });
             platform.close();
         }));
--- a/tests/platform/uncountedDisks.test.ts
+++ b/tests/platform/uncountedDisks.test.ts
@@ -1,6 +1,6 @@
-import { Progress, silentLogger } from "@marigolddrift/common";
-import { JournalServer, packTurn, PeerClient } from "@marigolddrift/gateway";
-import type { PeerAddress } from "@marigolddrift/gateway";
+import { silentLogger } from "@marigolddrift/common";
+import { JournalServer } from "@marigolddrift/gateway";
+import type { PeerClient } from "@marigolddrift/gateway";
 import { PlatformStandin, PlatformStore, SettingsFile } from "@marigolddrift/platform";
 import { expect } from "earl";
 import { mkdir, writeFile } from "node:fs/promises";
@@ -8,13 +8,13 @@
 import { describe, it } from "node:test";
 
 import { baseBounds } from "../bounds.js";
-import { turnOf } from "../gateway/journalNode.js";
 import { withDir } from "../gateway/withDir.js";
 import { waitUntil } from "./deployment.js";
+import { connectToDisk, keepTurn } from "./diskClient.js";
+import { machineSettings } from "./machineSettings.js";
 
 const host = "127.0.0.1";
 const catchUpMs = baseBounds.catchupS * 1_000;
-const memberKey = "marigolddrift/members/disk-1";
 
 interface DiskOptions {
     readonly firstStart: boolean;
@@ -61,22 +61,13 @@
     }
 
     /** Sends a copy of a turn and returns what the machine says about it. */
-    async keep(id: string): Promise<unknown> {
-        const progress = new Progress(1_000);
-        try {
-            const turn = { id, record: packTurn(turnOf(id)), keepMs: 60_000, copy: 0, holders: [] };
-            return await this.client!.ask({ kind: "keepTurn", turn }, progress);
-        }
-        finally {
-            progress.dispose();
-        }
+    keep(id: string): Promise<unknown> {
+        return keepTurn(this.client!, id, 0);
     }
 
     private async connect(platform: PlatformStandin): Promise<void> {
         await this.keeper.start();
-        const address = JSON.parse(platform.state.get(memberKey)!.value.toString()) as PeerAddress;
-        const key = platform.state.get("marigolddrift/peer-key")!.value.toString();
-        this.client = new PeerClient(address, () => key);
+        this.client = connectToDisk(platform);
     }
 
     private async close(): Promise<void> {
@@ -86,26 +77,8 @@
     }
 }
 
-const settingsText = (inTolerance: boolean): string => `
-node = "store-north-a-1"
-ip = "10.1.0.38"
-zone = "north-a"
-region = "north"
-innerPorts = [7380,7395]
-inTolerance = ${inTolerance}
-[zones]
-north-a = "north"
-[listen]
-[tolerate]
-machines = 1
-[bounds]
-graceS = 8
-contactMs = 4000
-drainMs = 2500
-configApplyMs = 2500
-[platform]
-address = "10.200.1.7:8142"
-`;
+const settingsText = (inTolerance: boolean): string =>
+    machineSettings({ node: "store-north-a-1", fields: [`inTolerance = ${inTolerance}`] });
 
 describe("disks that may be lost besides the tolerated ones", () => {
     // Guards against turns lost with a new machine, which may be lost besides the tolerated number until it has caught up.
