Use one token bucket for retries and for second copies

RetryBudget and HedgeBudget had the same bucket: an amount that calls refill up to a limit, from which one attempt at a time is taken. It is now CallBudget; the two keep their names, sizes and what refills them.

--- a/packages/policy/src/hedging.ts
+++ b/packages/policy/src/hedging.ts
@@ -2,6 +2,7 @@
  * Decides when a second copy of a repeatable call is sent to another worker. Load pattern: a few calls wait at a worker that is stuck
  * or busy while others have room. Copies must not add load when there is none to spare, or when all calls become slow together.
  */
+import { CallBudget } from "./callBudget.js";
 
 /** Number of recent times to the first byte from which the percentile is taken. */
 const windowSize = 200;
@@ -79,27 +80,23 @@
  * const mayHedge = budget.tryAcquire();
  */
 export class HedgeBudget {
-    private available = 0;
+    private readonly copies = new CallBudget({ initial: 0, max: maxAvailable });
 
     constructor(private readonly share: number) {}
 
     /** Adds to the budget for a call, that is, not for a copy. */
     onCall(): void {
-        this.available = Math.min(maxAvailable, this.available + this.share);
+        this.copies.add(this.share);
     }
 
     /** Takes one copy; returns false if none is available. */
     tryAcquire(): boolean {
-        if (this.available < 1) {
-            return false;
-        }
-        this.available -= 1;
-        return true;
+        return this.copies.tryAcquire();
     }
 
     /** Returns a copy that was not sent. */
     giveBack(): void {
-        this.available = Math.min(maxAvailable, this.available + 1);
+        this.copies.add(1);
     }
 }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./affinity.js";
 export * from "./baselines.js";
 export * from "./cacheView.js";
+export * from "./callBudget.js";
 export * from "./callCost.js";
 export * from "./costModel.js";
 export * from "./crashRecords.js";
--- a/packages/policy/src/retryBudget.ts
+++ b/packages/policy/src/retryBudget.ts
@@ -1,4 +1,5 @@
 /** Limits retries to a fraction of regular requests, so that retries do not amplify an outage. */
+import { CallBudget } from "./callBudget.js";
 
 /** Maximum number of unused retries that accumulate. */
 const maxAvailable = 50;
@@ -8,7 +9,7 @@
 
 /** A token bucket of retries that regular requests refill. */
 export class RetryBudget {
-    private available = initialAvailable;
+    private readonly retries = new CallBudget({ initial: initialAvailable, max: maxAvailable });
 
     constructor(private share: number) {}
 
@@ -19,15 +20,11 @@
 
     /** Refills the budget for a regular request, that is, not a retry. */
     onRequest(): void {
-        this.available = Math.min(maxAvailable, this.available + this.share);
+        this.retries.add(this.share);
     }
 
     /** Consumes one retry; returns false if none is available. */
     tryAcquire(): boolean {
-        if (this.available < 1) {
-            return false;
-        }
-        this.available -= 1;
-        return true;
+        return this.retries.tryAcquire();
     }
 }
