Build the views of idle workers for tests in one place

Five test files wrote out all fields of a worker's view, most of them with the same values. workerView() has these; each test names what differs.

--- a/tests/policy/loadAggregator.test.ts
+++ b/tests/policy/loadAggregator.test.ts
@@ -4,6 +4,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
+import { workerView } from "./workerView.js";
+
 const instances = 33;
 const workers = 17;
 const slotsPerWorker = 6;
@@ -153,20 +155,14 @@
 
     private view({ instance, worker: last }: Program, worker: string, now: number): WorkerView {
         const shared = instance.known.has(worker) ? sharedTokens : 0;
-        return {
-            worker,
-            zone: "z",
+        return workerView(worker, {
             localInFlight: instance.inFlight.get(worker) ?? 0,
             reportedInFlight: instance.reportedByOthers[worker] ?? 0,
-            localInFlightAtReport: 0,
             reportAgeMs: now - instance.reportedAt,
             cachedTokens: worker === last ? promptTokens - 200 : shared,
-            exportedTokens: 0,
-            slowdown: 1,
-            roundTripMs: 1,
             maxInFlight: Infinity,
             cost,
-        };
+        });
     }
 }
 
--- a/tests/policy/loadReplay.ts
+++ b/tests/policy/loadReplay.ts
@@ -10,6 +10,8 @@
 import type { Location, PlacementFunction, WorkerLoad, WorkerView } from "@marigolddrift/policy";
 import { createRandom } from "@marigolddrift/workload";
 
+import { workerView } from "./workerView.js";
+
 const reportIntervalMs = 200;
 
 /** A worker of a replay. */
@@ -223,21 +225,16 @@
         };
         const usualInFlight = instance.usual[String(worker)] ?? 0;
         const observed = { observedWaitMs: instance.waits[worker]!.waitMs(now), meanCallMs, usualInFlight };
-        return {
-            worker: String(worker),
+        return workerView(String(worker), {
             zone,
             localInFlight: instance.inFlight.get(worker) ?? 0,
             reportedInFlight: instance.reported[String(worker)] ?? 0,
-            localInFlightAtReport: 0,
             reportAgeMs: now - instance.reportedAt,
-            cachedTokens: 0,
-            exportedTokens: 0,
-            slowdown: 1,
             roundTripMs: expectedRoundTripMs(instance, { zone, region }),
             maxInFlight: slots * 1.5,
             cost,
             isRemote: region !== instance.region,
             ...(isPrevious ? {} : observed),
-        };
+        });
     }
 }
--- a/tests/policy/placement.test.ts
+++ b/tests/policy/placement.test.ts
@@ -7,26 +7,13 @@
     place,
     RetryBudget,
 } from "@marigolddrift/policy";
-import type { WaitingCall, WorkerView } from "@marigolddrift/policy";
+import type { WaitingCall } from "@marigolddrift/policy";
 import { createRandom } from "@marigolddrift/workload";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
-const workerView = (name: string, changes: Partial<WorkerView> = {}): WorkerView => ({
-    worker: name,
-    zone: "z",
-    localInFlight: 0,
-    reportedInFlight: 0,
-    localInFlightAtReport: 0,
-    reportAgeMs: 100,
-    cachedTokens: 0,
-    exportedTokens: 0,
-    slowdown: 1,
-    roundTripMs: 1,
-    maxInFlight: 16,
-    cost: defaultCostModel,
-    ...changes,
-});
+import { workerView } from "./workerView.js";
+
 const call = { promptTokens: 8_000, expectedTokens: 100 };
 
 describe("placement", () => {
--- a/tests/policy/unevenLoad.test.ts
+++ b/tests/policy/unevenLoad.test.ts
@@ -5,6 +5,7 @@
 
 import { LoadReplay } from "./loadReplay.js";
 import type { ReplayPlan, ReplayResult } from "./loadReplay.js";
+import { workerView } from "./workerView.js";
 
 const times = <T>(count: number, create: (index: number) => T): T[] =>
     Array.from({ length: count }, (_, index) => create(index));
@@ -97,22 +98,8 @@
     maxBatch: 8,
 };
 
-const view = (worker: string, changes: Partial<WorkerView> = {}): WorkerView => ({
-    worker,
-    zone: "a",
-    localInFlight: 0,
-    reportedInFlight: 0,
-    localInFlightAtReport: 0,
-    reportAgeMs: 100,
-    cachedTokens: 0,
-    exportedTokens: 0,
-    slowdown: 1,
-    roundTripMs: 1,
-    maxInFlight: 12,
-    cost: plainCost,
-    meanCallMs: 100,
-    ...changes,
-});
+const view = (worker: string, changes: Partial<WorkerView> = {}): WorkerView =>
+    workerView(worker, { zone: "a", maxInFlight: 12, cost: plainCost, meanCallMs: 100, ...changes });
 
 describe("waiting at a worker", () => {
     const turn = { promptTokens: 20_000, expectedTokens: 100 };
--- a/tests/upstreams/queueOrder.test.ts
+++ b/tests/upstreams/queueOrder.test.ts
@@ -3,11 +3,13 @@
 import type { CallQueue, DispatcherOptions, DispatchLease, DispatchRequest } from "@marigolddrift/dispatch";
 import { GatewayMetrics } from "@marigolddrift/gateway";
 import { FairQueue, nextCall, place } from "@marigolddrift/policy";
-import type { FairCall, WorkerView } from "@marigolddrift/policy";
+import type { FairCall } from "@marigolddrift/policy";
 import { createRandom } from "@marigolddrift/workload";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
+import { workerView } from "../policy/workerView.js";
+
 type Call = DispatchRequest & FairCall;
 
 const callOf = (workspace: string, call: number, changes: Partial<Call> = {}): Call => ({
@@ -42,16 +44,8 @@
     private readonly dispatcher: Dispatcher<Call>;
 
     constructor(options: Pick<DispatcherOptions<Call>, "order" | "queueOf">) {
-        const view: WorkerView = {
-            worker: "w",
-            zone: "z",
-            localInFlight: 0,
-            reportedInFlight: 0,
-            localInFlightAtReport: 0,
+        const view = workerView("w", {
             reportAgeMs: 0,
-            cachedTokens: 0,
-            exportedTokens: 0,
-            slowdown: 1,
             roundTripMs: 0,
             maxInFlight: 1,
             cost: {
@@ -61,7 +55,7 @@
                 maxBatch: 1,
                 importMsPerToken: 0,
             },
-        };
+        });
         const target = {
             views: () => [{ ...view, localInFlight: this.running }],
             capacity: () => 1,
