--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -3,17 +3,14 @@
 import { Agent, request } from "undici";
 
 import { LocalFleet } from "./localFleet.js";
-import { barbeDouce } from "./sampleBundle.js";
+import { barbeDouce, inOneZone } from "./sampleBundle.js";
 
 const calls = 1_500;
 const warmUp = 200;
 const maxOverheadMs = 5;
 const resolution = 1_000;
 
-const layout = {
-    ...barbeDouce,
-    zones: [{ zone: "tunis-a", region: "tunis-north", daemons: 2, engines: 1, services: 1 }],
-};
+const layout = inOneZone(barbeDouce, { daemons: 2, engines: 1 });
 const engine = { decodeBaseMs: 1, decodePerSequenceMs: 0, prefillMsPerToken: 0 };
 const messages = (index: number) => [{ role: "user" as const, content: `call ${index} [[tokens=1]]` }];
 
--- a/bench/sampleBundle.ts
+++ b/bench/sampleBundle.ts
@@ -65,6 +65,17 @@
     },
 };
 
+/**
+ * A fleet of the same user in one availability zone with one service.
+ *
+ * @example
+ * const fleet = new LocalFleet({ layout: inOneZone(barbeDouce, { daemons: 2, engines: 1 }) });
+ */
+export const inOneZone = (layout: FleetLayout, counts: Pick<ZoneLayout, "daemons" | "engines">): FleetLayout => {
+    const { zone, region } = layout.zones[0]!;
+    return { ...layout, zones: [{ zone, region, ...counts, services: 1 }] };
+};
+
 /** Addresses of the upstreams, as `zone=host:port`. */
 export interface FleetAddresses {
     readonly engines: readonly string[];
--- a/tests/limits/callers.test.ts
+++ b/tests/limits/callers.test.ts
@@ -5,12 +5,9 @@
 import { after, before, describe, it } from "node:test";
 import { request } from "undici";
 import { LocalFleet } from "../../bench/localFleet.js";
-import { barbeDouce } from "../../bench/sampleBundle.js";
+import { barbeDouce, inOneZone } from "../../bench/sampleBundle.js";
 
-const layout = {
-    ...barbeDouce,
-    zones: [{ zone: "tunis-a", region: "tunis-north", daemons: 1, engines: 1, services: 1 }],
-};
+const layout = inOneZone(barbeDouce, { daemons: 1, engines: 1 });
 
 describe("caller requests", () => {
     const fleet = new LocalFleet({ layout });
--- a/tests/storeFaults/intents.test.ts
+++ b/tests/storeFaults/intents.test.ts
@@ -3,12 +3,9 @@
 import { expect } from "earl";
 import { after, before, describe, it } from "node:test";
 import { LocalFleet } from "../../bench/localFleet.js";
-import { barbeDouce } from "../../bench/sampleBundle.js";
+import { barbeDouce, inOneZone } from "../../bench/sampleBundle.js";
 
-const layout = {
-    ...barbeDouce,
-    zones: [{ zone: "tunis-a", region: "tunis-north", daemons: 1, engines: 1, services: 1 }],
-};
+const layout = inOneZone(barbeDouce, { daemons: 1, engines: 1 });
 
 /** Lifetime of an instance's lease; it is renewed each third of it. */
 const leaseMs = 6_000;
--- a/tests/upstreams/leaving.test.ts
+++ b/tests/upstreams/leaving.test.ts
@@ -2,12 +2,9 @@
 import { expect } from "earl";
 import { after, before, describe, it } from "node:test";
 import { LocalFleet } from "../../bench/localFleet.js";
-import { barbeDouce } from "../../bench/sampleBundle.js";
+import { barbeDouce, inOneZone } from "../../bench/sampleBundle.js";
 
-const layout = {
-    ...barbeDouce,
-    zones: [{ zone: "tunis-a", region: "tunis-north", daemons: 2, engines: 2, services: 1 }],
-};
+const layout = inOneZone(barbeDouce, { daemons: 2, engines: 2 });
 const leavingDelayMs = 3_000;
 
 describe("an engine that leaves", () => {
