Send the commands' JSON requests in one place

The client of the admin port and the command `where` made the same request and read errors from the answer in the same way. requestJson() does so now; each wraps the error in its own type, with the same message as before.

The command's output is the same as before for an answer with an error, one without and one that is no JSON.

--- a/packages/cli/src/adminClient.ts
+++ b/packages/cli/src/adminClient.ts
@@ -1,7 +1,9 @@
 /** Client for the daemons' admin API. */
-import { request } from "undici";
+import { asError } from "@marigolddrift/common";
 import VError from "verror";
 
+import { requestJson } from "./requestJson.js";
+
 const timeoutMs = 10_000;
 
 /** Address and key of a daemon's admin port. */
@@ -31,24 +33,16 @@
 
     private async call(method: "GET" | "POST", path: string, body?: object): Promise<unknown> {
         const { address, key } = this.target;
-        let status: number;
-        let reply: unknown;
         try {
-            const res = await request(`http://${address}/${path}`, {
+            return await requestJson(`http://${address}/${path}`, {
                 method,
                 headers: { authorization: `Bearer ${key}`, "content-type": "application/json" },
                 body: body === undefined ? null : JSON.stringify(body),
                 headersTimeout: timeoutMs,
             });
-            status = res.statusCode;
-            reply = await res.body.json();
         }
         catch (err) {
-            throw new AdminError(address, err instanceof Error ? err.message : String(err));
-        }
-        if (status !== 200) {
-            throw new AdminError(address, (reply as { error?: string; }).error ?? `status ${status}`);
+            throw new AdminError(address, asError(err).message);
         }
-        return reply;
     }
 }
--- a/packages/cli/src/whereCommand.ts
+++ b/packages/cli/src/whereCommand.ts
@@ -1,7 +1,9 @@
 /** The `marigolddrift where` command: asks a running front where a call would go now, without sending it. */
-import { request } from "undici";
+import { asError } from "@marigolddrift/common";
 import VError from "verror";
 
+import { requestJson } from "./requestJson.js";
+
 const timeoutMs = 5_000;
 
 /** Path of the front's metrics port that answers. */
@@ -57,20 +59,13 @@
             query.set(name, String(value));
         }
     }
-    let status: number;
-    let answer: unknown;
+    const endpoint = `http://${front}${wherePath}?${query.toString()}`;
     try {
-        const res = await request(`http://${front}${wherePath}?${query.toString()}`, { headersTimeout: timeoutMs });
-        status = res.statusCode;
-        answer = await res.body.json();
+        return await requestJson(endpoint, { headersTimeout: timeoutMs }) as WhereAnswer;
     }
     catch (err) {
-        throw new WhereError(front, err instanceof Error ? err.message : String(err));
-    }
-    if (status !== 200) {
-        throw new WhereError(front, (answer as { error?: string; }).error ?? `status ${status}`);
+        throw new WhereError(front, asError(err).message);
     }
-    return answer as WhereAnswer;
 };
 
 /**
