Validate the facts of peers in one place

CallBlocker and UpstreamLimits had the same loop, which passes over invalid facts and logs them. validFacts() does so; the log lines are unchanged.

22 tests of the fact exchange, deadly calls, named limits and permits pass.

--- a/packages/gateway/src/crashes/callBlocker.ts
+++ b/packages/gateway/src/crashes/callBlocker.ts
@@ -7,6 +7,7 @@
 
 import { FactTable } from "../facts/factTable.js";
 import type { FactClock, FactSource } from "../facts/factTable.js";
+import { validFacts } from "../facts/validFacts.js";
 import type { CallContext } from "../filters/callContext.js";
 import { compareFingerprints } from "./fingerprint.js";
 import type { Fingerprints } from "./fingerprint.js";
@@ -114,17 +115,12 @@
 
     merge(facts: readonly unknown[]): void {
         const now = performance.now();
-        for (const fact of facts) {
-            const { success, data } = crashFactSchema.safeParse(fact);
-            if (!success) {
-                this.log.warn("crash record of a peer ignored", { reason: "it is not valid" });
-                continue;
-            }
-            const received = {
-                crashes: data.crashes.map(({ upstream, ageMs }) => ({ upstream, at: now - ageMs })),
-                clearedAt: data.clearedAgeMs === undefined ? -Infinity : now - data.clearedAgeMs,
-            };
-            this.mergeRecord(data.fingerprint, received);
+        const onInvalid = (): void => this.log.warn("crash record of a peer ignored", { reason: "it is not valid" });
+        for (const { fingerprint, crashes, clearedAgeMs } of validFacts(crashFactSchema, facts, onInvalid)) {
+            this.mergeRecord(fingerprint, {
+                crashes: crashes.map(({ upstream, ageMs }) => ({ upstream, at: now - ageMs })),
+                clearedAt: clearedAgeMs === undefined ? -Infinity : now - clearedAgeMs,
+            });
         }
         this.findBlocked("peer");
     }
--- a/packages/gateway/src/limits/upstreamLimits.ts
+++ b/packages/gateway/src/limits/upstreamLimits.ts
@@ -6,6 +6,7 @@
 
 import { FactTable } from "../facts/factTable.js";
 import type { FactClock, FactSource } from "../facts/factTable.js";
+import { validFacts } from "../facts/validFacts.js";
 import type { Upstream } from "../upstreams/upstreams.js";
 import type { Permits } from "./permits.js";
 
@@ -98,13 +99,8 @@
 
     merge(facts: readonly unknown[]): void {
         const now = performance.now();
-        for (const fact of facts) {
-            const { success, data } = limitFactSchema.safeParse(fact);
-            if (!success) {
-                this.log.warn("limit of a peer ignored", { reason: "it is not valid" });
-                continue;
-            }
-            const { upstream, perSecond, previous, ageMs } = data;
+        const onInvalid = (): void => this.log.warn("limit of a peer ignored", { reason: "it is not valid" });
+        for (const { upstream, perSecond, previous, ageMs } of validFacts(limitFactSchema, facts, onInvalid)) {
             this.mergeLimit(upstream, { perSecond, previous, at: now - ageMs });
         }
     }
