Split flushing, segments and the flushed cache out of TurnJournal

StoreFlusher now writes turns to the store and backs off, JournalSegments deletes flushed segments from the disk, FlushedTurnCache keeps what was flushed last, and journalEntry.ts encodes the log's entries. Neither the log on the disk nor the log lines change.

--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -2,19 +2,20 @@
  * Journals turns on one disk until they are flushed to the platform's store. Load pattern: many turns end each second,
  * which would cost a store call each, and some end while the store is unavailable.
  */
-import { asError, Progress } from "@marigolddrift/common";
+import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import { StoreRefusalError } from "@marigolddrift/store";
 import type { VersionedStore } from "@marigolddrift/store";
-import { Packr } from "msgpackr";
 
 import type { FindTurnResponse, JournaledTurn } from "../peers/peerMessages.js";
 import type { RecordRemover } from "../turns/recordRemover.js";
-import { turnKey } from "../turns/storeArchive.js";
 import type { DiskLog, SegmentId } from "./diskLog.js";
 import { batchesOf, dueBatches } from "./flushBatch.js";
 import type { UnflushedTurn } from "./flushBatch.js";
+import { FlushedTurnCache } from "./flushedTurnCache.js";
 import type { FlushOrder } from "./flushOrder.js";
+import { packEntry, unpackEntry } from "./journalEntry.js";
+import { JournalSegments } from "./journalSegments.js";
+import { StoreFlusher } from "./storeFlusher.js";
 
 /** Delay after which the first holder of a turn flushes it to the store. */
 const firstFlushDelayMs = 1_000;
@@ -25,33 +26,19 @@
 /** Interval at which the journal checks for turns that are due. */
 const flushPollMs = 100;
 
-/** Backoff after a failed store call. */
-const retryBackoffMs = 250;
-
 /** Time after which a turn is tried again that the store has refused for good. */
 const refusedRetryMs = 10_000;
 
-/** Timeout of one store call. */
-const callTimeoutMs = 1_500;
-
 /** Size of the unflushed turns above which the journal rejects further turns. */
 const maxUnflushedBytes = 48 * 1024 * 1024;
 
-/** Size of the in-memory cache of turns that have been flushed. */
-const maxFlushedCacheBytes = 24 * 1024 * 1024;
-
-const packr = new Packr({ useRecords: false });
-
-/** An entry of the log: a turn, or the ids of turns that have been flushed. */
-type LogEntry = { readonly turn: JournaledTurn; } | { readonly flushed: readonly string[]; };
-
 /** The journal of one machine. */
 export class TurnJournal {
     private readonly unflushed = new Map<string, UnflushedTurn>();
     private unflushedBytes = 0;
-    private readonly flushedCache = new Map<string, Buffer>();
-    private flushedCacheBytes = 0;
-    private readonly unflushedBySegment = new Map<SegmentId, number>();
+    private readonly flushedCache = new FlushedTurnCache();
+    private readonly segments: JournalSegments;
+    private readonly flusher: StoreFlusher;
     /** Number of turns being written to disk, whose segment is not yet known. */
     private appendsInFlight = 0;
     private accepting = false;
@@ -60,25 +47,32 @@
     private readonly opened: Promise<void>;
     private onOpened: () => void = () => {};
     private completeAt = Infinity;
-    private flushing = false;
-    private isStoreUnreachable = false;
-    private retryAt = 0;
     private timer: NodeJS.Timeout | undefined;
 
     constructor(
         private readonly disk: DiskLog,
-        private readonly store: Pick<VersionedStore, "txn">,
-        private readonly remover: RecordRemover,
-        private readonly notifyFlushed: (holder: string, ids: readonly string[]) => void,
+        store: Pick<VersionedStore, "txn">,
+        remover: RecordRemover,
+        notifyFlushed: (holder: string, ids: readonly string[]) => void,
         private readonly flushOrder: FlushOrder,
         private readonly log: Logger,
     ) {
         this.opened = new Promise(resolve => this.onOpened = resolve);
+        this.segments = new JournalSegments(disk, log);
+        this.flusher = new StoreFlusher({
+            store,
+            remover,
+            onFlushed: ids => this.recordFlushed(ids),
+            onRefused: turn => this.postpone(turn),
+            notifyFlushed,
+            unflushedCount: () => this.unflushed.size,
+            log,
+        });
     }
 
     /** Whether the last call to the store succeeded. */
     get isStoreReachable(): boolean {
-        return !this.isStoreUnreachable;
+        return this.flusher.isStoreReachable;
     }
 
     /** Number of turns that are not yet in the store. */
@@ -99,16 +93,8 @@
         onOpened: (incompleteMs: number) => void = () => {},
     ): Promise<void> {
         const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
-        segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
-        for (const { segment, payload } of payloads) {
-            const entry = packr.unpack(payload) as LogEntry;
-            if ("turn" in entry) {
-                this.addUnflushed(entry.turn, segment);
-            }
-            else {
-                entry.flushed.forEach(id => this.markFlushed(id));
-            }
-        }
+        segments.forEach(segment => this.segments.register(segment));
+        payloads.forEach(({ segment, payload }) => this.recover(segment, payload));
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
         onOpened(incompleteMs);
@@ -129,10 +115,9 @@
             });
             return false;
         }
-        const entry: LogEntry = { turn };
         this.appendsInFlight += 1;
         try {
-            this.addUnflushed(turn, await this.disk.append(packr.pack(entry)));
+            this.addUnflushed(turn, await this.disk.append(packEntry({ turn })));
         }
         finally {
             this.appendsInFlight -= 1;
@@ -157,7 +142,7 @@
         await this.opened;
         // A turn that is being written to the disk has been accepted, too.
         while (this.unflushed.size > 0 || this.appendsInFlight > 0) {
-            await this.flush(batchesOf([...this.unflushed.values()]));
+            await this.flusher.flush(batchesOf([...this.unflushed.values()]));
             await new Promise(resolve => setTimeout(resolve, flushPollMs));
         }
     }
@@ -168,6 +153,16 @@
         await this.disk.close();
     }
 
+    private recover(segment: SegmentId, payload: Uint8Array): void {
+        const entry = unpackEntry(payload);
+        if ("turn" in entry) {
+            this.addUnflushed(entry.turn, segment);
+        }
+        else {
+            entry.flushed.forEach(id => this.markFlushed(id));
+        }
+    }
+
     private addUnflushed(turn: JournaledTurn, segment: SegmentId): void {
         if (this.unflushed.has(turn.id) || this.flushedCache.has(turn.id)) {
             return;
@@ -176,89 +171,24 @@
         const dueAt = performance.now() + firstFlushDelayMs + position * laterFlushDelayMs;
         this.unflushed.set(turn.id, { ...turn, segment, position, dueAt, isRefused: false });
         this.unflushedBytes += turn.record.length;
-        this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + 1);
+        this.segments.addTurn(segment);
     }
 
     private async flushDue(): Promise<void> {
         const now = performance.now();
-        if (this.flushing || now < this.retryAt) {
+        if (!this.flusher.isIdle(now)) {
             return;
         }
         const batches = dueBatches([...this.unflushed.values()], now);
         if (batches.length > 0) {
-            await this.flush(batches);
-        }
-    }
-
-    private async flush(batches: readonly UnflushedTurn[][]): Promise<void> {
-        this.flushing = true;
-        try {
-            for (const batch of batches) {
-                await this.writeAccepted(batch);
-            }
-        }
-        catch (err) {
-            this.retryAt = performance.now() + retryBackoffMs;
-            if (!this.isStoreUnreachable) {
-                this.isStoreUnreachable = true;
-                this.log.warn("journal cannot reach the store", {
-                    error: asError(err).message,
-                    waiting: this.unflushed.size,
-                });
-            }
-        }
-        finally {
-            this.flushing = false;
-        }
-    }
-
-    /** Writes a batch; if the store refuses it for good, each turn by itself, so that one does not hold up the others. */
-    private async writeAccepted(batch: readonly UnflushedTurn[]): Promise<void> {
-        try {
-            await this.writeBatch(batch);
-        }
-        catch (err) {
-            if (!(err instanceof StoreRefusalError) || err.isRetryable) {
-                throw err;
-            }
-            if (batch.length === 1) {
-                this.onRefused(batch[0]!, err);
-                return;
-            }
-            for (const turn of batch) {
-                await this.writeAccepted([turn]);
-            }
+            await this.flusher.flush(batches);
         }
     }
 
     /** The turn stays on the disk, from which it can be read, and is tried again now and then. */
-    private onRefused(turn: UnflushedTurn, err: StoreRefusalError): void {
-        const { id, record } = turn;
-        this.log.error("turn refused by the store", { turn: id, bytes: record.length, error: err.message });
-        if (this.unflushed.get(id) === turn) {
-            this.unflushed.set(id, { ...turn, dueAt: performance.now() + refusedRetryMs, isRefused: true });
-        }
-    }
-
-    /** Writes one batch to the store. Records are immutable, so writing one twice is harmless. */
-    private async writeBatch(batch: readonly UnflushedTurn[]): Promise<void> {
-        const progress = new Progress(callTimeoutMs);
-        try {
-            const puts = batch.map(({ id, record }) => ({ key: turnKey(id), value: record }));
-            await progress.race(this.store.txn([], puts, progress));
-        }
-        finally {
-            progress.dispose();
-        }
-        if (this.isStoreUnreachable) {
-            this.isStoreUnreachable = false;
-            this.log.info("journal can reach the store again", { waiting: this.unflushed.size });
-        }
-        batch.forEach(({ id, keepMs }) => this.remover.schedule(turnKey(id), keepMs));
-        this.recordFlushed(batch.map(({ id }) => id));
-        const holders = new Set(batch.flatMap(turn => turn.holders));
-        for (const holder of holders) {
-            this.notifyFlushed(holder, batch.filter(turn => turn.holders.includes(holder)).map(({ id }) => id));
+    private postpone(turn: UnflushedTurn): void {
+        if (this.unflushed.get(turn.id) === turn) {
+            this.unflushed.set(turn.id, { ...turn, dueAt: performance.now() + refusedRetryMs, isRefused: true });
         }
     }
 
@@ -268,9 +198,8 @@
         }
         ids.forEach(id => this.markFlushed(id));
         this.removeFlushedSegments();
-        const entry: LogEntry = { flushed: ids };
         // If this entry is lost in a crash, the turns are only written to the store again.
-        this.disk.append(packr.pack(entry)).catch((err: unknown) =>
+        this.disk.append(packEntry({ flushed: ids })).catch((err: unknown) =>
             this.log.warn("failed to log flushed turns", { turns: ids.length, error: asError(err).message })
         );
     }
@@ -282,44 +211,14 @@
         }
         this.unflushed.delete(id);
         this.unflushedBytes -= turn.record.length;
-        this.cacheFlushed(turn);
-        this.unflushedBySegment.set(turn.segment, this.unflushedBySegment.get(turn.segment)! - 1);
+        this.flushedCache.add(turn);
+        this.segments.removeTurn(turn.segment);
     }
 
-    /** Deletes segments whose turns are all in the store. Their `flushed` entries may be lost without harm. */
     private removeFlushedSegments(): void {
-        if (this.appendsInFlight > 0) {
-            return;
-        }
-        for (const [segment, unflushedTurns] of this.unflushedBySegment) {
-            if (unflushedTurns === 0) {
-                void this.removeSegment(segment);
-            }
-        }
-    }
-
-    private async removeSegment(segment: SegmentId): Promise<void> {
-        this.unflushedBySegment.delete(segment);
-        try {
-            if (!await this.disk.removeSegment(segment)) {
-                // The active segment stays registered until it is closed.
-                this.unflushedBySegment.set(segment, this.unflushedBySegment.get(segment) ?? 0);
-            }
-        }
-        catch (err) {
-            this.log.warn("journal segment not removed", { segment, error: asError(err).message });
-        }
-    }
-
-    private cacheFlushed({ id, record }: JournaledTurn): void {
-        this.flushedCache.set(id, record);
-        this.flushedCacheBytes += record.length;
-        for (const [oldest, bytes] of this.flushedCache) {
-            if (this.flushedCacheBytes <= maxFlushedCacheBytes) {
-                return;
-            }
-            this.flushedCache.delete(oldest);
-            this.flushedCacheBytes -= bytes.length;
+        // A turn that is being written may belong to a segment that would otherwise be removed.
+        if (this.appendsInFlight === 0) {
+            this.segments.removeFlushed();
         }
     }
 }
