--- a/tests/hostile/bodies.test.ts
+++ b/tests/hostile/bodies.test.ts
@@ -16,9 +16,15 @@
 const tinyBodyBytes = 1024 * 1024;
 const tinyCallers = 8;
 
+/** Callers that the system accepts all at once, each with a body of the largest permitted size in one-byte chunks. */
+const manyTinyCallers = 60;
+
 /** Time for which a caller waits for the front to take what it has written. */
 const writeTimeoutMs = 4_000;
 
+/** The same for a body that is much larger on the wire than its size. */
+const manyTinyWriteTimeoutMs = 10_000;
+
 /** Time for which a caller that is alone waits for its answer, however slow the machine is. */
 const answerTimeoutMs = 25_000;
 
@@ -88,6 +94,17 @@
         });
         expect(await front.findFaults(t)).toEqual([]);
     });
+
+    // Guards against a cost for each chunk that no bound counts: what one read of each connection holds fills the machine.
+    it("should be bounded together if 60 of the largest size arrive in chunks of one byte", async t => {
+        const body = Buffer.from(chunkOf(1).repeat(bodyBytes));
+        await crowd.play(manyTinyCallers, async (caller, index) => {
+            await caller.write(chunkedHead(), writeTimeoutMs);
+            await caller.write(body, manyTinyWriteTimeoutMs);
+            await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
+        });
+        expect(await front.findFaults(t)).toEqual([]);
+    });
 });
 
 // Guards against a bound that refuses a caller that is alone.
