Bound what bodies in very small chunks take of memory and time

Callers saw a front that ended, or did not answer them for up to 30 s, while 60 others sent bodies of a legal size in one-byte chunks.

Cause: a body was read only when its call came to the filter that needs it. Until then the stream kept what the parser handed over, one object for each chunk: 21,836 after two reads of a connection, which no bound counted. Neither was there a bound on the time that chunks take, and the rest of a refused body was still parsed for a second.

Now a body in chunks is read from its head on, so that each chunk is copied and freed at once. Bodies with many chunks of a few bytes are read one at a time, followed by a rest as long as the read took.

--- a/packages/gateway/src/entry/bodyReader.ts
+++ b/packages/gateway/src/entry/bodyReader.ts
@@ -2,6 +2,7 @@
 import { ProblemError } from "@marigolddrift/common";
 import type { IncomingMessage } from "node:http";
 
+import type { ChunkPacer, PacedBody } from "./chunkPacer.js";
 import type { HeldInput, InputMemory } from "./inputMemory.js";
 import { ReadGate } from "./readGate.js";
 
@@ -18,11 +19,20 @@
 /** Memory for each buffer, besides its bytes. */
 const bufferBytes = 256;
 
+/**
+ * Chunks of a body that may have any size: one read of a connection has some 10,000 of one byte. Beyond them the chunks of a body
+ * need a mean size, or the body is read at the pace of such bodies. Each chunk takes some 2 µs, as long as copying several KB.
+ */
+const unpacedChunks = 4_096;
+const minMeanChunkBytes = 256;
+
 /** Time after which the caller of a refused request may retry it. */
 const retryAfterSeconds = 1;
 
 /** Reads one body; to be released when the call has ended. */
 export class BodyReader {
+    /** Set once the connection is not read any more, so that it must end after the answer. */
+    isConnectionStopped = false;
     private readonly held: HeldInput;
     private readonly pieces: Buffer[] = [];
     private segment: Buffer | undefined;
@@ -32,18 +42,29 @@
     private error: Error | undefined;
     private reading: Promise<Buffer> | undefined;
     private stopReading: () => void = () => {};
+    private isDiscarding = false;
+    private arrivedBytes = 0;
+    private chunks = 0;
+    private readonly gate: ReadGate;
+    private readonly paced: PacedBody;
 
     /** @param maxBytes Size up to which a body is read. */
-    constructor(private readonly req: IncomingMessage, memory: InputMemory, private readonly maxBytes: number) {
-        const gate = ReadGate.of(req.socket);
+    constructor(
+        private readonly req: IncomingMessage,
+        memory: InputMemory,
+        private readonly pacer: ChunkPacer,
+        private readonly maxBytes: number,
+    ) {
+        this.gate = ReadGate.of(req.socket);
         this.held = memory.hold({
             kind: "request",
-            setPaused: isPaused => gate.set(this, isPaused),
+            setPaused: isPaused => this.gate.set(this, isPaused),
             refuse: () => {
                 this.fail(refusal());
-                gate.set(this, false);
+                this.gate.set(this, false);
             },
         });
+        this.paced = this.createPaced();
         this.heldBytes = requestBytes + req.rawHeaders.reduce((sum, text) => sum + text.length, 0);
         this.held.resize(this.heldBytes);
     }
@@ -63,7 +84,10 @@
         return body;
     }
 
-    /** Begins to read before the body is needed. */
+    /**
+     * Begins to read before the body is needed. Chunks that nobody reads are kept by the stream as an object each, which no bound
+     * counts.
+     */
     start(): void {
         if (this.reading === undefined) {
             this.reading = this.collect();
@@ -74,18 +98,30 @@
 
     /** Stops reading and frees the memory. */
     release(): void {
-        this.stopReading();
-        this.clear();
+        this.discard();
         this.held.release();
     }
 
+    private createPaced(): PacedBody {
+        const reason = {};
+        return {
+            chunks: () => this.chunks,
+            setPaused: isPaused => this.gate.set(reason, isPaused),
+            refuse: () => {
+                this.fail(refusal());
+                this.held.release();
+            },
+        };
+    }
+
     private collect(): Promise<Buffer> {
         const { req } = this;
         return new Promise((resolve, reject) => {
-            const onData = (chunk: Buffer): void => this.add(chunk);
-            const onEnd = (): void => resolve(this.join());
+            const onEnd = (): void => {
+                this.pacer.remove(this.paced);
+                resolve(this.join());
+            };
             this.stopReading = () => {
-                req.off("data", onData);
                 req.off("end", onEnd);
                 if (this.error !== undefined) {
                     reject(this.error);
@@ -95,12 +131,42 @@
                 reject(this.error);
                 return;
             }
-            req.on("data", onData);
+            req.on("data", (chunk: Buffer) => this.onData(chunk));
             req.on("end", onEnd);
             req.on("error", reject);
+            // Until the first read, the stream would keep what arrives although there is a listener.
+            req.read(0);
         });
     }
 
+    private onData(chunk: Buffer): void {
+        this.chunks += 1;
+        this.arrivedBytes += chunk.length;
+        if (!this.isDiscarding) {
+            this.add(chunk);
+        }
+        if (this.isFragmented) {
+            this.pace();
+        }
+    }
+
+    /** Whether the body consists of chunks so small that the process would spend most of its time on them. */
+    private get isFragmented(): boolean {
+        return this.chunks > unpacedChunks + this.arrivedBytes / minMeanChunkBytes;
+    }
+
+    /** Lets others be served before the next read. What would be discarded anyway is not read at all. */
+    private pace(): void {
+        if (this.isDiscarding) {
+            this.stopConnection();
+        }
+        else {
+            // After each chunk the stream would resume the connection, which the gate would then pause again.
+            this.req._read = () => {};
+            this.pacer.pace(this.paced);
+        }
+    }
+
     private add(chunk: Buffer): void {
         if (this.bytes + chunk.length > this.maxBytes) {
             this.fail(
@@ -174,6 +240,20 @@
 
     private fail(err: Error): void {
         this.error ??= err;
+        this.discard();
+    }
+
+    private stopConnection(): void {
+        this.isConnectionStopped = true;
+        this.gate.close();
+    }
+
+    private discard(): void {
+        this.isDiscarding = true;
+        if (this.isFragmented && !this.req.complete) {
+            this.stopConnection();
+        }
+        this.pacer.remove(this.paced);
         this.stopReading();
         this.clear();
     }
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -143,9 +143,10 @@
         const isSent = new Promise(resolve => res.once("close", resolve));
         connection.enter(res);
         const arrivedAt = performance.now();
-        const body = new BodyReader(req, this.options.input.memory, this.options.maxBodyBytes());
-        if (res.socket === null) {
-            // Read ahead: only a connection that is read tells that its caller has left.
+        const { memory, pacer } = this.options.input;
+        const body = new BodyReader(req, memory, pacer, this.options.maxBodyBytes());
+        if (res.socket === null || isChunked(req)) {
+            // Read ahead: only a connection that is read tells that its caller has left, and only chunks that are read are counted.
             body.start();
         }
         if (await this.sequence.enter(req, res)) {
@@ -182,7 +183,7 @@
         }
         catch (err) {
             body.release();
-            this.onFailed(req, res, trace, toProblem(err, progress));
+            this.onFailed(req, res, body, trace, toProblem(err, progress));
         }
         finally {
             body.release();
@@ -260,6 +261,7 @@
     private onFailed(
         req: IncomingMessage,
         res: ServerResponse,
+        body: BodyReader,
         trace: CallTrace,
         err: ProblemError,
     ): void {
@@ -269,7 +271,7 @@
             res.destroy();
             return;
         }
-        if (!req.complete) {
+        if (!req.complete || body.isConnectionStopped) {
             res.setHeader("Connection", "close");
             req.resume();
             lingerAfterAnswer(req.socket);
@@ -284,3 +286,5 @@
         log.info("call", { method: req.method, path: req.url, ...trace, ms });
     }
 }
+
+const isChunked = ({ headers }: IncomingMessage): boolean => headers["transfer-encoding"] !== undefined;
--- a/packages/gateway/src/entry/inputBounds.ts
+++ b/packages/gateway/src/entry/inputBounds.ts
@@ -4,6 +4,7 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayOptions } from "../gatewayOptions.js";
 import { BufferCollector } from "./bufferCollector.js";
+import { ChunkPacer } from "./chunkPacer.js";
 import { InputMemory } from "./inputMemory.js";
 import { RefusalLog } from "./refusalLog.js";
 
@@ -14,6 +15,7 @@
 /** What all connections from callers share. */
 export interface InputBounds {
     readonly memory: InputMemory;
+    readonly pacer: ChunkPacer;
     /** Maximum number of open connections from callers. */
     readonly maxConnections: number;
     readonly refusals: RefusalLog;
@@ -33,6 +35,7 @@
             refusals.add("memory", { ...input });
             collector.onRefused(input.bytes);
         }),
+        pacer: new ChunkPacer(body => refusals.add("small chunks", { ...body })),
         maxConnections: maxCallerConnections ?? defaultMaxConnections,
         refusals,
         collector,
--- a/packages/gateway/src/entry/readGate.ts
+++ b/packages/gateway/src/entry/readGate.ts
@@ -13,9 +13,10 @@
     private static readonly gates = new WeakMap<Socket, ReadGate>();
     private readonly reasons = new Set<object>();
     private isOpen = false;
+    private isClosed = false;
 
     private constructor(private readonly socket: Socket) {
-        socket.on("resume", () => this.reasons.size > 0 && socket.pause());
+        socket.on("resume", () => (this.reasons.size > 0 || this.isClosed) && socket.pause());
     }
 
     /** Returns the gate of a connection; there is one for each. */
@@ -28,6 +29,9 @@
     /** Adds or removes a reason for which the connection is not read; it is read again once there is none. */
     set(reason: object, isPaused: boolean): void {
         const { socket } = this;
+        if (this.isClosed) {
+            return;
+        }
         if (isPaused && !this.isOpen) {
             this.reasons.add(reason);
             socket.pause();
@@ -43,4 +47,10 @@
         this.isOpen = true;
         [...this.reasons].forEach(reason => this.set(reason, false));
     }
+
+    /** Reads nothing any more, whatever is asked for later. */
+    close(): void {
+        this.isClosed = true;
+        this.socket.pause();
+    }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./budgets/budgets.js";
 export * from "./budgets/regionBudgets.js";
 export * from "./call.js";
+export * from "./entry/chunkPacer.js";
 export * from "./entry/drainSchedule.js";
 export * from "./entry/inputMemory.js";
 export * from "./entry/statusServer.js";
