Log the build of upstreams and which stream a call asks to go on with

The log could not tell which version of a worker began a stream, nor that a call took one up: 'upstream added' names the build now, and 'call' the build of the upstream that answered and, in resumes, the call that began the stream. Nothing is placed differently.

--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -30,6 +30,12 @@
     readonly previousTurnId: string | undefined;
 }
 
+/** What a caller says that has received the beginning of a stream and asks for the rest. */
+export interface Resumption {
+    /** Id of the call that brought the first event of the stream; undefined if the caller does not name it. */
+    readonly callId: string | undefined;
+}
+
 /** The decoded headers of a caller's request. */
 export interface CallHead {
     /** Id of this attempt of the caller; missing if the caller did not send one. */
@@ -40,4 +46,6 @@
     readonly program: ProgramInfo | undefined;
     /** Identifies the object that the call concerns; missing if the caller did not name one. */
     readonly affinityKey: string | undefined;
+    /** Undefined if the call begins a stream, or is none. */
+    readonly resumption: Resumption | undefined;
 }
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -211,6 +211,7 @@
         const head = this.options.protocol.parseCall(req.headers);
         const { program } = head;
         Object.assign(trace, { request: head.id, program: program?.id, turnOf: program?.previousTurnId });
+        trace.resumes = head.resumption?.callId;
         trace.config = table.config.version;
         const route = table.match(req.headers.host ?? "", req.url ?? "");
         const service = route && table.service(chooseTarget(route, this.options.random()));
--- a/packages/gateway/src/explain/callQuery.ts
+++ b/packages/gateway/src/explain/callQuery.ts
@@ -95,6 +95,7 @@
                 previousTurnId: previousTurn,
             },
             affinityKey: data.affinityKey,
+            resumption: undefined,
         },
     };
 };
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -27,8 +27,11 @@
     limitMs?: number;
     route?: string;
     service?: string;
-    /** Id of the last upstream that the call was sent to. */
+    /** Id of the last upstream that the call was sent to, and its build. */
     upstream?: string;
+    build?: string;
+    /** Id of the call that began the stream which this call asks to go on with. */
+    resumes?: string;
     attempts?: number;
     /** Id of the upstream that a second copy of the call was sent to; `upstream` is the one whose answer the caller got. */
     hedged?: string;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -210,6 +210,7 @@
                 response: undefined,
             };
         }
+        ctx.trace.build = upstream.entry.build;
         const response = createResponse(ctx, lane);
         const { prompt } = ctx.head;
         const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
--- a/packages/gateway/src/upstreams/upstreamEntry.ts
+++ b/packages/gateway/src/upstreams/upstreamEntry.ts
@@ -7,6 +7,8 @@
     /** Start time in epoch milliseconds; distinguishes processes with the same id. */
     readonly startedAt: number | undefined;
     readonly service: string;
+    /** Version of the software that the process runs. What two builds write does not fit together in one stream. */
+    readonly build: string;
     /** Host and port. */
     readonly address: string;
     readonly zone: string;
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -167,8 +167,8 @@
         const upstream = new Upstream(entry, connections);
         upstream.isLeaving = this.leavingKeys.has(upstream.key);
         this.byId.set(entry.id, upstream);
-        const { id, service, address, zone, draining } = entry;
-        this.log.info("upstream added", { upstream: id, service, address, zone, draining });
+        const { id, service, build, address, zone, draining } = entry;
+        this.log.info("upstream added", { upstream: id, service, build, address, zone, draining });
     }
 
     /** Handles the removal of an entry; if a store outage may be the cause, the upstream may register again. */
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -88,6 +88,7 @@
         id,
         startedAt: 1,
         service: "s",
+        build: "v1",
         address: "127.0.0.1:1",
         zone: "z",
         slots: 4,
--- a/tests/gateway/quotaFleet.ts
+++ b/tests/gateway/quotaFleet.ts
@@ -123,7 +123,14 @@
                 tokenBudget: undefined,
                 previousTurnId: undefined,
             };
-        const head = { id: "r", leftMs: undefined, prompt: undefined, program, affinityKey: undefined };
+        const head = {
+            id: "r",
+            leftMs: undefined,
+            prompt: undefined,
+            program,
+            affinityKey: undefined,
+            resumption: undefined,
+        };
         const permit: CallPermit | undefined = member.quotas.requestPermit({
             workspace: member.workspaces.find(candidate => candidate.name === of)!,
             head,
--- a/tests/operations/where.test.ts
+++ b/tests/operations/where.test.ts
@@ -151,6 +151,7 @@
 describe("explanation of a call", () => {
     const entry = {
         id: "i-1",
+        build: "v1",
         service: "s",
         address: "127.0.0.1:1",
         zone: "north-a",
