--- a/bench/capacityCounted.ts
+++ b/bench/capacityCounted.ts
@@ -1,6 +1,6 @@
 /** Figures of the capacity page that every run computes alike. */
 
-import { stretchFor } from "@marigolddrift/daemon";
+import { heartbeatPeriodMultiplier } from "@marigolddrift/daemon";
 
 import { packRecord } from "@marigolddrift/ledger";
 
@@ -27,8 +27,8 @@
     const perLoad = slopeOf(count => sizeOf(heartbeat(count)), 1, 9);
     const loads = Math.ceil(target.workers / target.daemons);
     const beat = empty + loads * perLoad;
-    const stretch = stretchFor(heartbeatFactors, 1_000);
-    const beatsPerSecond = heartbeatFactors.reduce((sum, factor) => sum + 1 / (factor * stretch), 0);
+    const multiplier = heartbeatPeriodMultiplier(heartbeatFactors, 1_000);
+    const beatsPerSecond = heartbeatFactors.reduce((sum, factor) => sum + 1 / (factor * multiplier), 0);
     const perSlot = slopeOf(count => sizeOf(slotsMessage(count)), 2, 22);
     const slotsPerDaemon = Math.ceil(target.slots / target.daemons);
     const ownership = target.restartsPerDay * 2 * slotsPerDaemon * (perSlot * slotsPerDaemon + 30) / 86_400;
@@ -54,7 +54,7 @@
         },
         {
             what: "heartbeats, messages a second and daemon, each way",
-            points: `stretch ${stretch} with ${target.daemons - 1} peers, 1 with 6`,
+            points: `stretch ${multiplier} with ${target.daemons - 1} peers, 1 with 6`,
             slope: "1/s in the zone, 1/3 in the region, 1/5 beyond, divided by the stretch",
             atTarget: `${round(beatsPerSecond)} or ${round(beatsPerSecond * beat / 1000)} KB/s of 9`,
             mechanism: "periods stretch with the number of peers, and each heartbeat says when the next one comes",
--- a/bench/capacityTimed.ts
+++ b/bench/capacityTimed.ts
@@ -1,7 +1,7 @@
 /** Figures of the capacity page that differ from machine to machine. */
 import { createKeyPair, historyDigests, signBundle } from "@marigolddrift/common";
 import type { Message } from "@marigolddrift/common";
-import { FrameCodec, stretchFor } from "@marigolddrift/daemon";
+import { FrameCodec, heartbeatPeriodMultiplier } from "@marigolddrift/daemon";
 import type { PeerMessage } from "@marigolddrift/daemon";
 import { packRecord, releaseSlot, unpackRecord } from "@marigolddrift/ledger";
 
@@ -76,7 +76,8 @@
         nonce: "",
     };
     const sign = microsOf(() => signBundle(doc, "sign-off", pair.privateKey), 10);
-    const beats = heartbeatFactors.reduce((sum, factor) => sum + 1 / (factor * stretchFor(heartbeatFactors, 1_000)), 0);
+    const multiplier = heartbeatPeriodMultiplier(heartbeatFactors, 1_000);
+    const beats = heartbeatFactors.reduce((sum, factor) => sum + 1 / (factor * multiplier), 0);
     const core = (microsPerSecond: number): string => `${round(microsPerSecond / 10_000, 2)} % of a core`;
     const decisions = target.requestsPerSecond / target.daemons;
     const rss = Math.round(process.memoryUsage().rss / 1e6);
--- a/packages/daemon/src/controllers/membership.ts
+++ b/packages/daemon/src/controllers/membership.ts
@@ -11,19 +11,10 @@
 import type { Heartbeat, Hello, PeerMessage } from "../peers/messages.js";
 import { PeerLink } from "../peers/peerLink.js";
 import type { TlsFiles } from "../peers/tls.js";
+import { crossRegionPeriodFactor, HeartbeatSchedule } from "./heartbeatSchedule.js";
 
 const listTimeoutMs = 2_000;
 
-/** Factors by which the heartbeat period to peers in other zones and regions is longer than within a zone. */
-const crossZonePeriodFactor = 3;
-const crossRegionPeriodFactor = 5;
-
-/** Limit on the heartbeat traffic that this instance sends; with more peers, the heartbeat period grows. */
-const maxHeartbeatBytesPerSecond = 6_000;
-
-/** Size of a typical heartbeat, including its frame and the loads of two workers. */
-const typicalHeartbeatBytes = 115;
-
 /** Missed heartbeat periods after which an instance counts as suspect, and as dead. */
 const suspectAfterMissed = 2;
 const deadAfterMissed = 4;
@@ -71,9 +62,7 @@
     leaving = false;
     private readonly peers = new Map<string, Peer>();
     private readonly timers: NodeJS.Timeout[] = [];
-    private tickCount = 0;
-    /** Factor applied to all heartbeat periods to keep the traffic within {@link maxHeartbeatBytesPerSecond}. */
-    private periodMultiplier = 1;
+    private readonly schedule: HeartbeatSchedule;
 
     constructor(
         private readonly identity: Identity,
@@ -83,7 +72,9 @@
         private readonly options: MembershipOptions,
         private readonly events: MembershipEvents,
         private readonly log: Logger,
-    ) {}
+    ) {
+        this.schedule = new HeartbeatSchedule(identity, options.heartbeatMs);
+    }
 
     async start(): Promise<void> {
         this.options.seeds.forEach(address => this.addPeer(address, "", ""));
@@ -265,13 +256,9 @@
     }
 
     private tick(): void {
-        this.tickCount += 1;
-        this.periodMultiplier = heartbeatPeriodMultiplier(
-            this.all().map(peer => this.periodFactor(peer)),
-            this.options.heartbeatMs,
-        );
+        this.schedule.tick(this.all());
         for (const peer of this.peers.values()) {
-            if (this.tickCount % (this.periodFactor(peer) * this.periodMultiplier) === 0) {
+            if (this.schedule.isDue(peer)) {
                 peer.link.send(this.events.heartbeat(peer));
             }
             this.checkLiveness(peer);
@@ -280,14 +267,7 @@
 
     /** Time between two heartbeats to a peer. */
     heartbeatPeriodMs(peer: Peer): number {
-        return this.options.heartbeatMs * this.periodFactor(peer) * this.periodMultiplier;
-    }
-
-    private periodFactor(peer: Peer): number {
-        if (peer.zone === this.identity.zone) {
-            return 1;
-        }
-        return peer.region === this.identity.region ? crossZonePeriodFactor : crossRegionPeriodFactor;
+        return this.schedule.periodMs(peer);
     }
 
     private checkLiveness(peer: Peer): void {
@@ -320,13 +300,3 @@
 const isConsideredAlive = (state: InstanceState): boolean =>
     state === "live" || state === "suspect" || state === "leaving";
 const mayOwnSlots = (state: InstanceState): boolean => state === "live" || state === "suspect";
-
-/**
- * Factor by which heartbeat periods must grow to keep the traffic within {@link maxHeartbeatBytesPerSecond}.
- *
- * @param factors Heartbeat period of each peer, as a multiple of `heartbeatMs`.
- */
-export const heartbeatPeriodMultiplier = (factors: readonly number[], heartbeatMs: number): number => {
-    const perSecond = factors.reduce((sum, factor) => sum + 1000 / (heartbeatMs * factor), 0);
-    return Math.max(1, Math.ceil(perSecond * typicalHeartbeatBytes / maxHeartbeatBytesPerSecond));
-};
