--- a/tests/gateway/journalNode.ts
+++ b/tests/gateway/journalNode.ts
@@ -7,13 +7,15 @@
 import { withDir } from "./withDir.js";
 
 export const keepMs = 60_000;
-/** */
+
+/** Returns a turn with the given id whose input and output are short. */
 export const turnOf = (id: string): TurnRecord =>
     createTurn({ id, input: Buffer.from(`${id} in `), output: Buffer.from("out\n"), keepMs }, undefined, 0);
-/** */
+
+/** Returns the turn with the given id as a front passes it to an archive. */
 export const toSave = (id: string): TurnToSave => ({ turn: turnOf(id), program: "p", keepMs });
 
-/** */
+/** A journal that writes to a store of the test; records which ids it reports to other holders as flushed. */
 export class JournalNode {
     readonly notifiedIds: string[][] = [];
     readonly flushOrder = new FlushOrder("r", () => "r", () => undefined);
@@ -44,7 +46,7 @@
     }
 }
 
-/** */
+/** Runs a test with a journal on an empty disk. */
 export const withJournalNode = (
     test: (node: JournalNode, store: FakeStore, dir: string) => Promise<void>,
 ): Promise<void> =>
--- a/tests/platform/uncountedDisks.test.ts
+++ b/tests/platform/uncountedDisks.test.ts
@@ -21,15 +21,15 @@
     readonly isCounted: () => boolean;
 }
 
-/** A machine with a disk, the store, and a connection of a front. */
+/** A journal server with a disk, the store, and a connection of a front. */
 class DiskMachine {
-    private readonly keeper: JournalServer;
+    private readonly server: JournalServer;
     private readonly store: PlatformStore;
     private client: PeerClient | undefined;
 
     private constructor(dir: string, options: DiskOptions, address: string) {
         this.store = new PlatformStore(address);
-        this.keeper = new JournalServer({
+        this.server = new JournalServer({
             peerAddress: { instance: "disk-1-1", host, zone: "z", region: "r" },
             machine: "disk-1",
             peerPort: 0,
@@ -66,13 +66,13 @@
     }
 
     private async connect(platform: PlatformStandin): Promise<void> {
-        await this.keeper.start();
+        await this.server.start();
         this.client = connectToDisk(platform);
     }
 
     private async close(): Promise<void> {
         this.client?.close();
-        await this.keeper.close();
+        await this.server.close();
         await this.store.close();
     }
 }
