--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -5,6 +5,7 @@
 import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
+import { Packr } from "msgpackr";
 
 import type { FindTurnResponse, JournaledTurn } from "../peers/peerMessages.js";
 import type { RecordRemover } from "../turns/recordRemover.js";
@@ -13,8 +14,6 @@
 import type { UnflushedTurn } from "./flushBatch.js";
 import { FlushedTurnCache } from "./flushedTurnCache.js";
 import type { FlushOrder } from "./flushOrder.js";
-import { packEntry, unpackEntry } from "./journalEntry.js";
-import { JournalSegments } from "./journalSegments.js";
 import { StoreFlusher } from "./storeFlusher.js";
 
 /** Delay after which the first holder of a turn flushes it to the store. */
@@ -32,12 +31,17 @@
 /** Size of the unflushed turns above which the journal rejects further turns. */
 const maxUnflushedBytes = 48 * 1024 * 1024;
 
+const packr = new Packr({ useRecords: false });
+
+/** An entry of the log: a turn, or the ids of turns that have been flushed. */
+type LogEntry = { readonly turn: JournaledTurn; } | { readonly flushed: readonly string[]; };
+
 /** The journal of one machine. */
 export class TurnJournal {
     private readonly unflushed = new Map<string, UnflushedTurn>();
     private unflushedBytes = 0;
     private readonly flushedCache = new FlushedTurnCache();
-    private readonly segments: JournalSegments;
+    private readonly unflushedBySegment = new Map<SegmentId, number>();
     private readonly flusher: StoreFlusher;
     /** Number of turns being written to disk, whose segment is not yet known. */
     private appendsInFlight = 0;
@@ -58,7 +62,6 @@
         private readonly log: Logger,
     ) {
         this.opened = new Promise(resolve => this.onOpened = resolve);
-        this.segments = new JournalSegments(disk, log);
         this.flusher = new StoreFlusher({
             store,
             remover,
@@ -93,8 +96,16 @@
         onOpened: (incompleteMs: number) => void = () => {},
     ): Promise<void> {
         const { payloads, segments, incompleteMs } = await this.disk.open(newDiskIncompleteMs);
-        segments.forEach(segment => this.segments.register(segment));
-        payloads.forEach(({ segment, payload }) => this.recover(segment, payload));
+        segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
+        for (const { segment, payload } of payloads) {
+            const entry = packr.unpack(payload) as LogEntry;
+            if ("turn" in entry) {
+                this.addUnflushed(entry.turn, segment);
+            }
+            else {
+                entry.flushed.forEach(id => this.markFlushed(id));
+            }
+        }
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
         onOpened(incompleteMs);
@@ -115,9 +126,10 @@
             });
             return false;
         }
+        const entry: LogEntry = { turn };
         this.appendsInFlight += 1;
         try {
-            this.addUnflushed(turn, await this.disk.append(packEntry({ turn })));
+            this.addUnflushed(turn, await this.disk.append(packr.pack(entry)));
         }
         finally {
             this.appendsInFlight -= 1;
@@ -153,16 +165,6 @@
         await this.disk.close();
     }
 
-    private recover(segment: SegmentId, payload: Uint8Array): void {
-        const entry = unpackEntry(payload);
-        if ("turn" in entry) {
-            this.addUnflushed(entry.turn, segment);
-        }
-        else {
-            entry.flushed.forEach(id => this.markFlushed(id));
-        }
-    }
-
     private addUnflushed(turn: JournaledTurn, segment: SegmentId): void {
         if (this.unflushed.has(turn.id) || this.flushedCache.has(turn.id)) {
             return;
@@ -171,7 +173,7 @@
         const dueAt = performance.now() + firstFlushDelayMs + position * laterFlushDelayMs;
         this.unflushed.set(turn.id, { ...turn, segment, position, dueAt, isRefused: false });
         this.unflushedBytes += turn.record.length;
-        this.segments.addTurn(segment);
+        this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + 1);
     }
 
     private async flushDue(): Promise<void> {
@@ -198,8 +200,9 @@
         }
         ids.forEach(id => this.markFlushed(id));
         this.removeFlushedSegments();
+        const entry: LogEntry = { flushed: ids };
         // If this entry is lost in a crash, the turns are only written to the store again.
-        this.disk.append(packEntry({ flushed: ids })).catch((err: unknown) =>
+        this.disk.append(packr.pack(entry)).catch((err: unknown) =>
             this.log.warn("failed to log flushed turns", { turns: ids.length, error: asError(err).message })
         );
     }
@@ -212,13 +215,31 @@
         this.unflushed.delete(id);
         this.unflushedBytes -= turn.record.length;
         this.flushedCache.add(turn);
-        this.segments.removeTurn(turn.segment);
+        this.unflushedBySegment.set(turn.segment, this.unflushedBySegment.get(turn.segment)! - 1);
     }
 
+    /** Deletes segments whose turns are all in the store. Their `flushed` entries may be lost without harm. */
     private removeFlushedSegments(): void {
-        // A turn that is being written may belong to a segment that would otherwise be removed.
-        if (this.appendsInFlight === 0) {
-            this.segments.removeFlushed();
+        if (this.appendsInFlight > 0) {
+            return;
+        }
+        for (const [segment, unflushedTurns] of this.unflushedBySegment) {
+            if (unflushedTurns === 0) {
+                void this.removeSegment(segment);
+            }
+        }
+    }
+
+    private async removeSegment(segment: SegmentId): Promise<void> {
+        this.unflushedBySegment.delete(segment);
+        try {
+            if (!await this.disk.removeSegment(segment)) {
+                // The active segment stays registered until it is closed.
+                this.unflushedBySegment.set(segment, this.unflushedBySegment.get(segment) ?? 0);
+            }
+        }
+        catch (err) {
+            this.log.warn("journal segment not removed", { segment, error: asError(err).message });
         }
     }
 }
