Keep each stream at the build of the worker that began it

What callers saw: streams that were taken up were answered 200 and ran to their end, with text of two versions of a worker. Cause: no instance read the version of a worker's entry, nor which stream a call took up: it was placed like any other. Class: state of a call that outlives the instance which made the choice, and was kept nowhere.

Now a build is declared in the platform's store before it begins a resumable stream, and removed once its streams have ended: one small write for each change of builds, so that any instance can tell whether one build alone can have begun a stream. While several can, the instance that passes on a stream's first event records its build at one machine with a disk in each region, in memory, batched, without waiting. A take-up goes to upstreams of the recorded build only, in a queue of its own; where neither a record nor a read of the declaration that begins after its arrival tells the build, it is refused at once with 503 (build_unknown, build_gone), and nothing has run. A record is written when the first event is passed on, so that tries and second copies before it need no rule. While one build has served, nothing is recorded or sent; a take-up costs a share of one read of the store.

Each take-up has a line 'stream taken up' with the id it resumes, the build, how it is known, its age and the outcome, and a counter.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -2,86 +2,16 @@
 import { ProblemError } from "@marigolddrift/common";
 import type { Logger, Metrics, Progress } from "@marigolddrift/common";
 import { admit, expectedWaitMs, nextCall } from "@marigolddrift/policy";
-import type {
-    AdmissionDecision,
-    CallShape,
-    Placement,
-    PlacementFunction,
-    WaitingCall,
-    WorkerScore,
-    WorkerView,
-} from "@marigolddrift/policy";
-
-/** A call that is to be dispatched to a worker. */
-export interface DispatchRequest extends WaitingCall {
-    readonly model: string;
-    readonly call: number;
-    readonly shape: CallShape;
-    readonly firstCall: boolean;
-    /** Workers on which this call has failed. */
-    readonly excluded: ReadonlySet<string>;
-    /** Size of the request, counted against the bandwidth budget of the link if it goes to another region. */
-    readonly bytes: number;
-}
-
-/** Reservation of a worker for one call. */
-export interface DispatchLease {
-    readonly worker: string;
-    readonly score: WorkerScore;
-    /** Releases the worker; further calls have no effect. */
-    release(): void;
-}
-
-/** The workers to which a dispatcher assigns calls. */
-export interface DispatchTarget<R extends DispatchRequest = DispatchRequest> {
-    /** Workers that are eligible for the call, with their current load. */
-    views(req: R): WorkerView[];
-    /**
-     * Calls that the model's workers run concurrently.
-     *
-     * @param meanServiceMs Mean time of a call on its worker, from which workers that take a number of calls a second
-     * derive how many they run at once.
-     */
-    capacity(model: string, meanServiceMs: number): number;
-    /** Called when a call is assigned to a worker. */
-    onAssigned(worker: string): void;
-    /** Called when an assigned call releases its worker. */
-    onReleased(worker: string): void;
-    /**
-     * Checks whether the call may be sent to the chosen worker, and consumes the budget that this takes, for example the
-     * bandwidth of a link to another region.
-     */
-    tryAdmit(worker: string, req: R): boolean;
-}
-
-/** What would happen to a call if it were queued now. */
-export interface DispatchPreview {
-    /** Results of the placement policy, which may differ by chance. */
-    readonly placements: readonly Placement[];
-    /** Calls of the same model that wait. */
-    readonly waiting: number;
-    /** Whether the call would be dispatched before those. */
-    readonly isNext: boolean;
-    /** Expected time in the queue, in milliseconds. */
-    readonly expectedWaitMs: number;
-}
+import type { AdmissionDecision, Placement, PlacementFunction, WorkerView } from "@marigolddrift/policy";
 
-/** Returns the index of the queued call to dispatch next. */
-export type OrderFunction = (calls: readonly WaitingCall[], now: number) => number;
-
-/** A queue with an order of its own, which knows the calls that it has ordered; see `FairQueue`. */
-export interface CallQueue<R extends DispatchRequest> {
-    readonly size: number;
-    add(call: R, now: number): void;
-    /** Returns the call to dispatch next; undefined if none is to be dispatched now. */
-    next(now: number): R | undefined;
-    /** Removes a call that is no longer to be dispatched. */
-    remove(call: R, now: number): void;
-    /** Removes a call that is being dispatched. */
-    onSent(call: R, now: number): void;
-    /** Called when a dispatched call has released its worker. */
-    onEnded(call: R, tookMs: number, now: number): void;
-}
+import type {
+    CallQueue,
+    DispatchLease,
+    DispatchPreview,
+    DispatchRequest,
+    DispatchTarget,
+    OrderFunction,
+} from "./dispatchRequest.js";
 
 interface QueuedCall<R extends DispatchRequest> {
     readonly req: R;
@@ -92,6 +22,7 @@
 }
 
 interface ModelQueue<R extends DispatchRequest> {
+    readonly model: string;
     readonly waiting: QueuedCall<R>[];
     meanServiceMs: number;
 }
@@ -188,14 +119,14 @@
 
     /** Queues a call and waits until a worker is assigned to it; fails when `progress` ends. */
     async acquire(req: R, progress: Progress): Promise<DispatchLease> {
-        const queue = this.queue(req.model);
+        const queue = this.queue(req.model, req.lane);
         let entry: QueuedCall<R> | undefined;
         const granted = new Promise<DispatchLease>((resolve, reject) => {
-            entry = { req, ordered: this.options.queueOf?.(req.model), resolve, reject };
+            entry = { req, ordered: this.orderOf(req), resolve, reject };
             queue.waiting.push(entry);
             entry.ordered?.add(req, performance.now());
         });
-        this.dispatchQueued(req.model);
+        this.dispatchQueued(queue);
         try {
             return await progress.race(granted);
         }
@@ -225,22 +156,31 @@
 
     /** Dispatches queued calls of all models as far as possible, for example after a worker has become available. */
     dispatchAllQueued(): void {
-        [...this.queues.keys()].forEach(model => this.dispatchQueued(model));
+        [...this.queues.values()].forEach(queue => this.dispatchQueued(queue));
     }
 
-    private queue(model: string): ModelQueue<R> {
-        let queue = this.queues.get(model);
+    private queue(model: string, lane?: string): ModelQueue<R> {
+        const name = lane === undefined ? model : JSON.stringify([model, lane]);
+        let queue = this.queues.get(name);
         if (queue === undefined) {
-            queue = { waiting: [], meanServiceMs: initialMeanServiceMs };
-            this.queues.set(model, queue);
+            queue = { model, waiting: [], meanServiceMs: initialMeanServiceMs };
+            this.queues.set(name, queue);
         }
         return queue;
     }
 
-    private dispatchQueued(model: string): void {
-        const queue = this.queue(model);
+    /** The order of a lane is that of arrival: it is short, and what waits there has begun elsewhere. */
+    private orderOf({ model, lane }: R): CallQueue<R> | undefined {
+        return lane === undefined ? this.options.queueOf?.(model) : undefined;
+    }
+
+    private dispatchModel(model: string): void {
+        [...this.queues.values()].filter(queue => queue.model === model).forEach(queue => this.dispatchQueued(queue));
+    }
+
+    private dispatchQueued(queue: ModelQueue<R>): void {
         while (queue.waiting.length > 0) {
-            const index = this.chooseNext(model, queue.waiting);
+            const index = this.chooseNext(queue.waiting);
             const entry = queue.waiting[index];
             if (entry === undefined) {
                 this.scheduleRetry();
@@ -262,8 +202,8 @@
         }
     }
 
-    private chooseNext(model: string, waiting: readonly QueuedCall<R>[]): number {
-        const ordered = this.options.queueOf?.(model);
+    private chooseNext(waiting: readonly QueuedCall<R>[]): number {
+        const ordered = this.orderOf(waiting[0]!.req);
         if (ordered !== undefined) {
             return chooseOrdered(ordered, waiting);
         }
@@ -304,7 +244,7 @@
                 this.target.onReleased(worker);
                 const now = performance.now();
                 entry.ordered?.onEnded(req, now - assignedAt, now);
-                this.dispatchQueued(req.model);
+                this.dispatchModel(req.model);
             }
         };
         entry.resolve({ worker, score, release });
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -252,6 +252,7 @@
             conversation: undefined,
             reservation: undefined,
             permit: undefined,
+            candidates: undefined,
             trace,
             checkCaller: () => checkCaller(req, res),
             fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body, workspace?.name),
--- a/packages/gateway/src/explain/explainer.ts
+++ b/packages/gateway/src/explain/explainer.ts
@@ -96,6 +96,7 @@
             priority: known.priority,
             progress: new Progress(limitMs),
             body: Buffer.alloc(0),
+            candidates: undefined,
         };
     }
 
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -10,6 +10,7 @@
 import type { CallPermit } from "../quotas/callPermit.js";
 import type { Route, Service } from "../routes.js";
 import type { Conversation } from "../turns/turnRecord.js";
+import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
 import type { Workspace } from "../workspaces.js";
 
 /**
@@ -60,6 +61,13 @@
     detail?: string;
 }
 
+/** Restricts a call to some of the upstreams of its service. */
+export interface CandidateRule {
+    accepts(entry: UpstreamEntry): boolean;
+    /** Set if few upstreams may be accepted, so that other calls must not wait behind the call; calls of one name wait together. */
+    readonly lane: string | undefined;
+}
+
 /** A call that passes through the filter chain. */
 export interface CallContext {
     readonly req: IncomingMessage;
@@ -88,6 +96,8 @@
     reservation: Reservation | undefined;
     /** Undefined if the call counts towards no quota. */
     permit: CallPermit | undefined;
+    /** Upstreams that the call may be sent to; undefined for all of its service. */
+    candidates: CandidateRule | undefined;
     readonly trace: CallTrace;
     /** Throws if the caller has closed the connection. To be used before anything is sent to an upstream. */
     checkCaller(): void;
@@ -98,7 +108,7 @@
 /** What decides where a call goes; also known of a call that is only described, for which there is no request. */
 export type CallDescription = Pick<
     CallContext,
-    "head" | "id" | "route" | "service" | "workspace" | "priority" | "progress" | "body"
+    "head" | "id" | "route" | "service" | "workspace" | "priority" | "progress" | "body" | "candidates"
 >;
 
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
--- a/packages/gateway/src/filters/callFilters.ts
+++ b/packages/gateway/src/filters/callFilters.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "@marigolddrift/dispatch";
 
 import type { TokenReserver } from "../budgets/regionBudgets.js";
+import type { Builds } from "../builds/builds.js";
 import type { CallBlocker } from "../crashes/callBlocker.js";
 import { CrashDetector } from "../crashes/crashDetector.js";
 import { FairAdmission } from "../fairness/fairAdmission.js";
@@ -18,6 +19,7 @@
 import { BlockFilter } from "./blockFilter.js";
 import { BodyFilter } from "./bodyFilter.js";
 import { BudgetFilter } from "./budgetFilter.js";
+import { BuildFilter } from "./buildFilter.js";
 import type { CallContext } from "./callContext.js";
 import { ForwardFilter } from "./forwardFilter.js";
 import type { ForwardFilterOptions } from "./forwardFilter.js";
@@ -32,6 +34,7 @@
     readonly blocker: CallBlocker;
     /** Undefined if no quotas are enforced. */
     readonly requestPermit: PermitSource | undefined;
+    readonly builds: Builds;
     readonly turns: TurnStore;
     readonly budgets: TokenReserver;
     readonly dispatcher: Dispatcher<QueuedCall>;
@@ -55,6 +58,7 @@
     new BodyFilter(),
     new BlockFilter(options.blocker),
     new PromptSizeFilter(),
+    new BuildFilter(options),
     ...(options.requestPermit === undefined ? [] : [new QuotaFilter(options.requestPermit)]),
     new HistoryFilter(options.turns),
     new BudgetFilter(options.budgets),
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -5,6 +5,7 @@
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
 
+import type { Builds } from "../builds/builds.js";
 import type { CallBlocker } from "../crashes/callBlocker.js";
 import type { CrashDetector } from "../crashes/crashDetector.js";
 import type { Fairness } from "../fairness/fairness.js";
@@ -13,6 +14,7 @@
 import type { QueuedCall } from "../placement.js";
 import { createQueuedCall } from "../placement.js";
 import type { CallProtocol } from "../protocol.js";
+import { isResumable } from "../routes.js";
 import type { Exchange } from "../trafficMeter.js";
 import type { TurnStore } from "../turns/turnStore.js";
 import type { AffinityTable } from "../upstreams/affinityTable.js";
@@ -20,6 +22,7 @@
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { UpstreamObserver } from "../upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
+import { scopedName } from "../workspaces.js";
 import { AnswerWriter, streamedTokens } from "./answerWriter.js";
 import { outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
@@ -44,6 +47,7 @@
     readonly turns: TurnStore;
     readonly replyMemory: ReplyMemory;
     readonly observer: UpstreamObserver;
+    readonly builds: Pick<Builds, "onStreamBegun">;
     readonly affinity: AffinityTable;
     /** Undefined if no second copies of calls are sent. */
     readonly hedger: Hedger | undefined;
@@ -224,6 +228,9 @@
         const call = { method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
+        if (response instanceof StreamedResponse && isResumable(ctx.route)) {
+            response.onBegun = () => this.options.builds.onStreamBegun(scopedName(ctx.workspace, ctx.id), upstream);
+        }
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
         const { protocol, replyMemory: memory, observer } = this.options;
         const observation = observer.begin(upstream, { ...queued, score: lease.score });
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -80,6 +80,8 @@
     onFirstByte: () => void = () => {};
     /** Called at the first whole event, before anything is written; returns false if the caller gets another response. */
     claim: () => boolean = () => true;
+    /** Called before the first data of a successful stream is passed on. */
+    onBegun: () => void = () => {};
     /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
     isRaced = false;
     onFull: ResponseSink["onFull"] = () => {};
@@ -164,6 +166,9 @@
 
     private writeHead(): void {
         if (!this.res.headersSent && !this.res.destroyed) {
+            if (this.isSuccess) {
+                this.onBegun();
+            }
             this.res.writeHead(this.head!.status, [...this.head!.headers]);
         }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
+import { Builds } from "./builds/builds.js";
 import { CallBlocker } from "./crashes/callBlocker.js";
 import { DrainController } from "./drainController.js";
 import { EntryServer } from "./entry/entryServer.js";
@@ -27,9 +28,10 @@
 import { Permits } from "./limits/permits.js";
 import { UpstreamLimits } from "./limits/upstreamLimits.js";
 import { createFrontHandler } from "./peers/frontRequests.js";
+import { createGatewayPeers } from "./peers/gatewayPeers.js";
 import { peerName } from "./peers/peerMessages.js";
 import type { LocalInstance } from "./peers/peerMessages.js";
-import { Peers } from "./peers/peers.js";
+import type { Peers } from "./peers/peers.js";
 import { PeerServer } from "./peers/peerServer.js";
 import type { RequestHandler } from "./peers/peerServer.js";
 import { RelayStore } from "./peers/relayStore.js";
@@ -76,6 +78,7 @@
     private readonly loadExchange: LoadExchange;
     private readonly facts: FactExchange;
     private readonly limits: UpstreamLimits;
+    private readonly builds: Builds;
     private readonly permits: Permits;
     private readonly blocker: CallBlocker;
     private readonly permitGranter: PermitGranter;
@@ -109,7 +112,11 @@
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.activeConfig = new ActiveConfig(layout, config => this.onConfig(config), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
-        this.peers = this.createPeers();
+        this.peers = createGatewayPeers(options, {
+            store: this.store,
+            peerPort: () => this.peerPort,
+            duties: () => this.duties,
+        });
         this.peerServer = new PeerServer(
             () => this.peers.key,
             (request, progress) => answerPeer(request, progress),
@@ -119,6 +126,7 @@
         this.upstreams = new Upstreams(
             upstream => {
                 pool.forget(upstream);
+                this.builds.onUpstreamRemoved(upstream);
                 this.limits.forget(upstream);
             },
             () => this.activeConfig.table,
@@ -163,8 +171,12 @@
         const queueOf = this.fairness.queueOf.bind(this.fairness);
         const policy = { place: placeNear, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
-        const dispatchQueued = (): void => this.dispatcher.dispatchAllQueued();
-        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, dispatchQueued, log);
+        this.builds = new Builds({ ...fleet, store: this.store, upstreams, routes: () => this.activeConfig.table });
+        const onUpstreamsAdded = (): void => {
+            this.builds.onUpstreamsAdded();
+            this.dispatcher.dispatchAllQueued();
+        };
+        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, onUpstreamsAdded, log);
         const admission = new LimitAdmission(this.dispatcher, pool, random);
         this.entry = this.createEntry(pool, admission, random);
         this.explainer = new Explainer({
@@ -201,6 +213,7 @@
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
+            builds: this.builds,
             quotas: this.quotas,
             activeConfig: this.activeConfig,
             stallMonitor: this.stallMonitor,
@@ -257,34 +270,11 @@
         this.peerServer.close();
         this.storeArchive.close();
         this.budgets.close();
+        this.builds.close();
         this.entry.close();
         this.upstreams.close();
     }
 
-    private createPeers(): Peers {
-        const { instance, zone, regionOf, host, machine } = this.options;
-        const region = regionOf(zone);
-        const localAddress = () => ({ instance, host, zone, region, port: this.peerPort, keepsTurns: false });
-        const { layout, recordTraffic } = this.options;
-        // Until an instance reaches those that follow the store for its region, it has to read the store itself.
-        const neededFronts = () =>
-            [
-                this.duties.likelyCarriers([layout.configKey, layout.upstreamsPrefix]),
-                this.duties.partners(),
-            ] as const;
-        const detectsRestart = this.options.quotas !== undefined;
-        return new Peers(
-            machine,
-            localAddress,
-            this.store,
-            this.log,
-            recordTraffic,
-            neededFronts,
-            undefined,
-            detectsRestart,
-        );
-    }
-
     private createPeerHandler(): RequestHandler {
         const { drainController, budgets, regionBudgets, loadExchange, facts, permits, quotas, journalArchive } = this;
         const { layout, store } = this.options;
@@ -305,10 +295,11 @@
 
     private createEntry(pool: UpstreamPool, admission: LimitAdmission, random: () => number): EntryServer {
         const { protocol, log, hedgeShare = 0 } = this.options;
-        const { blocker, dispatcher, fairness, limits, metrics, replyMemory, upstreams, turns } = this;
+        const { blocker, builds, dispatcher, fairness, limits, metrics, replyMemory, upstreams, turns } = this;
         return new EntryServer({
             filters: createCallFilters({
                 blocker,
+                builds,
                 requestPermit: this.quotas?.requestPermit,
                 turns,
                 budgets: this.regionBudgets,
@@ -345,5 +336,7 @@
     private onConfig({ limits, workspaces }: RoutingConfig): void {
         this.entry.applyLimits(limits);
         this.quotas?.applyWorkspaces(workspaces);
+        // Which services have resumable streams is known from now on.
+        this.builds.onUpstreamsAdded();
     }
 }
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of an instance that serves callers. */
+import type { Builds } from "./builds/builds.js";
 import type { CallBlocker } from "./crashes/callBlocker.js";
 import type { EntryServer } from "./entry/entryServer.js";
 import type { InputMemory } from "./entry/inputMemory.js";
@@ -17,6 +18,7 @@
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size">;
     readonly blocker: Pick<CallBlocker, "blocked">;
+    readonly builds: Pick<Builds, "rememberedStreams">;
     /** Undefined if no quotas are enforced. */
     readonly quotas: { readonly lenders: number; } | undefined;
     readonly activeConfig: Pick<ActiveConfig, "table">;
@@ -35,6 +37,7 @@
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
+    metrics.addGauge("streams_remembered", "Streams whose build is known", () => of.builds.rememberedStreams);
     if (of.quotas !== undefined) {
         const { quotas } = of;
         metrics.addGauge("quota_lenders", "Instances that lend their share of quotas", () => quotas.lenders);
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
+import { BuildRecords } from "../builds/buildRecords.js";
 import type { JournalRequest, PeerAddress, PeerRequest } from "../peers/peerMessages.js";
 import { peerName } from "../peers/peerMessages.js";
 import { Peers } from "../peers/peers.js";
@@ -26,6 +27,12 @@
 
 const unregisterTimeoutMs = 1_000;
 
+/** Time for which the server remembers which build began a stream; fronts ask for shorter ones. */
+const streamRecordLifetimeMs = 120_000;
+
+/** Number of streams that the server remembers at most, in some 16 MB. */
+const maxStreamRecords = 100_000;
+
 /** Settings of a {@link JournalServer}. */
 export interface JournalServerOptions {
     readonly peerAddress: Omit<PeerAddress, "port" | "keepsTurns">;
@@ -57,6 +64,8 @@
     private readonly server: PeerServer;
     private readonly remover: RecordRemover;
     private readonly standing: DiskStanding;
+    /** Which builds began the streams of fronts, kept in memory only: a stream without a record is refused. */
+    private readonly streams = new BuildRecords(() => streamRecordLifetimeMs, maxStreamRecords);
     private peerPort = 0;
     private closed = false;
 
@@ -139,6 +148,13 @@
             case "turnsFlushed":
                 this.journal.onPeerFlushed(request.ids);
                 return true;
+            case "recordStreams":
+                request.groups.forEach(({ service, build, streams }) =>
+                    streams.forEach(id => this.streams.add(id, service, build))
+                );
+                return true;
+            case "findStream":
+                return this.streams.get(request.id);
             case "get":
             case "range":
             case "changes":
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -82,6 +82,8 @@
         case "keepTurn":
         case "findTurn":
         case "turnsFlushed":
+        case "recordStreams":
+        case "findStream":
             throw new Error("this instance keeps no turns");
     }
 };
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -104,9 +104,31 @@
 export type JournalRequest =
     | { readonly kind: "keepTurn"; readonly turn: JournaledTurn; }
     | { readonly kind: "findTurn"; readonly id: string; }
+    /** Records which builds began streams. */
+    | { readonly kind: "recordStreams"; readonly groups: readonly StreamGroup[]; }
+    /** Asks which build began a stream. */
+    | { readonly kind: "findStream"; readonly id: string; }
     /** Notifies the server that another holder has flushed these turns to the store. */
     | { readonly kind: "turnsFlushed"; readonly ids: readonly string[]; };
 
+/** Streams of a service that one build began. */
+export interface StreamGroup {
+    readonly service: string;
+    /** Undefined if it is not certain which build that was. */
+    readonly build: string | undefined;
+    /** Ids of the calls that brought the first events. */
+    readonly streams: readonly string[];
+}
+
+/** The record of a stream. */
+export interface FoundBuild {
+    readonly service: string;
+    /** Undefined if it is not certain. */
+    readonly build: string | undefined;
+    /** Time since the stream was recorded. */
+    readonly ageMs: number;
+}
+
 /** Facts that changed, by kind. */
 export interface FactBatch {
     readonly facts: Readonly<Record<string, readonly unknown[]>>;
@@ -216,6 +238,9 @@
     keepTurn: boolean | "uncounted";
     findTurn: FindTurnResponse;
     turnsFlushed: boolean;
+    recordStreams: boolean;
+    /** Undefined if the server has no record of the stream. */
+    findStream: FoundBuild | undefined;
 }
 
 /** A request on the wire. */
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -5,7 +5,7 @@
 import type { FairCall, RegionSlots, WorkerView } from "@marigolddrift/policy";
 
 import type { PromptPart, PromptShape } from "./call.js";
-import type { CallDescription } from "./filters/callContext.js";
+import type { CallDescription, CandidateRule } from "./filters/callContext.js";
 import type { UpstreamLimits } from "./limits/upstreamLimits.js";
 import { RegionalViews } from "./regionalViews.js";
 import { AffinityTable } from "./upstreams/affinityTable.js";
@@ -31,6 +31,8 @@
     readonly memoryTokens: number | undefined;
     /** Identifies the object that the call concerns; undefined unless the route is sticky. */
     readonly affinityKey: string | undefined;
+    /** Undefined if all upstreams of the service may run the call. */
+    readonly candidates: CandidateRule | undefined;
 }
 
 /** Number of tokens that a turn is expected to generate. */
@@ -69,6 +71,8 @@
         promptParts: prompt?.parts ?? [],
         kind: `${ctx.service.name}/${ctx.route.name}`,
         memoryTokens: ctx.service.engine?.memoryTokens,
+        candidates: ctx.candidates,
+        lane: ctx.candidates?.lane,
         affinityKey: isSticky ? `${ctx.service.name} ${scopedName(ctx.workspace, affinityKey)}` : undefined,
     };
 };
@@ -104,7 +108,12 @@
 
     /** The upstreams that are considered for a call; see {@link ViewBuilder}. */
     views(req: QueuedCall): WorkerView[] {
-        return this.viewBuilder.of(this.withoutFailed(this.upstreams.usable(req.model), req), req);
+        return this.viewBuilder.of(this.withoutFailed(this.candidates(req), req), req);
+    }
+
+    private candidates({ model, candidates }: QueuedCall): readonly Upstream[] {
+        const usable = this.upstreams.usable(model);
+        return candidates === undefined ? usable : usable.filter(({ entry }) => candidates.accepts(entry));
     }
 
     /** Whether an upstream that has not got the call yet could run it at once. */
--- a/packages/gateway/src/routes.ts
+++ b/packages/gateway/src/routes.ts
@@ -117,6 +117,9 @@
     }
 }
 
+/** Whether a stream of the route that has broken off may go on at another upstream. */
+export const isResumable = ({ isStreaming, idempotent }: Route): boolean => isStreaming && idempotent;
+
 /** Chooses a service at random by the weights of the route's targets; `random` is in [0, 1). */
 export const chooseTarget = (route: Route, random: number): string => {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
--- a/tests/platform/resumedStreams.test.ts
+++ b/tests/platform/resumedStreams.test.ts
@@ -87,6 +87,12 @@
         await this.addWorker(id, version);
     }
 
+    /** Whether streams may begin at a version. */
+    isDeclared(version: string): boolean {
+        const stored = this.deployment.store.state.get("marigolddrift/builds/brain");
+        return stored?.value.toString().includes(version) === true;
+    }
+
     get front(): Gateway {
         return this.deployment.gateways.at(-2)!;
     }
@@ -275,6 +281,7 @@
             fleet.deployment.disconnectFromStore(1);
             await fleet.addWorkers("v2", 3);
             await waitUntil(() => fleet.front.upstreams.size === 7);
+            await waitUntil(() => fleet.isDeclared("v2"));
             const begun = await fleet.begin();
             const ofNew = begun.filter(({ events: [first] }) => first?.version === "v2");
             expect(ofNew.length > 0).toEqual(true);
