Split settings and processes from the fleet of the soak

soakFleet.ts held the text of the settings files, the ports, the readiness check and the life of the processes. They are modules of their own now. A process tells by itself whether it was told to end, which a set of machine names cannot say once two processes of one machine run.

--- a/bench/soak/intruder.ts
+++ b/bench/soak/intruder.ts
@@ -2,9 +2,10 @@
 import { delay } from "@marigolddrift/common";
 import { Agent } from "node:http";
 
+import type { Machine } from "./machine.js";
 import { budgetTokens } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { SoakFleet } from "./soakFleet.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
 import { sendAttempt } from "./soakSend.js";
 import { crowdedWorkspace, keyMark, workspaceNames } from "./soakWorkspaces.js";
--- a/bench/soak/lateCallers.ts
+++ b/bench/soak/lateCallers.ts
@@ -3,10 +3,11 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 
+import type { Machine } from "./machine.js";
 import { bodyForms, exchange } from "./rawCalls.js";
 import { budgetTokens, headersOf, pathOf } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { SoakFleet } from "./soakFleet.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
 import { workspaceNames } from "./soakWorkspaces.js";
 
--- a/bench/soak/powerLoss.ts
+++ b/bench/soak/powerLoss.ts
@@ -1,11 +1,12 @@
 /** A loss of power of all machines at the end of a run, after which turns that were kept before must still be found. */
 import { delay } from "@marigolddrift/common";
 
+import type { Machine } from "./machine.js";
 import { SoakCaller } from "./soakCallers.js";
-import { bounds } from "./soakFleet.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { SoakFleet } from "./soakFleet.js";
 import { outputOf } from "./soakRecord.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
+import { bounds } from "./soakSettings.js";
 import { workspaceNames } from "./soakWorkspaces.js";
 
 /** Number of turns that are continued, the latest ones. */
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -2,9 +2,10 @@
 import { delay } from "@marigolddrift/common";
 import { Agent } from "node:http";
 
+import type { Machine } from "./machine.js";
 import { budgetTokens, visitBudgetTokens } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { SoakFleet } from "./soakFleet.js";
 import { outputOf } from "./soakRecord.js";
 import type { Attempt, SoakRecord } from "./soakRecord.js";
 import { sendAttempt } from "./soakSend.js";
--- a/bench/soak/soakChecks.ts
+++ b/bench/soak/soakChecks.ts
@@ -2,9 +2,9 @@
 import type { WorkerStandin } from "@marigolddrift/platform";
 
 import { maxTurnTokens, tokensPerEvent } from "./soakCalls.js";
-import { bounds } from "./soakFleet.js";
 import { expectedAnswer } from "./soakRecord.js";
 import type { Attempt, SoakRecord, Violation } from "./soakRecord.js";
+import { bounds } from "./soakSettings.js";
 
 /** Statuses that promise that the call has not run and never will. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -2,7 +2,8 @@
 import { delay } from "@marigolddrift/common";
 
 import { LateCallers } from "./lateCallers.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { Machine } from "./machine.js";
+import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 import { StopSeries } from "./stopSeries.js";
 import { WorkerFaults } from "./workerFaults.js";
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -1,56 +1,27 @@
 /** Runs front and store machines as separate processes against stand-ins of the platform and the workers. */
 import { delay } from "@marigolddrift/common";
 import { NarrowLink, PlatformStandin, WorkerStandin } from "@marigolddrift/platform";
-import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
-import { createWriteStream, mkdirSync, rmSync, writeFileSync } from "node:fs";
-import { get } from "node:http";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
 import { Disturbances } from "./disturbances.js";
+import { isReady, ports } from "./machine.js";
+import type { Machine } from "./machine.js";
 import { delayOfPath } from "./soakCalls.js";
 import { configOf, engine } from "./soakConfig.js";
+import { SoakProcess } from "./soakProcess.js";
+import { settingsText } from "./soakSettings.js";
 import { SoakWorkspaces } from "./soakWorkspaces.js";
 
 /** The program as it is built. */
 export const builtProgram = fileURLToPath(new URL("../../../platform/dist/main.js", import.meta.url));
 
-const frontPort = 8149;
-const readyPort = 8141;
-const innerPorts = [7380, 7395];
-
-/** Bounds that the settings name, in the platform's units. */
-export const bounds = {
-    graceS: 8,
-    contactMs: 4_000,
-    drainMs: 2_500,
-    configApplyMs: 2_500,
-    lossSlackMs: 200,
-    recoverS: 12,
-    quotaWindowS: 5,
-    quotaOver: 0.1,
-    quotaSlack: 20,
-};
-
 /** The link between the regions, 21 Mbit/s each way. */
 const link = { bytesPerMs: 2_600, delayMs: 20 };
 
 const readyTimeoutMs = 20_000;
 
-/** Region that the platform's store stands in. */
-const storeRegion = "north";
-
-const regionOf = (zone: string): string => zone.split("-")[0]!;
-
-/** A machine of the system. */
-export interface Machine {
-    readonly name: string;
-    readonly role: "front" | "store";
-    readonly zone: string;
-    readonly ip: string;
-}
-
 /** The processes and stand-ins of one run. */
 export class SoakFleet {
     readonly store = new PlatformStandin();
@@ -63,8 +34,8 @@
     /** All workers that have been started, also those that have left. */
     readonly workers: WorkerStandin[] = [];
     private readonly link = new NarrowLink(link);
-    private readonly processes = new Map<string, ChildProcess>();
-    private readonly stopped = new Set<string>();
+    /** The newest process of each machine, by its name. */
+    private readonly processes = new Map<string, SoakProcess>();
     private farStoreAddress = "";
     private version = 0;
     private closing = false;
@@ -126,11 +97,11 @@
 
     /** Address for callers. */
     frontAddress({ ip }: Machine): { readonly host: string; readonly port: number; } {
-        return { host: ip, port: frontPort };
+        return { host: ip, port: ports.front };
     }
 
     signal(machine: Machine, signal: NodeJS.Signals): void {
-        this.processes.get(machine.name)?.kill(signal);
+        this.processes.get(machine.name)?.signal(signal);
     }
 
     /** Ends a process and starts it again a moment after its end; with `wipe` it comes back with an empty disk. */
@@ -144,18 +115,7 @@
         downMs: number,
         wipe: boolean,
     ): Promise<void> {
-        const child = this.processes.get(machine.name);
-        this.stopped.add(machine.name);
-        const ended = new Promise<void>(resolve => {
-            if (child === undefined || child.exitCode !== null || child.signalCode !== null) {
-                resolve();
-            }
-            child?.once("exit", () => resolve());
-        });
-        child?.kill(signal);
-        const graceTimer = setTimeout(() => child?.kill("SIGKILL"), bounds.graceS * 1_000);
-        await ended;
-        clearTimeout(graceTimer);
+        await this.processes.get(machine.name)?.stop(signal);
         await delay(downMs);
         if (wipe) {
             rmSync(this.dataDir(machine), { recursive: true, force: true });
@@ -174,7 +134,7 @@
 
     /** Whether the process of a machine has been told to end, or is away. */
     isStopping({ name }: Machine): boolean {
-        return this.stopped.has(name);
+        return this.processes.get(name)?.isStopping === true;
     }
 
     /** Sends SIGHUP to a front once it is ready, since it would end a process whose runtime has only been started. */
@@ -201,10 +161,7 @@
 
     async close(): Promise<void> {
         this.closing = true;
-        for (const [name, child] of this.processes) {
-            this.stopped.add(name);
-            child.kill("SIGKILL");
-        }
+        await Promise.all([...this.processes.values()].map(running => running.stop("SIGKILL")));
         this.link.close();
         this.workers.forEach(worker => worker.close());
         this.store.close();
@@ -216,59 +173,17 @@
     }
 
     private startProcess(machine: Machine, firstStart: boolean): void {
-        const file = join(this.dir, `${machine.name}.toml`);
-        mkdirSync(this.dataDir(machine), { recursive: true });
-        writeFileSync(file, this.settings(machine, firstStart));
-        const child = spawn(process.execPath, ["--max-old-space-size=96", this.program, machine.role], {
-            env: { ...process.env, MARIGOLDDRIFT_SETTINGS: file },
-            stdio: ["ignore", "pipe", "pipe"],
-        });
-        const log = createWriteStream(join(this.dir, `${machine.name}.log`), { flags: "a" });
-        child.stdout.pipe(log, { end: false });
-        child.stderr.pipe(log, { end: false });
-        this.stopped.delete(machine.name);
-        this.processes.set(machine.name, child);
-        child.once("exit", code => {
-            if (!this.stopped.has(machine.name)) {
-                this.unexpectedExits.push(`${machine.name} ended by itself with ${code}`);
-            }
+        const { name, role } = machine;
+        const settings = join(this.dir, `${name}.toml`);
+        const dataDir = this.dataDir(machine);
+        const addresses = { near: this.store.address, far: this.farStoreAddress };
+        mkdirSync(dataDir, { recursive: true });
+        writeFileSync(settings, settingsText(machine, { dataDir, firstStart, withQuotas: this.withQuotas, addresses }));
+        const files = { program: this.program, settings, log: join(this.dir, `${name}.log`) };
+        const started = new SoakProcess(role, files, outcome => {
+            this.unexpectedExits.push(`${name} ended by itself with ${outcome}`);
         });
-    }
-
-    private settings({ name, zone, ip, role }: Machine, firstStart: boolean): string {
-        const address = regionOf(zone) === storeRegion ? this.store.address : this.farStoreAddress;
-        const { graceS, contactMs, drainMs, configApplyMs, quotaWindowS, quotaOver, quotaSlack } = bounds;
-        const quotaBounds = [
-            `quotaWindowS = ${quotaWindowS}`,
-            `quotaOver = ${quotaOver}`,
-            `quotaSlack = ${quotaSlack}`,
-        ];
-        return [
-            `node = "${name}"`,
-            `ip = "${ip}"`,
-            `zone = "${zone}"`,
-            `region = "${regionOf(zone)}"`,
-            `innerPorts = [${innerPorts.join(", ")}]`,
-            `firstStart = ${firstStart}`,
-            ...(role === "store" ? [`dataDir = "${this.dataDir({ name, zone, ip, role })}"`] : []),
-            "[zones]",
-            "north-a = \"north\"",
-            "north-b = \"north\"",
-            "south-a = \"south\"",
-            "[listen]",
-            ...(role === "front" ? [`front = "${ip}:${frontPort}"`, `ready = "${ip}:${readyPort}"`] : []),
-            "[tolerate]",
-            "machines = 1",
-            "[bounds]",
-            `graceS = ${graceS}`,
-            `contactMs = ${contactMs}`,
-            `drainMs = ${drainMs}`,
-            `configApplyMs = ${configApplyMs}`,
-            ...(this.withQuotas ? quotaBounds : []),
-            "[platform]",
-            `address = "${address}"`,
-            "",
-        ].join("\n");
+        this.processes.set(name, started);
     }
 
     private async waitUntilAllReady(): Promise<void> {
@@ -288,11 +203,3 @@
 }
 
 const times = <T>(count: number, items: readonly T[]): T[] => Array.from({ length: count }, () => items).flat();
-
-const isReady = (host: string): Promise<boolean> =>
-    new Promise(resolve => {
-        get({ host, port: readyPort, path: "/api/ready" }, res => {
-            res.resume();
-            resolve(res.statusCode === 200);
-        }).on("error", () => resolve(false));
-    });
--- a/bench/soak/workspaceChecks.ts
+++ b/bench/soak/workspaceChecks.ts
@@ -1,9 +1,9 @@
 /** Checks that workspaces are kept apart: whose calls run, what upstreams are told, and when removed keys are refused. */
 import type { ExecutedRequest } from "@marigolddrift/platform";
 
-import { bounds } from "./soakFleet.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { Attempt, SoakRecord, Violation } from "./soakRecord.js";
+import { bounds } from "./soakSettings.js";
 import { crowdedWorkspace, crowdQuota, keyMark } from "./soakWorkspaces.js";
 import type { IssuedKey } from "./soakWorkspaces.js";
 
