Start processes beside others of their machine in the soak

The soak started a process only once the one before it had ended, so that no run could show what a process does whose ports are still taken. Off by default until the program waits for its ports.

Settings files are replaced as a whole, so that no starting process reads half of one.

--- a/bench/soak/machine.ts
+++ b/bench/soak/machine.ts
@@ -10,7 +10,7 @@
 }
 
 /** Ports that are the same on all machines. */
-export const ports = { front: 8149, ready: 8141, inner: [7380, 7395] } as const;
+export const ports = { front: 8149, ready: 8141, metrics: 9464, inner: [7380, 7395] } as const;
 
 /** Time limit of a readiness check, after which a front doesn't count as ready. */
 const readyCheckTimeoutMs = 1_000;
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,7 +6,9 @@
 import { join } from "node:path";
 
 import { Intruder } from "./intruder.js";
+import { OverlappingStarts } from "./overlappingStarts.js";
 import { PowerLoss } from "./powerLoss.js";
+import { RecoveryWatch } from "./recoveryWatch.js";
 import { SoakCaller } from "./soakCallers.js";
 import { SoakChecks } from "./soakChecks.js";
 import { SoakFaults } from "./soakFaults.js";
@@ -48,6 +50,8 @@
     readonly losesPower?: boolean;
     /** Whether a workspace sends more than its quota, and what runs of it is counted; off if missing. */
     readonly checksQuotas?: boolean;
+    /** Whether processes are started beside others of their machine, or while a port is taken; off if missing. */
+    readonly overlapsStarts?: boolean;
 }
 
 /** Result of a run. */
@@ -66,7 +70,15 @@
  * const { violations } = await runSoak({ seed: 7, seconds: 60 });
  */
 export const runSoak = async (
-    { seed, seconds, program = builtProgram, scale = 1, losesPower, checksQuotas = false }: SoakOptions,
+    {
+        seed,
+        seconds,
+        program = builtProgram,
+        scale = 1,
+        losesPower,
+        checksQuotas = false,
+        overlapsStarts = false,
+    }: SoakOptions,
 ): Promise<SoakResult> => {
     const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
     mkdirSync(dir, { recursive: true });
@@ -74,7 +86,9 @@
     const record = new SoakRecord();
     const random = createRandom(seed);
     const isPowerLost = losesPower ?? random() < powerLossShare;
-    const faults = new SoakFaults(fleet, record, random);
+    const starts = overlapsStarts ? new OverlappingStarts(fleet, random) : undefined;
+    const faults = new SoakFaults(fleet, record, random, starts);
+    const recovery = new RecoveryWatch(fleet, record);
     try {
         await fleet.start();
         const callers = Array.from(
@@ -96,14 +110,18 @@
             ...callers.map((caller, index) => index < visitorCount ? caller.visit() : caller.run()),
             ...intruders.map(intruder => intruder.run()),
             ...crowd.map(intruder => intruder.press()),
+            recovery.run(),
         ];
         await faults.run(seconds * 1_000);
+        // A machine with a disk counts as lost for some seconds after it is back, and power is lost only after that.
+        await recovery.settled();
         await delay(recoveryMs);
         if (isPowerLost) {
             const stores = fleet.machines.filter(({ role }) => role === "store");
             await new PowerLoss(fleet, record, random, stores[Math.floor(random() * stores.length)]!).run();
+            await recovery.settled();
         }
-        [...callers, ...intruders, ...crowd].forEach(caller => caller.stop());
+        [...callers, ...intruders, ...crowd, recovery].forEach(started => started.stop());
         await Promise.all(running);
         await delay(settleMs);
         const workspaceChecks = new WorkspaceChecks(record, fleet);
--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -3,6 +3,7 @@
 
 import { LateCallers } from "./lateCallers.js";
 import type { Machine } from "./machine.js";
+import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 import { StopSeries } from "./stopSeries.js";
@@ -26,6 +27,9 @@
 
 const storeDownMs = 500;
 
+/** Overlapping starts among which, with the other faults of the machine, one fault is drawn. */
+const startsPerDraw = 2;
+
 /** Injects faults one after the other, several of which may overlap. */
 export class SoakFaults {
     readonly injected: string[] = [];
@@ -37,18 +41,22 @@
     private isSeriesRunning = false;
     private readonly running = new Set<Promise<void>>();
 
-    /** @param random Returns numbers in [0, 1). */
+    /**
+     * @param random Returns numbers in [0, 1).
+     * @param starts Starts of processes beside others, if they are among the faults.
+     */
     constructor(
         private readonly fleet: SoakFleet,
         private readonly record: SoakRecord,
         private readonly random: () => number,
+        private readonly starts?: OverlappingStarts,
     ) {
         this.workerFaults = new WorkerFaults(fleet, random);
     }
 
     /**
      * Plays each faulty answer once and a series of stops, in some runs with nothing beside it, then starts faults until the
-     * time is over, and waits until all have ended.
+     * time is over, and waits until all have ended. If processes are started beside others, it does that to all fronts last.
      */
     async run(ms: number): Promise<void> {
         const endsAt = performance.now() + ms;
@@ -63,6 +71,22 @@
             await delay(300 + this.random() * 2_000);
         }
         await Promise.all(this.running);
+        if (this.starts !== undefined) {
+            await this.startAll(this.starts);
+        }
+    }
+
+    /** Starts a process of each front and of one machine with a disk beside others, in all ways at once. */
+    private async startAll(starts: OverlappingStarts): Promise<void> {
+        const machines = [...this.machines("front"), this.pick(this.machines("store"))];
+        const first = Math.floor(this.random() * machines.length);
+        for (const [index, machine] of machines.entries()) {
+            const all = starts.all(machine);
+            const start = all[(first + index) % all.length]!;
+            this.start({ name: start.name, inject: () => this.startBeside(machine, start) });
+            await delay(this.random() * maxStartMs);
+        }
+        await Promise.all(this.running);
     }
 
     private start(fault: Fault): void {
@@ -97,6 +121,10 @@
                     name: `stop ${front.name} while it starts`,
                     inject: () => this.lose(front, () => this.stopAtStart(front, downMs)),
                 },
+                ...this.overlappingStarts(front).map(start => ({
+                    name: start.name,
+                    inject: () => this.startBeside(front, start),
+                })),
                 { name: `freeze ${front.name}`, inject: () => this.disturb(front, () => this.freeze(front, ms)) },
             ]),
             ...(this.isSeriesRunning || fronts.length === 0 ? [] : [
@@ -121,6 +149,10 @@
                     name: `kill ${store.name}`,
                     inject: () => this.disturbDisk(store, () => fleet.restart(store, "SIGKILL", downMs)),
                 },
+                ...this.overlappingStarts(store).map(start => ({
+                    name: start.name,
+                    inject: () => this.loseDisk(() => this.startBeside(store, start)),
+                })),
                 { name: `freeze ${store.name}`, inject: () => this.disturbDisk(store, () => this.freeze(store, ms)) },
                 {
                     name: `wipe ${store.name}`,
@@ -130,6 +162,15 @@
         ];
     }
 
+    private overlappingStarts(machine: Machine): OverlappingStart[] {
+        return Array.from({ length: startsPerDraw }, () => this.starts?.draw(machine) ?? []).flat();
+    }
+
+    private startBeside(machine: Machine, start: OverlappingStart): Promise<void> {
+        const inject = (): Promise<void> => start.inject();
+        return start.kills ? this.disturb(machine, inject) : this.lose(machine, inject);
+    }
+
     private async storeFault(fault: "down" | "busy" | "silent" | "loseTxnReply", ms: number): Promise<void> {
         await this.record.disturbances.during(["store"], async () => {
             this.fleet.store.fault = fault;
@@ -175,12 +216,15 @@
         this.isSeriesRunning = true;
         const fronts = this.machines("front").filter(machine => !this.lost.has(machine));
         const series = new StopSeries(this.fleet, this.record, this.random, fronts);
+        const store = this.pick(this.machines("store"));
+        if (this.starts !== undefined) {
+            series.overlap([...fronts, ...(withStore ? [store] : [])], this.starts);
+        }
         this.injected.push(`  ${series.description}`);
         fronts.forEach(front => this.lost.add(front));
-        const store = this.pick(this.machines("store"));
         await Promise.all([
             series.run(),
-            ...(withStore ? [this.loseDisk(() => this.fleet.restart(store, "SIGTERM", storeDownMs))] : []),
+            ...(withStore ? [this.loseDisk(() => series.restart(store, storeDownMs))] : []),
         ]);
         fronts.forEach(front => this.lost.delete(front));
         this.isSeriesRunning = false;
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -1,7 +1,7 @@
 /** Runs front and store machines as separate processes against stand-ins of the platform and the workers. */
 import { delay } from "@marigolddrift/common";
 import { NarrowLink, PlatformStandin, WorkerStandin } from "@marigolddrift/platform";
-import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { mkdirSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
@@ -34,8 +34,8 @@
     /** All workers that have been started, also those that have left. */
     readonly workers: WorkerStandin[] = [];
     private readonly link = new NarrowLink(link);
-    /** The newest process of each machine, by its name. */
-    private readonly processes = new Map<string, SoakProcess>();
+    /** Processes of each machine, by its name, in the order of their starts; those that have ended are left out at a start. */
+    private readonly processes = new Map<string, readonly SoakProcess[]>();
     private farStoreAddress = "";
     private version = 0;
     private closing = false;
@@ -101,7 +101,7 @@
     }
 
     signal(machine: Machine, signal: NodeJS.Signals): void {
-        this.processes.get(machine.name)?.signal(signal);
+        this.newest(machine)?.signal(signal);
     }
 
     /** Ends a process and starts it again a moment after its end; with `wipe` it comes back with an empty disk. */
@@ -115,14 +115,12 @@
         downMs: number,
         wipe: boolean,
     ): Promise<void> {
-        await this.processes.get(machine.name)?.stop(signal);
+        await this.newest(machine)?.stop(signal);
         await delay(downMs);
         if (wipe) {
             rmSync(this.dataDir(machine), { recursive: true, force: true });
         }
-        if (!this.closing) {
-            this.startProcess(machine, false);
-        }
+        this.startProcess(machine);
     }
 
     /** Ends all processes at once and starts them again; one machine comes back with an empty disk. */
@@ -132,15 +130,33 @@
         );
     }
 
-    /** Whether the process of a machine has been told to end, or is away. */
-    isStopping({ name }: Machine): boolean {
-        return this.processes.get(name)?.isStopping === true;
+    /** Process of a machine that was started last. */
+    newest({ name }: Machine): SoakProcess | undefined {
+        return this.processes.get(name)?.at(-1);
+    }
+
+    /** Whether the newest process of a machine has been told to end, or is away. */
+    isStopping(machine: Machine): boolean {
+        return this.newest(machine)?.isStopping === true;
+    }
+
+    /** Whether the newest process of a machine ended without having been told to. */
+    hasEndedByItself(machine: Machine): boolean {
+        return this.newest(machine)?.hasEnded === true && !this.isStopping(machine);
+    }
+
+    /** Whether a front says that it takes calls, or a machine with a disk has opened its journal. */
+    async isServing(machine: Machine): Promise<boolean> {
+        return machine.role === "front" ? isReady(machine.ip) : this.newest(machine)?.isJournalOpen === true;
     }
 
     /** Sends SIGHUP to a front once it is ready, since it would end a process whose runtime has only been started. */
     async hangUp(front: Machine): Promise<void> {
-        if (this.isStopping(front) || await isReady(front.ip)) {
-            this.signal(front, "SIGHUP");
+        const newest = this.newest(front);
+        // While another process of the machine runs, it may be the other one that says that it is ready.
+        const isAlone = this.processes.get(front.name)?.every(other => other === newest || other.hasEnded) === true;
+        if (this.isStopping(front) || isAlone && await isReady(front.ip)) {
+            newest?.signal("SIGHUP");
         }
     }
 
@@ -161,7 +177,7 @@
 
     async close(): Promise<void> {
         this.closing = true;
-        await Promise.all([...this.processes.values()].map(running => running.stop("SIGKILL")));
+        await Promise.all([...this.processes.values()].flat().map(running => running.stop("SIGKILL")));
         this.link.close();
         this.workers.forEach(worker => worker.close());
         this.store.close();
@@ -172,18 +188,26 @@
         return join(this.dir, `${name}.disk`);
     }
 
-    private startProcess(machine: Machine, firstStart: boolean): void {
+    /** Starts a process of a machine, also while others of the machine still run. */
+    startProcess(machine: Machine, firstStart = false): void {
+        if (this.closing) {
+            return;
+        }
         const { name, role } = machine;
         const settings = join(this.dir, `${name}.toml`);
         const dataDir = this.dataDir(machine);
         const addresses = { near: this.store.address, far: this.farStoreAddress };
         mkdirSync(dataDir, { recursive: true });
-        writeFileSync(settings, settingsText(machine, { dataDir, firstStart, withQuotas: this.withQuotas, addresses }));
+        const text = settingsText(machine, { dataDir, firstStart, withQuotas: this.withQuotas, addresses });
+        // A process that is still starting must not read a file that is half written.
+        writeFileSync(`${settings}.new`, text);
+        renameSync(`${settings}.new`, settings);
         const files = { program: this.program, settings, log: join(this.dir, `${name}.log`) };
         const started = new SoakProcess(role, files, outcome => {
             this.unexpectedExits.push(`${name} ended by itself with ${outcome}`);
         });
-        this.processes.set(name, started);
+        const running = (this.processes.get(name) ?? []).filter(({ hasEnded }) => !hasEnded);
+        this.processes.set(name, [...running, started]);
     }
 
     private async waitUntilAllReady(): Promise<void> {
--- a/bench/soak/soakProcess.ts
+++ b/bench/soak/soakProcess.ts
@@ -2,6 +2,7 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { createWriteStream } from "node:fs";
+import { createInterface } from "node:readline";
 
 import type { Machine } from "./machine.js";
 import { bounds } from "./soakSettings.js";
@@ -14,6 +15,9 @@
     readonly log: string;
 }
 
+/** Log line of a machine with a disk once it has read the disk and takes turns. */
+const journalOpenEvent = "journal is open";
+
 /** A process from its start to its end. */
 export class SoakProcess {
     /** Resolves once the process has ended. */
@@ -21,6 +25,7 @@
     private readonly child: ChildProcess;
     private isTold = false;
     private isOver = false;
+    private isOpen = false;
 
     /** @param onUnexpectedExit Called with the exit code or the signal if the process ends without having been told to. */
     constructor(role: Machine["role"], files: ProcessFiles, onUnexpectedExit: (outcome: string) => void) {
@@ -31,6 +36,10 @@
         const log = createWriteStream(files.log, { flags: "a" });
         this.child.stdout?.pipe(log, { end: false });
         this.child.stderr?.pipe(log, { end: false });
+        createInterface({ input: this.child.stdout! }).on(
+            "line",
+            line => this.isOpen ||= line.includes(journalOpenEvent),
+        );
         this.ended = new Promise(resolve => {
             this.child.once("exit", (code, signal) => {
                 this.isOver = true;
@@ -51,6 +60,11 @@
         return this.isOver;
     }
 
+    /** Whether the process has logged that its journal is open. */
+    get isJournalOpen(): boolean {
+        return this.isOpen;
+    }
+
     signal(signal: NodeJS.Signals): void {
         this.child.kill(signal);
     }
--- a/bench/soak/stopSeries.ts
+++ b/bench/soak/stopSeries.ts
@@ -3,6 +3,7 @@
 
 import { LateCallers } from "./lateCallers.js";
 import type { Machine } from "./machine.js";
+import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 
@@ -19,10 +20,15 @@
 /** Time after which a front that is stopping gets another signal. */
 const maxNextSignalMs = 2_000;
 
+/** Share of the stopped machines whose next process starts while the one before still stops. */
+const overlapShare = 0.4;
+
 /** One series. */
 export class StopSeries {
     private readonly gapMs: number;
     private readonly groups: readonly (readonly Machine[])[];
+    /** Starts of the machines whose next process doesn't wait for the end of the one before. */
+    private readonly starts = new Map<Machine, OverlappingStart>();
     private isOver = false;
 
     /** @param random Returns numbers in [0, 1). */
@@ -36,9 +42,17 @@
         this.groups = random() < wholeZoneShare ? byZone(fronts) : fronts.map(front => [front]);
     }
 
+    /** Draws machines whose next process starts while the one before still stops. */
+    overlap(machines: readonly Machine[], starts: OverlappingStarts): void {
+        for (const machine of machines.filter(() => this.random() < overlapShare)) {
+            this.starts.set(machine, starts.whileStopping(machine));
+        }
+    }
+
     get description(): string {
         const names = this.groups.map(group => group.map(({ name }) => name).join("+"));
-        return `${names.join(", ")}, ${this.gapMs} ms apart`;
+        const starts = [...this.starts.values()].map(({ name }) => `; ${name}`);
+        return `${names.join(", ")}, ${this.gapMs} ms apart${starts.join("")}`;
     }
 
     /** Resolves once all fronts have been started again. */
@@ -54,10 +68,16 @@
         await changes;
     }
 
+    /** Stops a machine and starts it again, before or after its process has ended. */
+    async restart(machine: Machine, downMs: number): Promise<void> {
+        const start = this.starts.get(machine);
+        await (start === undefined ? this.fleet.restart(machine, "SIGTERM", downMs) : start.inject());
+    }
+
     private async stop(front: Machine): Promise<void> {
         const callers = new LateCallers(this.fleet, this.record, this.random, front);
         await callers.open();
-        const restarted = this.fleet.restart(front, "SIGTERM", this.random() * maxDownMs);
+        const restarted = this.restart(front, this.random() * maxDownMs);
         await Promise.all([callers.use(), restarted, this.signalAgain(front)]);
     }
 
