Draw among items and list machines by role in one place in the soak

Six classes had a method of their own that draws one of several items, and four listed the fronts or the machines with a disk. The order of what the faults draw is unchanged.

--- a/bench/soak/intruder.ts
+++ b/bench/soak/intruder.ts
@@ -2,7 +2,7 @@
 import { delay } from "@marigolddrift/common";
 import { Agent } from "node:http";
 
-import type { Machine } from "./machine.js";
+import { pick } from "./pick.js";
 import { budgetTokens } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
 import type { SoakFleet } from "./soakFleet.js";
@@ -68,9 +68,9 @@
     }
 
     private async useRemovedKey(): Promise<void> {
-        const removed = this.pick(this.fleet.workspaces.removed().slice(0, candidateKeys));
-        if (removed !== undefined) {
-            await this.call(this.random() < 0.5 ? "order" : "turn", removed.key);
+        const removed = this.fleet.workspaces.removed().slice(0, candidateKeys);
+        if (removed.length > 0) {
+            await this.call(this.random() < 0.5 ? "order" : "turn", pick(removed, this.random).key);
         }
     }
 
@@ -78,15 +78,16 @@
         const turns = [...this.record.attempts.values()].slice(-candidateTurns * 10).filter(({ id, kind, workspace }) =>
             kind === "turn" && workspace !== undefined && this.record.isKept(id, keptForMs)
         );
-        const turn = this.pick(turns.slice(-candidateTurns));
-        const others = workspaceNames.filter(name => name !== turn?.workspace);
-        if (turn !== undefined) {
-            await this.call("turn", this.fleet.workspaces.inForce(this.pick(others)!)[0]!.key, turn);
+        if (turns.length === 0) {
+            return;
         }
+        const turn = pick(turns.slice(-candidateTurns), this.random);
+        const others = workspaceNames.filter(name => name !== turn.workspace);
+        await this.call("turn", this.fleet.workspaces.inForce(pick(others, this.random))[0]!.key, turn);
     }
 
     private async call(kind: CallKind, key: string | undefined, continued?: Attempt): Promise<void> {
-        const front = this.pick(this.fronts())!;
+        const front = pick(this.fleet.fronts, this.random);
         const id = `${this.name}-${this.nextId++}`;
         const program = kind === "turn" ? continued?.program ?? `p-${id}` : undefined;
         const body = kind === "safe" ? "" : `${kind} ${id}`;
@@ -112,12 +113,4 @@
         attempt.endedAt = performance.now();
         this.record.onAnswer(attempt);
     }
-
-    private fronts(): Machine[] {
-        return this.fleet.machines.filter(({ role }) => role === "front");
-    }
-
-    private pick<T>(items: readonly T[]): T | undefined {
-        return items[Math.floor(this.random() * items.length)];
-    }
 }
--- a/bench/soak/lateCallers.ts
+++ b/bench/soak/lateCallers.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 
 import type { Machine } from "./machine.js";
+import { pick } from "./pick.js";
 import { bodyForms, exchange } from "./rawCalls.js";
 import { budgetTokens, headersOf, pathOf } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
@@ -66,10 +67,10 @@
 
     /** Returns whether the connection takes another request. */
     private async call(socket: Socket, isLate: boolean): Promise<boolean> {
-        const kind = this.pick(kinds);
+        const kind = pick(kinds, this.random);
         const id = `${isLate ? "late" : "early"}-${this.front.name}-${Math.round(performance.now())}-${this.nextId++}`;
         const body = `${kind} ${id}`;
-        const workspace = this.pick(workspaceNames);
+        const workspace = pick(workspaceNames, this.random);
         const attempt: Attempt = {
             id,
             kind,
@@ -78,14 +79,14 @@
             front: this.front.name,
             startedAt: performance.now(),
             limitMs: deadlineMs,
-            key: this.pick(this.fleet.workspaces.inForce(workspace)).key,
+            key: pick(this.fleet.workspaces.inForce(workspace), this.random).key,
             workspace,
             ...(kind === "turn" && { program: `p-${id}` }),
         };
         this.record.begin(attempt);
         this.record.setBudget(`p-${id}`, budgetTokens);
-        const path = pathOf(kind, this.pick(worksMs));
-        const call = { path, headers: headersOf(attempt, deadlineMs), body, form: this.pick(bodyForms) };
+        const path = pathOf(kind, pick(worksMs, this.random));
+        const call = { path, headers: headersOf(attempt, deadlineMs), body, form: pick(bodyForms, this.random) };
         const { status, body: text, isWhole, isLast, end, sentAt, endedAt } = await exchange(
             socket,
             call,
@@ -95,8 +96,4 @@
         this.record.onAnswer(attempt);
         return isWhole && !isLast;
     }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
 }
--- a/bench/soak/overlappingStarts.ts
+++ b/bench/soak/overlappingStarts.ts
@@ -4,6 +4,7 @@
 import { holdPort } from "./heldPort.js";
 import { ports } from "./machine.js";
 import type { Machine } from "./machine.js";
+import { pick } from "./pick.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { Fault } from "./workerFaults.js";
 
@@ -32,7 +33,7 @@
     constructor(private readonly fleet: SoakFleet, private readonly random: () => number) {}
 
     draw(machine: Machine): OverlappingStart {
-        return this.pick(this.all(machine));
+        return pick(this.all(machine), this.random);
     }
 
     /** One start of each kind. */
@@ -85,7 +86,7 @@
 
     private withHeldPort(machine: Machine): OverlappingStart {
         const { front, ready, metrics, inner } = ports;
-        const port = this.pick(machine.role === "front" ? [front, ready, metrics, inner[0]] : [inner[0]]);
+        const port = pick(machine.role === "front" ? [front, ready, metrics, inner[0]] : [inner[0]], this.random);
         const heldMs = Math.round(minHeldMs + this.random() * (maxHeldMs - minHeldMs));
         const name = `start ${machine.name} while its port ${port} is held for ${heldMs} ms`;
         return this.fault(machine, name, async () => {
@@ -104,8 +105,4 @@
     private fault(machine: Machine, name: string, start: () => Promise<void>): OverlappingStart {
         return { name, kills: false, inject: () => this.fleet.restarts.during([machine.name], start) };
     }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
 }
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -7,6 +7,7 @@
 
 import { Intruder } from "./intruder.js";
 import { OverlappingStarts } from "./overlappingStarts.js";
+import { pick } from "./pick.js";
 import { PowerLoss } from "./powerLoss.js";
 import { RecoveryWatch } from "./recoveryWatch.js";
 import { SoakCaller } from "./soakCallers.js";
@@ -117,8 +118,7 @@
         await recovery.settled();
         await delay(recoveryMs);
         if (isPowerLost) {
-            const stores = fleet.machines.filter(({ role }) => role === "store");
-            await new PowerLoss(fleet, record, random, stores[Math.floor(random() * stores.length)]!).run();
+            await new PowerLoss(fleet, record, random, pick(fleet.stores, random)).run();
             await recovery.settled();
         }
         [...callers, ...intruders, ...crowd, recovery].forEach(started => started.stop());
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -3,6 +3,7 @@
 import { Agent } from "node:http";
 
 import type { Machine } from "./machine.js";
+import { pick } from "./pick.js";
 import { budgetTokens, visitBudgetTokens } from "./soakCalls.js";
 import type { CallKind } from "./soakCalls.js";
 import type { SoakFleet } from "./soakFleet.js";
@@ -59,7 +60,7 @@
 
     private async runProgram(): Promise<void> {
         const program = this.newId("p");
-        const zone = this.pick(this.fronts()).zone;
+        const zone = pick(this.fleet.fronts, this.random).zone;
         const loops = this.random() < loopingShare;
         this.record.setBudget(program, budgetTokens);
         let history = "";
@@ -96,7 +97,7 @@
         while (!this.stopped) {
             // Inputs above the size from which records refer to earlier ones.
             const input = `${program} goes on;${"x".repeat(5_000)}`;
-            const zone = this.pick(this.fronts()).zone;
+            const zone = pick(this.fleet.fronts, this.random).zone;
             const attempt = await this.callUntilAnswered("visit", zone, history + input, input, program, previous);
             if (attempt === undefined) {
                 return;
@@ -111,7 +112,7 @@
     /** Continues a turn that may be of another caller. Resolves to the last answer. */
     async continueTurn({ id, program, expectedBody }: Attempt): Promise<Attempt | undefined> {
         const input = `${this.newId("goes on")};`;
-        const zone = this.pick(this.fronts()).zone;
+        const zone = pick(this.fleet.fronts, this.random).zone;
         return await this.callUntilAnswered("turn", zone, expectedBody + outputOf(id) + input, input, program, id);
     }
 
@@ -142,7 +143,7 @@
                 front: front.name,
                 startedAt: performance.now(),
                 limitMs: callTimeoutMs,
-                key: this.pick(this.fleet.workspaces.inForce(this.workspace)).key,
+                key: pick(this.fleet.workspaces.inForce(this.workspace), this.random).key,
                 workspace: this.workspace,
                 ...(program && { program }),
             };
@@ -170,18 +171,10 @@
         return undefined;
     }
 
-    private fronts(): Machine[] {
-        return this.fleet.machines.filter(({ role }) => role === "front");
-    }
-
     /** Mostly a front of the caller's zone; its retries reach others. */
     private pickFront(zone: string): Machine {
-        const inZone = this.fronts().filter(front => front.zone === zone);
-        return this.random() < 0.7 ? this.pick(inZone) : this.pick(this.fronts());
-    }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
+        const inZone = this.fleet.fronts.filter(front => front.zone === zone);
+        return this.random() < 0.7 ? pick(inZone, this.random) : pick(this.fleet.fronts, this.random);
     }
 
     private newId(prefix: string): string {
--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -4,6 +4,7 @@
 import { LateCallers } from "./lateCallers.js";
 import type { Machine } from "./machine.js";
 import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
+import { pick } from "./pick.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 import { StopSeries } from "./stopSeries.js";
@@ -67,7 +68,7 @@
             await Promise.all(this.running);
         }
         while (performance.now() < endsAt) {
-            this.start(this.pick(this.faults()));
+            this.start(pick(this.faults(), this.random));
             await delay(300 + this.random() * 2_000);
         }
         await Promise.all(this.running);
@@ -78,7 +79,7 @@
 
     /** Starts a process of each front and of one machine with a disk beside others, in all ways at once. */
     private async startAll(starts: OverlappingStarts): Promise<void> {
-        const machines = [...this.machines("front"), this.pick(this.machines("store"))];
+        const machines = [...this.fleet.fronts, pick(this.fleet.stores, this.random)];
         const first = Math.floor(this.random() * machines.length);
         for (const [index, machine] of machines.entries()) {
             const all = starts.all(machine);
@@ -97,9 +98,9 @@
     }
 
     private faults(): Fault[] {
-        const fronts = this.machines("front").filter(machine => !this.lost.has(machine));
-        const front = this.pick(fronts);
-        const store = this.pick(this.machines("store"));
+        const fronts = this.fleet.fronts.filter(machine => !this.lost.has(machine));
+        const front = pick(fronts, this.random);
+        const store = pick(this.fleet.stores, this.random);
         const downMs = 200 + this.random() * 1_500;
         const ms = 500 + this.random() * 3_500;
         const { fleet } = this;
@@ -214,9 +215,9 @@
     /** Stops all fronts that are not stopped, and a machine with a disk if that may be lost now. */
     private async stopAll(withStore: boolean): Promise<void> {
         this.isSeriesRunning = true;
-        const fronts = this.machines("front").filter(machine => !this.lost.has(machine));
+        const fronts = this.fleet.fronts.filter(machine => !this.lost.has(machine));
         const series = new StopSeries(this.fleet, this.record, this.random, fronts);
-        const store = this.pick(this.machines("store"));
+        const store = pick(this.fleet.stores, this.random);
         if (this.starts !== undefined) {
             series.overlap([...fronts, ...(withStore ? [store] : [])], this.starts);
         }
@@ -257,12 +258,4 @@
         await delay(catchUpMs);
         this.isDiskLost = false;
     }
-
-    private machines(role: Machine["role"]): Machine[] {
-        return this.fleet.machines.filter(machine => machine.role === role);
-    }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
 }
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -66,6 +66,15 @@
         }));
     }
 
+    get fronts(): readonly Machine[] {
+        return this.machines.filter(({ role }) => role === "front");
+    }
+
+    /** Machines with a disk. */
+    get stores(): readonly Machine[] {
+        return this.machines.filter(({ role }) => role === "store");
+    }
+
     async start(): Promise<void> {
         await this.store.start();
         this.farStoreAddress = await this.link.open(this.store.address);
@@ -211,8 +220,7 @@
     }
 
     private async waitUntilAllReady(): Promise<void> {
-        const fronts = this.machines.filter(({ role }) => role === "front");
-        await Promise.all(fronts.map(front => this.waitUntilReady(front)));
+        await Promise.all(this.fronts.map(front => this.waitUntilReady(front)));
     }
 
     private async waitUntilReady({ ip, name }: Machine): Promise<void> {
--- a/bench/soak/stopSeries.ts
+++ b/bench/soak/stopSeries.ts
@@ -4,6 +4,7 @@
 import { LateCallers } from "./lateCallers.js";
 import type { Machine } from "./machine.js";
 import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
+import { pick } from "./pick.js";
 import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 
@@ -90,8 +91,7 @@
 
     private async change(): Promise<void> {
         while (!this.isOver) {
-            const fronts = this.groups.flat();
-            await this.fleet.hangUp(fronts[Math.floor(this.random() * fronts.length)]!);
+            await this.fleet.hangUp(pick(this.groups.flat(), this.random));
             this.fleet.changeConfig();
             await delay(changeIntervalMs);
         }
--- a/bench/soak/workerFaults.ts
+++ b/bench/soak/workerFaults.ts
@@ -2,6 +2,7 @@
 import { delay } from "@marigolddrift/common";
 import type { WorkerFault, WorkerStandin } from "@marigolddrift/platform";
 
+import { pick } from "./pick.js";
 import type { SoakFleet } from "./soakFleet.js";
 
 /** A fault that is injected and ends by itself. */
@@ -77,7 +78,7 @@
     private async playEach(service: string, faults: readonly WorkerFault[]): Promise<string[]> {
         const names: string[] = [];
         for (const fault of faults) {
-            const worker = this.pick(this.fleet.workers.filter(candidate => candidate.service === service));
+            const worker = pick(this.fleet.workers.filter(candidate => candidate.service === service), this.random);
             names.push(`${worker.id} ${fault}`);
             await this.setFault(worker, fault, firstFaultMs);
         }
@@ -85,8 +86,8 @@
     }
 
     private faultyAnswers(): Fault {
-        const worker = this.pick(this.fleet.workers.filter(({ isLeaving }) => !isLeaving));
-        const fault = this.pick(worker.service === "brain" ? streamFaults : plainFaults);
+        const worker = pick(this.fleet.workers.filter(({ isLeaving }) => !isLeaving), this.random);
+        const fault = pick(worker.service === "brain" ? streamFaults : plainFaults, this.random);
         const ms = 300 + this.random() * 2_000;
         return { name: `${worker.id} ${fault}`, inject: () => this.setFault(worker, fault, ms) };
     }
@@ -107,16 +108,12 @@
 
     /** A worker says in its answers that it leaves, and its successor takes over. */
     private async replaceWorker(): Promise<void> {
-        const leaving = this.pick(this.fleet.workers.filter(({ isLeaving }) => !isLeaving));
+        const leaving = pick(this.fleet.workers.filter(({ isLeaving }) => !isLeaving), this.random);
         const service = leaving.service as "brain" | "ops";
-        const zone = this.pick(["north-a", "north-b", "south-a"]);
+        const zone = pick(["north-a", "north-b", "south-a"], this.random);
         await this.fleet.addWorker(`i-${service}-new-${this.nextWorker++}`, service, zone);
         leaving.isLeaving = true;
         await delay(leaveMs);
         this.fleet.store.remove(`servers/${leaving.id}`);
     }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
 }
