--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -2,7 +2,10 @@
 import { delay } from "@marigolddrift/common";
 
 import { LateCallers } from "./lateCallers.js";
-import type { Machine, SoakFleet } from "./soakFleet.js";
+import type { Machine } from "./machine.js";
+import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
+import { pick } from "./pick.js";
+import type { SoakFleet } from "./soakFleet.js";
 import type { SoakRecord } from "./soakRecord.js";
 import { StopSeries } from "./stopSeries.js";
 import { WorkerFaults } from "./workerFaults.js";
@@ -25,6 +28,9 @@
 
 const storeDownMs = 500;
 
+/** Overlapping starts among which, with the other faults of the machine, one fault is drawn. */
+const startsPerDraw = 2;
+
 /** Injects faults one after the other, several of which may overlap. */
 export class SoakFaults {
     readonly injected: string[] = [];
@@ -36,18 +42,22 @@
     private isSeriesRunning = false;
     private readonly running = new Set<Promise<void>>();
 
-    /** @param random Returns numbers in [0, 1). */
+    /**
+     * @param random Returns numbers in [0, 1).
+     * @param starts Starts of processes beside others, if they are among the faults.
+     */
     constructor(
         private readonly fleet: SoakFleet,
         private readonly record: SoakRecord,
         private readonly random: () => number,
+        private readonly starts?: OverlappingStarts,
     ) {
         this.workerFaults = new WorkerFaults(fleet, random);
     }
 
     /**
      * Plays each faulty answer once and a series of stops, in some runs with nothing beside it, then starts faults until the
-     * time is over, and waits until all have ended.
+     * time is over, and waits until all have ended. If processes are started beside others, it does that to all fronts last.
      */
     async run(ms: number): Promise<void> {
         const endsAt = performance.now() + ms;
@@ -58,10 +68,26 @@
             await Promise.all(this.running);
         }
         while (performance.now() < endsAt) {
-            this.start(this.pick(this.faults()));
+            this.start(pick(this.faults(), this.random));
             await delay(300 + this.random() * 2_000);
         }
         await Promise.all(this.running);
+        if (this.starts !== undefined) {
+            await this.startAll(this.starts);
+        }
+    }
+
+    /** Starts a process of each front and of one machine with a disk beside others, in all ways at once. */
+    private async startAll(starts: OverlappingStarts): Promise<void> {
+        const machines = [...this.fleet.fronts, pick(this.fleet.stores, this.random)];
+        const first = Math.floor(this.random() * machines.length);
+        for (const [index, machine] of machines.entries()) {
+            const all = starts.all(machine);
+            const start = all[(first + index) % all.length]!;
+            this.start({ name: start.name, inject: () => this.startBeside(machine, start) });
+            await delay(this.random() * maxStartMs);
+        }
+        await Promise.all(this.running);
     }
 
     private start(fault: Fault): void {
@@ -72,9 +98,9 @@
     }
 
     private faults(): Fault[] {
-        const fronts = this.machines("front").filter(machine => !this.lost.has(machine));
-        const front = this.pick(fronts);
-        const store = this.pick(this.machines("store"));
+        const fronts = this.fleet.fronts.filter(machine => !this.lost.has(machine));
+        const front = pick(fronts, this.random);
+        const store = pick(this.fleet.stores, this.random);
         const downMs = 200 + this.random() * 1_500;
         const ms = 500 + this.random() * 3_500;
         const { fleet } = this;
@@ -96,6 +122,10 @@
                     name: `stop ${front.name} while it starts`,
                     inject: () => this.lose(front, () => this.stopAtStart(front, downMs)),
                 },
+                ...this.overlappingStarts(front).map(start => ({
+                    name: start.name,
+                    inject: () => this.startBeside(front, start),
+                })),
                 { name: `freeze ${front.name}`, inject: () => this.disturb(front, () => this.freeze(front, ms)) },
             ]),
             ...(this.isSeriesRunning || fronts.length === 0 ? [] : [
@@ -120,6 +150,10 @@
                     name: `kill ${store.name}`,
                     inject: () => this.disturbDisk(store, () => fleet.restart(store, "SIGKILL", downMs)),
                 },
+                ...this.overlappingStarts(store).map(start => ({
+                    name: start.name,
+                    inject: () => this.loseDisk(() => this.startBeside(store, start)),
+                })),
                 { name: `freeze ${store.name}`, inject: () => this.disturbDisk(store, () => this.freeze(store, ms)) },
                 {
                     name: `wipe ${store.name}`,
@@ -129,6 +163,15 @@
         ];
     }
 
+    private overlappingStarts(machine: Machine): OverlappingStart[] {
+        return Array.from({ length: startsPerDraw }, () => this.starts?.draw(machine) ?? []).flat();
+    }
+
+    private startBeside(machine: Machine, start: OverlappingStart): Promise<void> {
+        const inject = (): Promise<void> => start.inject();
+        return start.kills ? this.disturb(machine, inject) : this.lose(machine, inject);
+    }
+
     private async storeFault(fault: "down" | "busy" | "silent" | "loseTxnReply", ms: number): Promise<void> {
         await this.record.disturbances.during(["store"], async () => {
             this.fleet.store.fault = fault;
@@ -172,14 +215,17 @@
     /** Stops all fronts that are not stopped, and a machine with a disk if that may be lost now. */
     private async stopAll(withStore: boolean): Promise<void> {
         this.isSeriesRunning = true;
-        const fronts = this.machines("front").filter(machine => !this.lost.has(machine));
+        const fronts = this.fleet.fronts.filter(machine => !this.lost.has(machine));
         const series = new StopSeries(this.fleet, this.record, this.random, fronts);
+        const store = pick(this.fleet.stores, this.random);
+        if (this.starts !== undefined) {
+            series.overlap([...fronts, ...(withStore ? [store] : [])], this.starts);
+        }
         this.injected.push(`  ${series.description}`);
         fronts.forEach(front => this.lost.add(front));
-        const store = this.pick(this.machines("store"));
         await Promise.all([
             series.run(),
-            ...(withStore ? [this.loseDisk(() => this.fleet.restart(store, "SIGTERM", storeDownMs))] : []),
+            ...(withStore ? [this.loseDisk(() => series.restart(store, storeDownMs))] : []),
         ]);
         fronts.forEach(front => this.lost.delete(front));
         this.isSeriesRunning = false;
@@ -212,12 +258,4 @@
         await delay(catchUpMs);
         this.isDiskLost = false;
     }
-
-    private machines(role: Machine["role"]): Machine[] {
-        return this.fleet.machines.filter(machine => machine.role === role);
-    }
-
-    private pick<T>(items: readonly T[]): T {
-        return items[Math.floor(this.random() * items.length)]!;
-    }
 }
