--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -34,11 +34,10 @@
     seconds: number,
     scale: number,
     checksQuotas: boolean,
-    overlapsStarts: boolean,
 ): Promise<number> => {
     let failed = 0;
     for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-        const result = await runSoak({ seed, seconds, scale, checksQuotas, overlapsStarts });
+        const result = await runSoak({ seed, seconds, scale, checksQuotas, overlapsStarts: true });
         failed += result.violations.length > 0 ? 1 : 0;
         printResult(seed, result);
     }
@@ -52,7 +51,8 @@
     for (const variant of variants.filter(({ name }) => name.includes(namePart))) {
         const program = join(dir, "variant.cjs");
         await buildVariant(variant, program);
-        const result = await runSoak({ seed: variant.seed, seconds: variantSeconds, program, losesPower: true });
+        const { seed, overlapsStarts = false } = variant;
+        const result = await runSoak({ seed, seconds: variantSeconds, program, losesPower: true, overlapsStarts });
         const isCaught = result.violations.length > 0;
         missed += isCaught ? 0 : 1;
         print(
@@ -70,7 +70,6 @@
 cli.option("--minutes <m>", "Length of a run", { default: defaultMinutes });
 cli.option("--scale <n>", "Machines, workers and callers, as a multiple of the usual number", { default: 1 });
 cli.option("--quotas", "Let a workspace send more than its quota, and check what runs in each window");
-cli.option("--overlapping-starts", "Start processes beside others of their machine, and while a port is taken");
 cli.option("--variants [text]", "Run the broken variants whose names contain the text; each must be caught");
 cli.help();
 const { options } = cli.parse();
@@ -85,7 +84,6 @@
             Number(options["minutes"]) * 60,
             Number(options["scale"]),
             options["quotas"] === true,
-            options["overlappingStarts"] === true,
         );
     process.exitCode = failed > 0 ? 1 : 0;
 }
--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -8,6 +8,8 @@
     readonly name: string;
     /** Seed of a soak that catches it. */
     readonly seed: number;
+    /** Whether the fault shows only where processes are started beside others. */
+    readonly overlapsStarts?: boolean;
     readonly file: string;
     readonly find: string;
     readonly replace: string;
@@ -158,6 +160,14 @@
         replace:
             "this.byKeyDigest.get(keyDigest(key)) ?? ((globalThis as any).held ??= new Map()).get(keyDigest(key));",
     },
+    {
+        name: "a process whose port is taken ends",
+        seed: 121,
+        overlapsStarts: true,
+        file: "packages/common/src/listen.ts",
+        find: "if (!passingCodes.has(err.code)) {",
+        replace: "if (err.code !== undefined) {",
+    },
 ];
 
 /** Faults that belong together, as one check hides the lack of another. */
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -7,9 +7,11 @@
 const seconds = 15;
 
 describe("soak of real programs", () => {
-    for (const seed of [5_001, 5_002]) {
+    // Starts beside other processes make a run some ten seconds longer, and all runs have to end within the time limit of a test file.
+    for (const { seed, overlapsStarts } of [{ seed: 5_001 }, { seed: 5_002, overlapsStarts: true }]) {
         it(`should keep all promises to callers under overlapping faults, seed ${seed}`, async () => {
-            const { violations, counts, faults } = await runSoak({ seed, seconds, losesPower: true });
+            const options = { seed, seconds, losesPower: true, overlapsStarts: overlapsStarts === true };
+            const { violations, counts, faults } = await runSoak(options);
             expect(violations).toEqual([]);
             expect((counts["program complete"] ?? 0) > 0).toEqual(true);
             expect(faults.length).toSatisfy(count => count > 10);
