--- a/tests/hostile/heads.test.ts
+++ b/tests/hostile/heads.test.ts
@@ -11,6 +11,10 @@
 const playMs = 5_000;
 const writeTimeoutMs = 4_000;
 
+/** One read of a connection has some 2,500 of the smallest heads. */
+const tinyHead = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+const tinyHeadCallers = 60;
+
 /** A head of many small lines costs the runtime the most. */
 const smallLines = "ab: cd\r\n".repeat(1_024);
 
@@ -53,3 +57,24 @@
         expect(await front.findFaults(t)).toEqual([]);
     });
 });
+
+// Guards against callers of which one read has thousands of requests: what these need until the connection is closed fills the machine.
+describe("the smallest heads behind one another", () => {
+    let front: HostileFront;
+    let crowd: Crowd;
+    before(buildBundle);
+    beforeEach(async () => {
+        front = await HostileFront.start(settings);
+        crowd = new Crowd(front.address);
+    });
+    afterEach(async () => {
+        crowd.close();
+        await front.close();
+    });
+
+    it("should be bounded if 60 callers write them without end", async t => {
+        const heads = tinyHead.repeat(20_000);
+        await crowd.play(tinyHeadCallers, caller => writeFor(caller, heads, playMs));
+        expect(await front.findFaults(t)).toEqual([]);
+    });
+});
