Stop the parser within a read when a connection has too many requests

Callers saw a front that ended, or answered an ordinary request with 408, while 60 others wrote heads of 26 bytes behind one another.

Cause: reading stops when nine requests wait, but the parser goes on to the end of the read, which has some 2,500 such heads. The requests of a connection that the bound on input has closed stay in memory, uncounted, until the end of the turn of the event loop in which all connections are read.

The runtime stops parsing only at a request that takes over its connection. The 65th request before the first answer is now made one, and so is any on a closed connection. Its caller gets the answers to the 64 before, then 503 for the one that has not run, and the connection ends. Since the server no longer passes on that a connection has taken what was written, the refuser does so; a new test with streams before the refused request fails without that.

--- a/packages/gateway/src/entry/callerConnections.ts
+++ b/packages/gateway/src/entry/callerConnections.ts
@@ -14,6 +14,9 @@
 /** Number of requests that may wait on a connection behind the one that is served. Beyond it the connection is not read. */
 const maxWaiting = 8;
 
+/** Number of requests that may be parsed on a connection before the first one has been answered. */
+const maxUnsent = 64;
+
 /** What the runtime needs for a request that waits, besides its head and body. */
 const waitingBytes = 4 * 1024;
 
@@ -89,6 +92,11 @@
         return this.unsent.size === 1 && !first!.req.complete;
     }
 
+    /** Whether no further request of the connection is to be parsed. */
+    get isFull(): boolean {
+        return this.socket.destroyed || this.unsent.size >= maxUnsent;
+    }
+
     /** Returns why the connection is to be refused, if it is. */
     checkHead({ timeoutMs, maxBytes }: HeadLimits): HeadRefusal | undefined {
         const pendingBytes = this.socket.bytesRead - this.readBytes;
--- a/packages/gateway/src/entry/connectionRefuser.ts
+++ b/packages/gateway/src/entry/connectionRefuser.ts
@@ -9,6 +9,7 @@
 
 const badRequest = "400 Bad Request";
 const late = "408 Request Timeout";
+const tooManyRequests = "503 Service Unavailable";
 const headTooLarge = "431 Request Header Fields Too Large";
 
 /** Answers with a status and ends the connection, after the answers to the requests before. */
@@ -54,6 +55,21 @@
         void this.refuse(socket, badRequest);
     }
 
+    /** More requests have arrived on a connection than may wait there. The first of those beyond is refused, the others are not read. */
+    onTooManyRequests(socket: Socket): void {
+        // The server no longer listens for errors.
+        socket.on("error", () => socket.destroy());
+        const connection = this.callers.get(socket);
+        if (connection === undefined || socket.destroyed) {
+            return;
+        }
+        this.refusals.add("requests");
+        // The server has given up the connection, and no longer tells the answers before that they may be continued.
+        socket.on("drain", () => [...connection.unsent][0]?.emit("drain"));
+        socket.resume();
+        void this.refuse(socket, tooManyRequests);
+    }
+
     /** A caller takes answers in the order of its requests, so that those before come first. */
     private async refuse(socket: Socket, status: string): Promise<void> {
         const connection = this.callers.get(socket);
--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -22,6 +22,7 @@
 import type { InputBounds } from "./inputBounds.js";
 import { lingerAfterAnswer } from "./lingeringClose.js";
 import { RequestSequence } from "./requestSequence.js";
+import { stoppableRequest } from "./stoppableRequest.js";
 import { UnsentAnswer } from "./unsentAnswer.js";
 
 /** Maximum size of the request headers for the HTTP parser until there is a configuration. */
@@ -75,6 +76,7 @@
             requestTimeout: requestTimeoutMs,
             noDelay: true,
             keepAliveTimeout: 0,
+            IncomingMessage: stoppableRequest(socket => this.callers.get(socket)?.isFull ?? true),
         });
         this.server.on("clientError", (err, socket) => this.refuser.onClientError(err, socket as Socket));
         const { memory, maxConnections, refusals } = options.input;
@@ -89,6 +91,7 @@
         this.server.on("connection", socket => this.callers.add(socket));
         // Without a listener the server closes the connection before the calls on it have been answered.
         this.server.on("connect", (_, socket) => this.refuser.onTunnel(socket as Socket));
+        this.server.on("upgrade", (_, socket) => this.refuser.onTooManyRequests(socket as Socket));
         this.app = polka({ server: this.server, onNoMatch: (req, res) => void this.handle(req, res) });
     }
 
--- a/packages/gateway/src/entry/refusalLog.ts
+++ b/packages/gateway/src/entry/refusalLog.ts
@@ -7,7 +7,7 @@
 const intervalMs = 1_000;
 
 /** Why input is refused. */
-export type RefusalReason = "memory" | "small chunks" | "connections" | "head late" | "head too large";
+export type RefusalReason = "memory" | "small chunks" | "requests" | "connections" | "head late" | "head too large";
 
 interface Recent {
     readonly loggedAt: number;
--- a/tests/platform/pipelining.test.ts
+++ b/tests/platform/pipelining.test.ts
@@ -14,6 +14,10 @@
     return `${method} ${path} HTTP/1.1\r\n${head}\r\nContent-Length: 4\r\n\r\nonce`;
 };
 
+/** Requests that are parsed on a connection before the first one has been answered, and more of them. */
+const maxUnsent = 64;
+const manyRequests = 100;
+
 const largeBodyBytes = 300_000;
 const answerBytes = 2 * 1024 * 1024;
 
@@ -142,4 +146,24 @@
         await waitUntil(() => caller.isClosed, 5_000);
         expect(caller.statuses).toEqual(["200", "400"]);
     });
+
+    // Guards against a refusal that cuts the answers before it, or leaves a large one of them waiting for a caller that reads on.
+    it("should be refused after the answers before them if there are too many", async () => {
+        deployment.streamingWorker.events = 55;
+        deployment.streamingWorker.eventBytes = 64 * 1024;
+        const caller = new PipeliningCaller(deployment.gateways[0]!.port);
+        const texts = Array.from(
+            { length: manyRequests },
+            (_, index) => requestText("POST", "/order/1", `many-${index}`),
+        );
+        caller.socket.pause();
+        const streams = ["a", "b", "c"].map(id => requestText("GET", "/talk/1", `stream-${id}`));
+        caller.socket.write([...streams, ...texts].join(""));
+        await sleep(500);
+        caller.socket.resume();
+        await waitUntil(() => caller.isClosed);
+        const served = Array.from({ length: maxUnsent }, () => "200");
+        expect(caller.statuses).toEqual([...served, "503"]);
+        expect(deployment.plainWorker.ran.length).toEqual(maxUnsent - streams.length);
+    });
 });
