Join the small pieces in which an upstream's reply arrives

Callers saw a front that ended when a worker answered one call with 1 MB in one-byte chunks, a size that is permitted.

Cause: the HTTP client hands over each chunk of a read as an object of its own. A reply that is sent whole is kept as these objects, and the bound on replies counts their bytes only.

The copies are flushed before the end or an error is reported.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -60,6 +60,7 @@
 export * from "./upstreams/classifyReply.js";
 export * from "./upstreams/framing.js";
 export { LoadExchange } from "./upstreams/loadExchange.js";
+export * from "./upstreams/pieceJoiner.js";
 export * from "./upstreams/replyMemory.js";
 export * from "./upstreams/upstreamConnections.js";
 export * from "./upstreams/upstreamEntry.js";
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher as HttpDispatcher } from "undici";
 
 import { endsWithConnection, isRunTogether } from "./framing.js";
+import { PieceJoiner } from "./pieceJoiner.js";
 
 /** Timeout for establishing a connection. */
 const connectTimeoutMs = 400;
@@ -149,6 +150,7 @@
     private abortReason: Error | undefined;
     private ended = false;
     private endsWithConnection = false;
+    private readonly joiner = new PieceJoiner(piece => this.onPiece(piece));
 
     constructor(private readonly listener: ReplyListener, private readonly socketEnding: Readonly<SocketEnding>) {}
 
@@ -198,12 +200,13 @@
     }
 
     onResponseData(_: HttpDispatcher.DispatchController, chunk: Buffer): void {
-        if (!this.ended && !this.listener.onData(chunk)) {
-            this.abort(new Error("the reply was refused by its listener"));
+        if (!this.ended) {
+            this.joiner.add(chunk);
         }
     }
 
     onResponseEnd(): void {
+        this.joiner.flush();
         const end = this.socketEnding.now;
         const isTruncated = end === "failed" || (end === "closed" && !this.endsWithConnection);
         if (isTruncated) {
@@ -214,9 +217,16 @@
     }
 
     onResponseError(_: HttpDispatcher.DispatchController | undefined, err: Error): void {
+        this.joiner.flush();
         this.endOnce(() => this.listener.onError(this.abortReason ?? err, this.controller !== undefined));
     }
 
+    private onPiece(piece: Buffer): void {
+        if (!this.ended && this.abortReason === undefined && !this.listener.onData(piece)) {
+            this.abort(new Error("the reply was refused by its listener"));
+        }
+    }
+
     private endOnce(notify: () => void): void {
         if (!this.ended) {
             this.ended = true;
--- a/tests/hostile/hostileFront.ts
+++ b/tests/hostile/hostileFront.ts
@@ -55,6 +55,8 @@
     /** Descriptors that the process may have open. */
     readonly fds: number;
     readonly limits?: Partial<typeof callerLimits>;
+    /** Address in place of that of the stand-in for a worker without streams. */
+    readonly plainWorkerAddress?: string;
 }
 
 /** Resources of the process, as the kernel reports them. */
@@ -99,7 +101,9 @@
         await front.plainWorker.start();
         await front.streamingWorker.start();
         front.store.put("op/config", configOf(settings));
-        front.store.put("servers/i-ops", { ...front.plainWorker.entry(), slots: engine.slots });
+        const { plainWorkerAddress = front.plainWorker.address } = settings;
+        const plainEntry = { ...front.plainWorker.entry(), address: plainWorkerAddress, slots: engine.slots };
+        front.store.put("servers/i-ops", plainEntry);
         front.store.put("servers/i-brain", { ...front.streamingWorker.entry(), slots: engine.slots });
         await front.startProcess();
         return front;
