Play streams of several software versions in the soak

No stream may have events of two versions or miss one, and of those taken up at undisturbed fronts while two workers of their version serve, at least half must go on.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -34,10 +34,11 @@
     seconds: number,
     scale: number,
     checksQuotas: boolean,
+    mixesVersions: boolean,
 ): Promise<number> => {
     let failed = 0;
     for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-        const result = await runSoak({ seed, seconds, scale, checksQuotas, overlapsStarts: true });
+        const result = await runSoak({ seed, seconds, scale, checksQuotas, overlapsStarts: true, mixesVersions });
         failed += result.violations.length > 0 ? 1 : 0;
         printResult(seed, result);
     }
@@ -70,6 +71,7 @@
 cli.option("--minutes <m>", "Length of a run", { default: defaultMinutes });
 cli.option("--scale <n>", "Machines, workers and callers, as a multiple of the usual number", { default: 1 });
 cli.option("--quotas", "Let a workspace send more than its quota, and check what runs in each window");
+cli.option("--versions", "Let workers of several software versions serve streams, which callers take up");
 cli.option("--variants [text]", "Run the broken variants whose names contain the text; each must be caught");
 cli.help();
 const { options } = cli.parse();
@@ -84,6 +86,7 @@
             Number(options["minutes"]) * 60,
             Number(options["scale"]),
             options["quotas"] === true,
+            options["versions"] === true,
         );
     process.exitCode = failed > 0 ? 1 : 0;
 }
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -16,6 +16,7 @@
 import { builtProgram, SoakFleet } from "./soakFleet.js";
 import { SoakRecord } from "./soakRecord.js";
 import { workspaceNames } from "./soakWorkspaces.js";
+import { VersionedStreams } from "./versionedStreams.js";
 import { WorkspaceChecks } from "./workspaceChecks.js";
 
 const callerCount = 12;
@@ -53,6 +54,8 @@
     readonly checksQuotas?: boolean;
     /** Whether processes are started beside others of their machine, or while a port is taken; off if missing. */
     readonly overlapsStarts?: boolean;
+    /** Whether workers of several software versions serve streams that callers take up; off if missing. */
+    readonly mixesVersions?: boolean;
 }
 
 /** Result of a run. */
@@ -79,6 +82,7 @@
         losesPower,
         checksQuotas = false,
         overlapsStarts = false,
+        mixesVersions = false,
     }: SoakOptions,
 ): Promise<SoakResult> => {
     const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
@@ -107,7 +111,9 @@
             );
         const intruders = createIntruders("intruder", intruderCount);
         const crowd = createIntruders("crowd", checksQuotas ? crowdCount : 0);
+        const versionedStreams = new VersionedStreams(fleet, record, createRandom(seed + seedStride / 4));
         const running = [
+            ...(mixesVersions ? [versionedStreams.run()] : []),
             ...callers.map((caller, index) => index < visitorCount ? caller.visit() : caller.run()),
             ...intruders.map(intruder => intruder.run()),
             ...crowd.map(intruder => intruder.press()),
@@ -121,13 +127,14 @@
             await new PowerLoss(fleet, record, random, pick(fleet.stores, random)).run();
             await recovery.settled();
         }
-        [...callers, ...intruders, ...crowd, recovery].forEach(started => started.stop());
+        [...callers, ...intruders, ...crowd, recovery, versionedStreams].forEach(started => started.stop());
         await Promise.all(running);
         await delay(settleMs);
         const workspaceChecks = new WorkspaceChecks(record, fleet);
         record.violations.push(
             ...new SoakChecks(record, fleet.workers).violations(),
             ...workspaceChecks.violations(),
+            ...versionedStreams.violations(),
             ...(checksQuotas ? workspaceChecks.quotaViolations() : []),
         );
     }
--- a/tests/platform/resumedCallers.ts
+++ b/bench/soak/streamCallers.ts
@@ -20,6 +20,8 @@
 export interface CallerTarget {
     readonly host: string;
     readonly port: number;
+    /** Host name of the route. */
+    readonly site: string;
 }
 
 const parseEvents = (text: string): ReceivedEvent[] =>
@@ -36,17 +38,17 @@
  * @param headers Of the call, as `Resumes` and `Last-Event-Id`.
  */
 export const receive = (
-    target: CallerTarget,
+    { host, port, site }: CallerTarget,
     headers: Readonly<Record<string, string>> = {},
     maxEvents = Infinity,
 ): Promise<ReceivedPart> =>
     new Promise(resolve => {
         const id = `stream-${process.pid}-${nextId++}`;
-        const sent = { "Host": "carts.example", "Request-Id": id, "Deadline-Ms": "2500", ...headers };
+        const sent = { "Host": site, "Request-Id": id, "Deadline-Ms": "2500", ...headers };
         let status: number | string = "none";
         let text = "";
         const end = (): void => resolve({ id, status, events: parseEvents(text) });
-        const req = request({ ...target, method: "POST", path: "/talk/1", headers: sent, agent: false }, res => {
+        const req = request({ host, port, method: "POST", path: "/talk/1", headers: sent, agent: false }, res => {
             status = res.statusCode!;
             res.on("data", (chunk: Buffer) => {
                 text += String(chunk);
--- a/tests/platform/resumedStreams.test.ts
+++ b/tests/platform/resumedStreams.test.ts
@@ -8,9 +8,9 @@
 import { join } from "node:path";
 import { afterEach, beforeEach, describe, it } from "node:test";
 
+import { countResumptions, receive, resume } from "../../bench/soak/streamCallers.js";
+import type { CallerTarget, ReceivedPart, ResumptionCounts } from "../../bench/soak/streamCallers.js";
 import { Deployment, waitUntil } from "./deployment.js";
-import { countResumptions, receive, resume } from "./resumedCallers.js";
-import type { CallerTarget, ReceivedPart, ResumptionCounts } from "./resumedCallers.js";
 
 const streams = 40;
 
@@ -157,7 +157,7 @@
     }
 }
 
-const target = ({ port }: Gateway): CallerTarget => ({ host: "127.0.0.1", port });
+const target = ({ port }: Gateway): CallerTarget => ({ host: "127.0.0.1", port, site: "carts.example" });
 
 describe("streams that are taken up", () => {
     let fleet: Fleet;
