Check the build of an upstream again when a call is sent

The entry that the call is sent by is checked now, and the call goes elsewhere or is refused; it has not run.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -205,8 +205,11 @@
     ): Promise<AttemptOutcome> {
         const { worker } = lease;
         const upstream = this.options.upstreams.get(worker);
-        if (upstream === undefined || upstream.isLeaving) {
-            const detail = `the upstream has just ${upstream === undefined ? "left" : "said that it is leaving"}`;
+        // The process that the call was placed at may have been replaced meanwhile, under its id and with another build.
+        const isReplaced = upstream !== undefined && ctx.candidates?.accepts(upstream.entry) === false;
+        if (upstream === undefined || upstream.isLeaving || isReplaced) {
+            const change = upstream === undefined ? "left" : isReplaced ? "been replaced" : "said that it is leaving";
+            const detail = `the upstream has just ${change}`;
             const unreachable = upstream === undefined;
             return {
                 worker,
