--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -136,7 +136,8 @@
     onStreamBegun(streamId: string, upstream: Upstream): void {
         const { id, service, build } = upstream.entry;
         // A process that has started again under its id may run another build than the entry that the call was sent by.
-        const isCertain = this.options.upstreams.get(id) === upstream;
+        const present = this.options.upstreams.get(id);
+        const isCertain = present === undefined || present === upstream;
         this.streams.onBegun(streamId, service, isCertain ? build : undefined);
     }
 
