--- a/packages/gateway/src/builds/buildRecords.ts
+++ b/packages/gateway/src/builds/buildRecords.ts
@@ -58,7 +58,9 @@
         const ids = new Map<string | undefined, string[]>();
         for (const [id, record] of this.records) {
             if (record.service === service) {
-                ids.set(record.build, [...(ids.get(record.build) ?? []), id]);
+                const known = ids.get(record.build) ?? [];
+                ids.set(record.build, known);
+                known.push(id);
             }
         }
         return ids;
--- a/packages/gateway/src/builds/streamBuilds.ts
+++ b/packages/gateway/src/builds/streamBuilds.ts
@@ -132,7 +132,9 @@
         const byHolder = new Map<PeerClient, string[]>();
         for (const id of streamIds) {
             for (const machine of this.options.holders.of(id)) {
-                byHolder.set(machine, [...(byHolder.get(machine) ?? []), id]);
+                const ids = byHolder.get(machine) ?? [];
+                byHolder.set(machine, ids);
+                ids.push(id);
             }
         }
         return byHolder;
