--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -1,6 +1,7 @@
 /** Keeps each stream at the build that began it. Puts together what the store, the machines with disks and this instance know. */
 import { ProblemError, Progress } from "@marigolddrift/common";
 import type { Logger, Metrics } from "@marigolddrift/common";
+import { createHash } from "node:crypto";
 
 import type { Duties } from "../fleet/duties.js";
 import type { LocalInstance } from "../peers/peerMessages.js";
@@ -39,6 +40,12 @@
 /** Time after which a caller may try again if it could not be found out which build began its stream. */
 const retryAfterSeconds = 0.3;
 
+/** Length of the digest by which a stream is known: callers choose the ids of calls, and their length. */
+const streamKeyLength = 22;
+
+const streamKey = (streamId: string): string =>
+    createHash("sha256").update(streamId).digest("base64url").slice(0, streamKeyLength);
+
 /** How the build of a stream is known. */
 export type KnownBy = "memory" | "record" | "only build";
 
@@ -138,7 +145,7 @@
         // A process that has started again under its id may run another build than the entry that the call was sent by.
         const present = this.options.upstreams.get(id);
         const isCertain = present === undefined || present === upstream;
-        this.streams.onBegun(streamId, service, isCertain ? build : undefined);
+        this.streams.onBegun(streamKey(streamId), service, isCertain ? build : undefined);
     }
 
     /** Called when upstreams have come. */
@@ -179,7 +186,7 @@
     }
 
     private async lookUp(service: string, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
-        const found = streamId === undefined ? undefined : await this.streams.find(streamId, progress);
+        const found = streamId === undefined ? undefined : await this.streams.find(streamKey(streamId), progress);
         if (found?.kind === "known" && found.record.service === service && found.record.build !== undefined) {
             const { record: { build, ageMs }, knownBy } = found;
             return { build, knownBy, ageMs: Math.round(ageMs) };
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -116,7 +116,7 @@
     readonly service: string;
     /** Undefined if it is not certain which build that was. */
     readonly build: string | undefined;
-    /** Ids of the calls that brought the first events. */
+    /** Digests of the ids of the calls that brought the first events. */
     readonly streams: readonly string[];
 }
 
