Let streams that are taken up get a worker while all are busy

Lanes come first now, since what waits there can use few workers; while one build serves there is no lane, and a take-up has its place in the ordinary order. Empty lanes are dropped.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -23,6 +23,7 @@
 
 interface ModelQueue<R extends DispatchRequest> {
     readonly model: string;
+    readonly lane: string | undefined;
     readonly waiting: QueuedCall<R>[];
     meanServiceMs: number;
 }
@@ -156,14 +157,14 @@
 
     /** Dispatches queued calls of all models as far as possible, for example after a worker has become available. */
     dispatchAllQueued(): void {
-        [...this.queues.values()].forEach(queue => this.dispatchQueued(queue));
+        this.lanesFirst().forEach(queue => this.dispatchQueued(queue));
     }
 
     private queue(model: string, lane?: string): ModelQueue<R> {
         const name = lane === undefined ? model : JSON.stringify([model, lane]);
         let queue = this.queues.get(name);
         if (queue === undefined) {
-            queue = { model, waiting: [], meanServiceMs: initialMeanServiceMs };
+            queue = { model, lane, waiting: [], meanServiceMs: initialMeanServiceMs };
             this.queues.set(name, queue);
         }
         return queue;
@@ -174,8 +175,22 @@
         return lane === undefined ? this.options.queueOf?.(model) : undefined;
     }
 
+    /** What waits in a lane can use few workers, and would never get one if all others came before it. Empty lanes are dropped. */
+    private lanesFirst(): ModelQueue<R>[] {
+        const lanes: ModelQueue<R>[] = [];
+        const others: ModelQueue<R>[] = [];
+        for (const [name, queue] of this.queues) {
+            if (queue.lane !== undefined && queue.waiting.length === 0) {
+                this.queues.delete(name);
+                continue;
+            }
+            (queue.lane === undefined ? others : lanes).push(queue);
+        }
+        return [...lanes, ...others];
+    }
+
     private dispatchModel(model: string): void {
-        [...this.queues.values()].filter(queue => queue.model === model).forEach(queue => this.dispatchQueued(queue));
+        this.lanesFirst().filter(queue => queue.model === model).forEach(queue => this.dispatchQueued(queue));
     }
 
     private dispatchQueued(queue: ModelQueue<R>): void {
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -176,7 +176,8 @@
         return this.lifetimeMs * awayShare;
     }
 
-    private isMixed(service: string): boolean {
+    /** Whether more than one build may have begun streams of the service, as far as is known here. */
+    isMixed(service: string): boolean {
         this.see(service);
         return this.declarations.of(service).recent(this.lifetimeMs).size > 1;
     }
--- a/packages/gateway/src/filters/buildFilter.ts
+++ b/packages/gateway/src/filters/buildFilter.ts
@@ -9,7 +9,7 @@
 
 /** Dependencies of a {@link BuildFilter}. */
 export interface BuildFilterOptions {
-    readonly builds: Pick<Builds, "mayBegin" | "declareForCall" | "findBuild">;
+    readonly builds: Pick<Builds, "mayBegin" | "declareForCall" | "findBuild" | "isMixed">;
     readonly metrics: Pick<Metrics, "count">;
     readonly log: Logger;
 }
@@ -41,7 +41,8 @@
         try {
             const streamId = callId && scopedName(ctx.workspace, callId);
             const { build } = known = await builds.findBuild(ctx.service.name, streamId, ctx.progress);
-            ctx.candidates = { accepts: entry => entry.build === build, lane: build };
+            const lane = builds.isMixed(ctx.service.name) ? build : undefined;
+            ctx.candidates = { accepts: entry => entry.build === build, lane };
             await next();
         }
         catch (err) {
