Take a stream up at the service that began it

The record names the service now, records of such routes are sent whatever builds serve, and without one the take-up is refused.

--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -6,7 +6,7 @@
 import type { Duties } from "../fleet/duties.js";
 import type { LocalInstance } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
-import type { RouteTable } from "../routes.js";
+import type { Route, RouteTable, RouteTarget } from "../routes.js";
 import { isResumable } from "../routes.js";
 import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
@@ -51,6 +51,7 @@
 
 /** The build that began a stream. */
 export interface KnownBuild {
+    readonly service: string;
     readonly build: string;
     readonly knownBy: KnownBy;
     readonly ageMs: number | undefined;
@@ -131,21 +132,21 @@
      *
      * @throws ProblemError `build_unknown` if that is not certain, or `build_gone` if no upstream of it can be used. Nothing has run.
      */
-    async findBuild(service: string, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
-        const known = await this.lookUp(service, streamId, progress);
-        if (!this.options.upstreams.usable(service).some(({ entry }) => entry.build === known.build)) {
+    async findBuild(route: Route, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
+        const known = await this.lookUp(route, streamId, progress);
+        if (!this.options.upstreams.usable(known.service).some(({ entry }) => entry.build === known.build)) {
             throw new ProblemError("build_gone", "notRun", `No upstream of build "${known.build}" can be used now.`);
         }
         return known;
     }
 
     /** Called when the first event of a stream is passed on. */
-    onStreamBegun(streamId: string, upstream: Upstream): void {
+    onStreamBegun(streamId: string, { targets }: Route, upstream: Upstream): void {
         const { id, service, build } = upstream.entry;
         // A process that has started again under its id may run another build than the entry that the call was sent by.
         const present = this.options.upstreams.get(id);
         const isCertain = present === undefined || present === upstream;
-        this.streams.onBegun(streamKey(streamId), service, isCertain ? build : undefined);
+        this.streams.onBegun(streamKey(streamId), service, isCertain ? build : undefined, targets.length > 1);
     }
 
     /** Called when upstreams have come. */
@@ -186,21 +187,26 @@
         this.declarations.of(service).see(buildsOf(this.options.upstreams.ofService(service)), this.maxAwayMs);
     }
 
-    private async lookUp(service: string, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
+    private async lookUp(
+        { targets }: Route,
+        streamId: string | undefined,
+        progress: Progress,
+    ): Promise<KnownBuild> {
         const found = streamId === undefined ? undefined : await this.streams.find(streamKey(streamId), progress);
-        if (found?.kind === "known" && found.record.service === service && found.record.build !== undefined) {
-            const { record: { build, ageMs }, knownBy } = found;
-            return { build, knownBy, ageMs: Math.round(ageMs) };
-        }
         if (found?.kind === "known") {
-            throw unknownBuild("It is not certain which build began the stream.", true);
+            const { record: { service, build, ageMs }, knownBy } = found;
+            if (build === undefined || !targets.some(target => target.service === service)) {
+                throw unknownBuild("It is not certain which build began the stream.", true);
+            }
+            return { service, build, knownBy, ageMs: Math.round(ageMs) };
         }
-        const only = await this.readOnlyBuild(service, progress);
+        const [{ service }] = targets as readonly [RouteTarget];
+        const only = targets.length > 1 ? undefined : await this.readOnlyBuild(service, progress);
         if (only === undefined) {
-            const detail = "Several builds serve, and no record says which one began the stream.";
+            const detail = "Several builds or services serve, and no record says which one began the stream.";
             throw unknownBuild(detail, found?.isConclusive ?? true);
         }
-        return { build: only, knownBy: "only build", ageMs: undefined };
+        return { service, build: only, knownBy: "only build", ageMs: undefined };
     }
 
     /** Returns the build that alone can have begun streams of a service, as the store says now; undefined if there are several. */
--- a/packages/gateway/src/builds/streamBuilds.ts
+++ b/packages/gateway/src/builds/streamBuilds.ts
@@ -58,13 +58,21 @@
         return this.local.size;
     }
 
-    /** Called when the first event of a stream is passed on; `build` is undefined if it is not certain. */
-    onBegun(streamId: string, service: string, build: string | undefined): void {
+    /**
+     * Called when the first event of a stream is passed on.
+     *
+     * @param build Undefined if it is not certain.
+     * @param hasSeveralServices Whether another service might have begun the stream, whatever builds serve.
+     */
+    onBegun(streamId: string, service: string, build: string | undefined, hasSeveralServices = false): void {
         this.local.add(streamId, service, build);
         if (this.options.isMixed(service)) {
             this.recordAll(service);
             this.queue(streamId, service, build);
         }
+        else if (hasSeveralServices) {
+            this.queue(streamId, service, build);
+        }
     }
 
     /** Sends the records of the streams that began before another build came. To be called when builds have changed. */
--- a/packages/gateway/src/filters/buildFilter.ts
+++ b/packages/gateway/src/filters/buildFilter.ts
@@ -4,12 +4,15 @@
 
 import type { Builds, KnownBuild } from "../builds/builds.js";
 import { isResumable } from "../routes.js";
+import type { Service } from "../routes.js";
 import { scopedName } from "../workspaces.js";
 import type { CallContext } from "./callContext.js";
 
 /** Dependencies of a {@link BuildFilter}. */
 export interface BuildFilterOptions {
     readonly builds: Pick<Builds, "mayBegin" | "declareForCall" | "findBuild" | "isMixed">;
+    /** Returns a service of the configuration in force. */
+    serviceOf(name: string): Service | undefined;
     readonly metrics: Pick<Metrics, "count">;
     readonly log: Logger;
 }
@@ -40,8 +43,10 @@
         let outcome = "continued";
         try {
             const streamId = callId && scopedName(ctx.workspace, callId);
-            const { build } = known = await builds.findBuild(ctx.service.name, streamId, ctx.progress);
-            const lane = builds.isMixed(ctx.service.name) ? build : undefined;
+            const { build, service } = known = await builds.findBuild(ctx.route, streamId, ctx.progress);
+            ctx.service = this.options.serviceOf(service) ?? ctx.service;
+            ctx.trace.service = service;
+            const lane = builds.isMixed(service) ? build : undefined;
             ctx.candidates = { accepts: entry => entry.build === build, lane };
             await next();
         }
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -76,7 +76,8 @@
     /** Id of this attempt of the caller. */
     readonly id: string;
     readonly route: Route;
-    readonly service: Service;
+    /** Drawn among the targets of the route, or that of the stream which the call takes up. */
+    service: Service;
     /** Undefined if the configuration has no workspaces, or if the caller needs none on this route. */
     readonly workspace: Workspace | undefined;
     /** What upstreams are told of the caller. */
--- a/packages/gateway/src/filters/callFilters.ts
+++ b/packages/gateway/src/filters/callFilters.ts
@@ -13,6 +13,7 @@
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
 import type { QueuedCall, UpstreamPool } from "../placement.js";
 import type { CallProtocol } from "../protocol.js";
+import type { Service } from "../routes.js";
 import type { TurnStore } from "../turns/turnStore.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { Upstreams } from "../upstreams/upstreams.js";
@@ -35,6 +36,8 @@
     /** Undefined if no quotas are enforced. */
     readonly requestPermit: PermitSource | undefined;
     readonly builds: Builds;
+    /** Returns a service of the configuration in force. */
+    serviceOf(name: string): Service | undefined;
     readonly turns: TurnStore;
     readonly budgets: TokenReserver;
     readonly dispatcher: Dispatcher<QueuedCall>;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -232,7 +232,8 @@
         const startedAt = performance.now();
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
-            response.onBegun = () => this.options.builds.onStreamBegun(scopedName(ctx.workspace, ctx.id), upstream);
+            const streamId = scopedName(ctx.workspace, ctx.id);
+            response.onBegun = () => this.options.builds.onStreamBegun(streamId, ctx.route, upstream);
         }
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
         const { protocol, replyMemory: memory, observer } = this.options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -300,6 +300,7 @@
             filters: createCallFilters({
                 blocker,
                 builds,
+                serviceOf: name => this.activeConfig.table?.service(name),
                 requestPermit: this.quotas?.requestPermit,
                 turns,
                 budgets: this.regionBudgets,
