--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -135,6 +135,10 @@
     async findBuild(route: Route, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
         const known = await this.lookUp(route, streamId, progress);
         if (!this.options.upstreams.usable(known.service).some(({ entry }) => entry.build === known.build)) {
+            if (this.options.upstreams.ofService(known.service).some(upstream => mayReturn(upstream, known.build))) {
+                const detail = `No upstream of build "${known.build}" can be used at the moment.`;
+                throw new ProblemError("no_upstream", "notRun", detail, { retryAfterSeconds });
+            }
             throw new ProblemError("build_gone", "notRun", `No upstream of build "${known.build}" can be used now.`);
         }
         return known;
@@ -299,6 +303,10 @@
     }
 }
 
+/** Whether an upstream of the build is only out of use for a moment, as after a failed connection. */
+const mayReturn = ({ entry, isLeaving }: Upstream, build: string): boolean =>
+    entry.build === build && !entry.draining && !isLeaving;
+
 const buildsOf = (upstreams: readonly Upstream[]): string[] => [...new Set(upstreams.map(({ entry }) => entry.build))];
 
 /** @param isFinal Whether asking again would not help. */
