--- a/packages/gateway/src/builds/buildDeclarations.ts
+++ b/packages/gateway/src/builds/buildDeclarations.ts
@@ -67,7 +67,9 @@
         while (!builds.every(build => this.of(service).isDeclared(build))) {
             let change = this.pending.get(service);
             if (change === undefined) {
-                change = this.change(service, known => [...new Set([...known, ...builds])]);
+                // A removal that is under way fails if the declaration is written anew, also with the same builds.
+                const isReturning = builds.some(build => this.of(service).isOutdated(build));
+                change = this.change(service, known => [...new Set([...known, ...builds])], isReturning);
                 this.pending.set(service, change);
                 const forget = (): boolean => this.pending.delete(service);
                 change.then(forget, forget);
@@ -82,13 +84,18 @@
         this.log.info("builds removed", { service, builds, left: [...this.of(service).declared] });
     }
 
-    private async change(service: string, edit: (known: readonly string[]) => readonly string[]): Promise<void> {
+    private async change(
+        service: string,
+        edit: (known: readonly string[]) => readonly string[],
+        mustWrite = false,
+    ): Promise<void> {
         const progress = new Progress(callTimeoutMs);
         try {
             for (let tries = 0; tries < maxTries; tries++) {
                 const { declared } = await this.read(service, progress);
                 const edited = edit([...declared]);
-                if (edited.length === declared.size || await this.write(service, edited, progress)) {
+                const isSame = edited.length === declared.size && !mustWrite;
+                if (isSame || await this.write(service, edited, progress)) {
                     return;
                 }
             }
--- a/packages/gateway/src/builds/serviceBuilds.ts
+++ b/packages/gateway/src/builds/serviceBuilds.ts
@@ -21,6 +21,11 @@
         return this.declaredBuilds.has(build) && !this.outdated.has(build);
     }
 
+    /** Whether a build is declared, but may have been removed by others meanwhile. */
+    isOutdated(build: string): boolean {
+        return this.declaredBuilds.has(build) && this.outdated.has(build);
+    }
+
     /** Takes over what was read from the store, or written to it. */
     apply(builds: readonly string[], revision: number): void {
         this.declaredBuilds = new Set(builds);
