--- a/packages/gateway/src/builds/buildHolders.ts
+++ b/packages/gateway/src/builds/buildHolders.ts
@@ -17,11 +17,16 @@
 
 /** Chooses holders by rendezvous hashing over the machines with a disk, which outlive a loss of all other instances. */
 export class BuildHolders {
-    private version = -1;
+    private tablesVersion = -1;
     private regions: readonly RegionTable[] = [];
 
     constructor(private readonly peers: Pick<Peers, "version" | "journals">) {}
 
+    /** Changes when machines come, go or start again. */
+    get version(): number {
+        return this.peers.version;
+    }
+
     /** The machines that get the record of a stream. */
     of(streamId: string): PeerClient[] {
         const regions = this.tables();
@@ -42,8 +47,8 @@
     /** Prepared once per version of the member list. */
     private tables(): readonly RegionTable[] {
         const { version, journals } = this.peers;
-        if (this.version !== version) {
-            this.version = version;
+        if (this.tablesVersion !== version) {
+            this.tablesVersion = version;
             const regions = [...new Set(journals.map(({ address }) => address.region))];
             this.regions = regions.map(region => {
                 const machines = journals.filter(({ address }) => address.region === region);
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -24,8 +24,8 @@
 /** A build that has been away for this share of the lifetime of streams is declared anew. */
 const awayShare = 0.5;
 
-/** Interval at which builds are looked for that no upstream has any more. */
-const removalCheckMs = 5_000;
+/** Interval at which builds are looked for that no upstream has any more, and records are sent again that a machine has lost. */
+const checkIntervalMs = 2_000;
 
 /** Longest delay of a declaration that no call waits for: all instances see a new build at the same time. */
 const maxDeclareDelayMs = 300;
@@ -87,7 +87,7 @@
             isMixed: service => this.isMixed(service),
             log: options.log,
         });
-        this.removalTimer = setInterval(() => void this.removeOld(), removalCheckMs).unref();
+        this.removalTimer = setInterval(() => void this.check(), checkIntervalMs).unref();
     }
 
     /** Streams that this instance remembers. */
@@ -260,6 +260,13 @@
         }
     }
 
+    /** Sends records again that a machine has lost, and removes old builds. */
+    private async check(): Promise<void> {
+        const services = this.options.routes()?.config.services.map(({ name }) => name) ?? [];
+        services.forEach(service => this.streams.onBuildsChanged(service));
+        await this.removeOld();
+    }
+
     /** Removes builds that have been away until all of their streams have ended, or learns that another instance has done so. */
     private async removeOld(): Promise<void> {
         const services = new Set(this.options.routes()?.config.services.map(({ name }) => name) ?? []);
--- a/packages/gateway/src/builds/streamBuilds.ts
+++ b/packages/gateway/src/builds/streamBuilds.ts
@@ -19,6 +19,10 @@
 const sendTimeoutMs = 1_000;
 const askTimeoutMs = 300;
 
+/** Times that records are sent to a machine that does not take them, and pause between. */
+const maxSends = 3;
+const resendDelayMs = 250;
+
 /** Streams that an instance remembers: 30 s of 600 a second, some 3 MB. */
 const maxLocalRecords = 18_000;
 
@@ -27,7 +31,7 @@
 
 /** Dependencies of {@link StreamBuilds}. */
 export interface StreamBuildsOptions {
-    readonly holders: Pick<BuildHolders, "of" | "asked">;
+    readonly holders: Pick<BuildHolders, "of" | "asked" | "version">;
     /** Time for which a stream can be taken up after its first event. */
     lifetimeMs(): number;
     /** Whether more than one build may have begun streams of the service. */
@@ -46,6 +50,7 @@
     private readonly local: BuildRecords;
     private readonly unsent = new Map<string, Set<string>>();
     private readonly recordedServices = new Set<string>();
+    private recordedVersion = -1;
     private timer: NodeJS.Timeout | undefined;
     private failureLoggedAt = -Infinity;
 
@@ -105,7 +110,13 @@
         clearTimeout(this.timer);
     }
 
+    /** Records all streams again when the machines have changed: one that has started again has lost its records. */
     private recordAll(service: string): void {
+        const { version } = this.options.holders;
+        if (this.recordedVersion !== version) {
+            this.recordedVersion = version;
+            this.recordedServices.clear();
+        }
         if (this.recordedServices.has(service)) {
             return;
         }
@@ -149,11 +160,15 @@
     }
 
     private async sendTo(machine: PeerClient, groups: readonly StreamGroup[]): Promise<void> {
-        try {
-            await machine.notify({ kind: "recordStreams", groups }, sendTimeoutMs);
-        }
-        catch (err) {
-            this.logFailure("streams not recorded", machine, err);
+        for (let tries = 0; tries < maxSends; tries++) {
+            try {
+                await machine.notify({ kind: "recordStreams", groups }, sendTimeoutMs);
+                return;
+            }
+            catch (err) {
+                this.logFailure("streams not recorded", machine, err);
+            }
+            await new Promise(resolve => setTimeout(resolve, resendDelayMs).unref());
         }
     }
 
--- a/tests/gateway/builds.test.ts
+++ b/tests/gateway/builds.test.ts
@@ -141,7 +141,7 @@
             } as unknown as PeerClient;
             let isMixed = false;
             const streams = new StreamBuilds({
-                holders: { of: () => [machine], asked: () => [machine] },
+                holders: { version: 1, of: () => [machine], asked: () => [machine] },
                 lifetimeMs: () => lifetimeMs,
                 isMixed: () => isMixed,
                 log: silentLogger,
