Let streams from before a restart be taken up although another build has come

An instance waits with a further build for the longest time limit of a stream after its start, if at least half of the upstreams have a declared build.

--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -34,6 +34,9 @@
 const maxAdvanceMs = 2_000;
 const advanceRetryMs = 250;
 
+/** Share of the upstreams that must have a declared build for another build to wait. */
+const minDeclaredShare = 0.5;
+
 /** Duty of removing the builds whose streams have all ended. */
 const removalDuty = "build removal";
 
@@ -77,6 +80,7 @@
     private readonly declaring = new Set<string>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private readonly removalTimer: NodeJS.Timeout;
+    private readonly startedAt = performance.now();
     private isClosed = false;
 
     constructor(private readonly options: BuildsOptions) {
@@ -111,7 +115,10 @@
             return;
         }
         try {
-            await this.declarations.declare(service, buildsOf(usable), progress);
+            await this.declarations.read(service, progress);
+            if (!usable.some(({ entry }) => this.mayBegin(entry))) {
+                await this.declarations.declare(service, buildsOf(usable), progress);
+            }
         }
         catch (err) {
             progress.throwIfAborted();
@@ -173,8 +180,7 @@
     }
 
     private get lifetimeMs(): number {
-        const routes = this.options.routes()?.config.routes.filter(isResumable) ?? [];
-        return routes.reduce((max, { timeoutMs }) => Math.max(max, lifetimeFactor * timeoutMs), minLifetimeMs);
+        return Math.max(minLifetimeMs, lifetimeFactor * this.maxTimeoutMs);
     }
 
     private get maxAwayMs(): number {
@@ -244,6 +250,12 @@
     private async declareInAdvance(service: string): Promise<void> {
         const progress = new Progress(maxAdvanceMs);
         try {
+            await this.declarations.read(service, progress);
+            const delayMs = this.declarationDelayMs(service);
+            if (delayMs > 0) {
+                this.after(delayMs, () => void this.declareInAdvance(service));
+                return;
+            }
             await this.declarations.declare(service, buildsOf(this.options.upstreams.ofService(service)), progress);
             this.declaring.delete(service);
             this.streams.onBuildsChanged(service);
@@ -260,6 +272,23 @@
         }
     }
 
+    /**
+     * Streams from before the start of this instance have no records if one build was declared then. While they may be taken up, no other
+     * build is declared, unless few upstreams of the declared ones are left.
+     */
+    private declarationDelayMs(service: string): number {
+        const usable = this.options.upstreams.usable(service);
+        const declared = usable.filter(({ entry }) => this.mayBegin(entry));
+        const delayMs = this.startedAt + this.maxTimeoutMs - performance.now();
+        return declared.length >= usable.length * minDeclaredShare ? Math.max(0, delayMs) : 0;
+    }
+
+    /** Longest time from the beginning of a stream to its deadline. */
+    private get maxTimeoutMs(): number {
+        const routes = this.options.routes()?.config.routes.filter(isResumable) ?? [];
+        return routes.reduce((max, { timeoutMs }) => Math.max(max, timeoutMs), 0);
+    }
+
     /** Sends records again that a machine has lost, and removes old builds. */
     private async check(): Promise<void> {
         const services = this.options.routes()?.config.services.map(({ name }) => name) ?? [];
