--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -152,7 +152,7 @@
     onEntryPut(entry: UpstreamEntry): void {
         const known = this.byId.get(entry.id);
         const isSameProcess = known?.entry.address === entry.address && known.entry.service === entry.service &&
-            known.entry.startedAt === entry.startedAt;
+            known.entry.startedAt === entry.startedAt && known.entry.build === entry.build;
         if (known !== undefined && isSameProcess) {
             this.update(known, entry);
             return;
