--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -99,15 +99,7 @@
         const isClosed = (): boolean => this.isClosed;
         const { payloads, segments, incompleteMs } = await this.disk.openWhenPossible(newDiskIncompleteMs, isClosed);
         segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
-        for (const { segment, payload } of payloads) {
-            const entry = packr.unpack(payload) as LogEntry;
-            if ("turn" in entry) {
-                this.addUnflushed(entry.turn, segment);
-            }
-            else {
-                entry.flushed.forEach(id => this.markFlushed(id));
-            }
-        }
+        payloads.forEach(({ segment, payload }) => this.recover(segment, payload));
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
         onOpened(incompleteMs);
@@ -118,6 +110,22 @@
         this.accepting = !this.isDraining;
     }
 
+    /** An entry that this version does not know, as after a rollback, is left on the disk and keeps nothing else from being read. */
+    private recover(segment: SegmentId, payload: Buffer): void {
+        const entry = decodeEntry(payload);
+        if (entry === undefined) {
+            const kept = this.unflushedBySegment.get(segment) ?? 0;
+            this.unflushedBySegment.set(segment, kept + 1);
+            this.log.warn("journal entry not understood", { segment, bytes: payload.length });
+        }
+        else if ("turn" in entry) {
+            this.addUnflushed(entry.turn, segment);
+        }
+        else {
+            entry.flushed.forEach(id => this.markFlushed(id));
+        }
+    }
+
     /** Resolves to true once the turn has been synced to disk, or to false if the journal accepts no turns now. */
     async append(turn: JournaledTurn): Promise<boolean> {
         if (!this.accepting || this.unflushedBytes > maxUnflushedBytes) {
@@ -246,3 +254,15 @@
         }
     }
 }
+
+/** Returns undefined for an entry of another kind. */
+const decodeEntry = (payload: Buffer): LogEntry | undefined => {
+    try {
+        const entry = packr.unpack(payload) as Partial<Record<"turn" | "flushed", unknown>> | undefined;
+        const isTurn = typeof (entry?.turn as JournaledTurn | undefined)?.id === "string";
+        return isTurn || Array.isArray(entry?.flushed) ? entry as LogEntry : undefined;
+    }
+    catch {
+        return undefined;
+    }
+};
