--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -52,6 +52,8 @@
 export class DiskLog {
     private pending: PendingAppend[] = [];
     private writing = false;
+    private written: Promise<void> = Promise.resolve();
+    private isClosed = false;
     private current: { readonly segment: SegmentId; readonly file: FileHandle; bytes: number; } | undefined;
     private nextSegment = 0;
 
@@ -108,10 +110,14 @@
     /** Resolves with the segment once the payload has been synced to disk. */
     append(payload: Buffer): Promise<SegmentId> {
         return new Promise((resolve, reject) => {
+            if (this.isClosed) {
+                reject(new Error("the log is closed"));
+                return;
+            }
             this.pending.push({ payload, resolve, reject });
             if (!this.writing) {
                 this.writing = true;
-                void this.writePending();
+                this.written = this.writePending();
             }
         });
     }
@@ -125,7 +131,10 @@
         return true;
     }
 
+    /** Resolves once nothing is written any more. */
     async close(): Promise<void> {
+        this.isClosed = true;
+        await this.written;
         await this.current?.file.close();
         this.current = undefined;
     }
