--- /dev/null
+++ b/packages/gateway/src/builds/buildMaintenance.ts
@@ -0,0 +1,166 @@
+/** Declares the builds of upstreams before calls need them, and removes those whose streams have all ended. */
+import { asError, Progress } from "@marigolddrift/common";
+import type { Logger } from "@marigolddrift/common";
+
+import type { Duties } from "../fleet/duties.js";
+import type { LocalInstance } from "../peers/peerMessages.js";
+import type { Peers } from "../peers/peers.js";
+import type { Upstreams } from "../upstreams/upstreams.js";
+import type { BuildDeclarations } from "./buildDeclarations.js";
+import type { BuildView } from "./buildView.js";
+import type { StreamBuilds } from "./streamBuilds.js";
+
+/** Interval at which builds are looked for that no upstream has any more, and records are sent again that a machine has lost. */
+const checkIntervalMs = 2_000;
+
+/** Longest delay of a declaration that no call waits for: all instances see a new build at the same time. */
+const maxDeclareDelayMs = 300;
+
+/** Timeout of a declaration that no call waits for, and pause after one that failed. */
+const maxAdvanceMs = 2_000;
+const advanceRetryMs = 250;
+
+/** Share of the upstreams that must have a declared build for another build to wait. */
+const minDeclaredShare = 0.5;
+
+/** Duty of removing the builds whose streams have all ended. */
+const removalDuty = "build removal";
+
+/** Dependencies of {@link BuildMaintenance}. */
+export interface BuildMaintenanceOptions {
+    readonly declarations: BuildDeclarations;
+    readonly view: BuildView;
+    readonly streams: Pick<StreamBuilds, "onBuildsChanged">;
+    readonly upstreams: Pick<Upstreams, "usable">;
+    readonly peers: Pick<Peers, "isReachable">;
+    readonly duties: Pick<Duties, "carriers">;
+    readonly localInstance: LocalInstance;
+    readonly random: () => number;
+    readonly log: Logger;
+}
+
+/** Keeps the declarations as the upstreams come and go. */
+export class BuildMaintenance {
+    private readonly declaring = new Set<string>();
+    private readonly timers = new Set<NodeJS.Timeout>();
+    private readonly checkTimer = setInterval(() => void this.check(), checkIntervalMs).unref();
+    private readonly startedAt = performance.now();
+    private isClosed = false;
+
+    constructor(private readonly options: BuildMaintenanceOptions) {}
+
+    /** Called when upstreams have come, or routes have changed. */
+    onChanged(): void {
+        this.options.view.resumableServices().forEach(service => this.follow(service));
+    }
+
+    close(): void {
+        this.isClosed = true;
+        clearInterval(this.checkTimer);
+        this.timers.forEach(timer => clearTimeout(timer));
+    }
+
+    /** Declares the builds of a service in advance, so that no call waits for that. */
+    private follow(service: string): void {
+        if (this.isDeclared(service, this.options.view.see(service))) {
+            this.options.streams.onBuildsChanged(service);
+            return;
+        }
+        if (this.declaring.has(service)) {
+            return;
+        }
+        this.declaring.add(service);
+        this.after(this.options.random() * maxDeclareDelayMs, () => void this.declareInAdvance(service));
+    }
+
+    private isDeclared(service: string, builds: readonly string[]): boolean {
+        const known = this.options.declarations.of(service);
+        return builds.every(build => known.isDeclared(build));
+    }
+
+    private async declareInAdvance(service: string): Promise<void> {
+        const { declarations, streams, view } = this.options;
+        const progress = new Progress(maxAdvanceMs);
+        try {
+            await declarations.read(service, progress);
+            const builds = view.see(service);
+            const delayMs = this.isDeclared(service, builds) ? 0 : this.declarationDelayMs(service);
+            if (delayMs > 0) {
+                this.after(delayMs, () => void this.declareInAdvance(service));
+                return;
+            }
+            await declarations.declare(service, builds, progress);
+            this.declaring.delete(service);
+            streams.onBuildsChanged(service);
+        }
+        catch (err) {
+            this.options.log.warn("builds not declared", { service, error: asError(err).message });
+            this.after(advanceRetryMs, () => {
+                this.declaring.delete(service);
+                this.follow(service);
+            });
+        }
+        finally {
+            progress.dispose();
+        }
+    }
+
+    /**
+     * Streams from before the start of this instance have no records if one build was declared then. While they may be taken up, no other
+     * build is declared, unless few upstreams of the declared ones are left.
+     */
+    private declarationDelayMs(service: string): number {
+        const { upstreams, view } = this.options;
+        const usable = upstreams.usable(service);
+        const declared = usable.filter(({ entry }) => view.mayBegin(entry));
+        const delayMs = this.startedAt + view.maxTimeoutMs - performance.now();
+        return declared.length >= usable.length * minDeclaredShare ? Math.max(0, delayMs) : 0;
+    }
+
+    /** Sends records again that a machine has lost, and removes old builds. */
+    private async check(): Promise<void> {
+        const { streams, view } = this.options;
+        const services = [...view.resumableServices()];
+        services.forEach(service => streams.onBuildsChanged(service));
+        for (const service of services) {
+            await this.removeOld(service);
+        }
+    }
+
+    /** Removes builds that have been away until all of their streams have ended, or learns that another instance has done so. */
+    private async removeOld(service: string): Promise<void> {
+        const { declarations, streams, view, log } = this.options;
+        view.see(service);
+        const known = declarations.of(service);
+        const old = known.declared.size > 1 ? known.unseen(view.lifetimeMs) : [];
+        if (old.length === 0) {
+            return;
+        }
+        await this.remove(service, old).catch((err: unknown) => {
+            log.info("builds not removed", { service, builds: old, error: asError(err).message });
+        });
+        streams.onBuildsChanged(service);
+    }
+
+    private async remove(service: string, old: readonly string[]): Promise<void> {
+        const { declarations, duties, localInstance, peers } = this.options;
+        const local = localInstance.address();
+        const [first] = duties.carriers(removalDuty, 1, name => name === local || peers.isReachable(name));
+        if (first === local) {
+            await declarations.remove(service, old);
+            return;
+        }
+        const progress = new Progress(maxAdvanceMs);
+        await declarations.read(service, progress).finally(() => progress.dispose());
+    }
+
+    private after(ms: number, run: () => void): void {
+        const timer = setTimeout(() => {
+            this.timers.delete(timer);
+            if (!this.isClosed) {
+                run();
+            }
+        }, ms).unref();
+        this.timers.add(timer);
+    }
+}
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -1,45 +1,21 @@
 /** Keeps each stream at the build that began it. Puts together what the store, the machines with disks and this instance know. */
-import { ProblemError, Progress } from "@marigolddrift/common";
-import type { Logger, Metrics } from "@marigolddrift/common";
+import { asError, ProblemError } from "@marigolddrift/common";
+import type { Logger, Progress } from "@marigolddrift/common";
 import { createHash } from "node:crypto";
 
 import type { Duties } from "../fleet/duties.js";
 import type { LocalInstance } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import type { Route, RouteTable, RouteTarget } from "../routes.js";
-import { isResumable } from "../routes.js";
 import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { BuildDeclarations } from "./buildDeclarations.js";
 import type { DeclarationStore } from "./buildDeclarations.js";
 import { BuildHolders } from "./buildHolders.js";
+import { BuildMaintenance } from "./buildMaintenance.js";
+import { buildsOf, BuildView } from "./buildView.js";
 import { StreamBuilds } from "./streamBuilds.js";
 
-/** Shortest time for which a stream may be taken up after its first event; longer if a route's calls may take longer. */
-const minLifetimeMs = 30_000;
-
-/** Time from a stream's first event until its last take-up has ended, as a multiple of its route's timeout. */
-const lifetimeFactor = 2;
-
-/** A build that has been away for this share of the lifetime of streams is declared anew. */
-const awayShare = 0.5;
-
-/** Interval at which builds are looked for that no upstream has any more, and records are sent again that a machine has lost. */
-const checkIntervalMs = 2_000;
-
-/** Longest delay of a declaration that no call waits for: all instances see a new build at the same time. */
-const maxDeclareDelayMs = 300;
-
-/** Timeout of a declaration that no call waits for, and pause after one that failed. */
-const maxAdvanceMs = 2_000;
-const advanceRetryMs = 250;
-
-/** Share of the upstreams that must have a declared build for another build to wait. */
-const minDeclaredShare = 0.5;
-
-/** Duty of removing the builds whose streams have all ended. */
-const removalDuty = "build removal";
-
 /** Time after which a caller may try again if it could not be found out which build began its stream. */
 const retryAfterSeconds = 0.3;
 
@@ -69,29 +45,27 @@
     readonly localInstance: LocalInstance;
     routes(): RouteTable | undefined;
     readonly random: () => number;
-    readonly metrics: Pick<Metrics, "count">;
     readonly log: Logger;
 }
 
 /** Builds of the upstreams, and the streams that they began. */
 export class Builds {
     private readonly declarations: BuildDeclarations;
+    private readonly view: BuildView;
     private readonly streams: StreamBuilds;
-    private readonly declaring = new Set<string>();
-    private readonly timers = new Set<NodeJS.Timeout>();
-    private readonly removalTimer: NodeJS.Timeout;
-    private readonly startedAt = performance.now();
-    private isClosed = false;
+    private readonly maintenance: BuildMaintenance;
 
     constructor(private readonly options: BuildsOptions) {
         this.declarations = new BuildDeclarations(options.store, options.log);
+        this.view = new BuildView({ ...options, declarations: this.declarations });
+        const { declarations, view } = this;
         this.streams = new StreamBuilds({
             holders: new BuildHolders(options.peers),
-            lifetimeMs: () => this.lifetimeMs,
-            isMixed: service => this.isMixed(service),
+            lifetimeMs: () => view.lifetimeMs,
+            isMixed: service => view.isMixed(service),
             log: options.log,
         });
-        this.removalTimer = setInterval(() => void this.check(), checkIntervalMs).unref();
+        this.maintenance = new BuildMaintenance({ ...options, declarations, view, streams: this.streams });
     }
 
     /** Streams that this instance remembers. */
@@ -100,8 +74,8 @@
     }
 
     /** Whether an upstream may begin streams that can be taken up. */
-    mayBegin({ service, build }: UpstreamEntry): boolean {
-        return this.declarations.of(service).isDeclared(build);
+    mayBegin(entry: UpstreamEntry): boolean {
+        return this.view.mayBegin(entry);
     }
 
     /**
@@ -122,15 +96,8 @@
         }
         catch (err) {
             progress.throwIfAborted();
-            throw new ProblemError(
-                "no_upstream",
-                "notRun",
-                "The build of the service's upstreams is not declared yet.",
-                {
-                    cause: err as Error,
-                    retryAfterSeconds,
-                },
-            );
+            const detail = "The build of the service's upstreams is not declared yet.";
+            throw new ProblemError("no_upstream", "notRun", detail, { cause: asError(err), retryAfterSeconds });
         }
     }
 
@@ -162,39 +129,22 @@
 
     /** Called when upstreams have come. */
     onUpstreamsAdded(): void {
-        const services = this.options.routes()?.config.routes.filter(isResumable).flatMap(({ targets }) => targets) ??
-            [];
-        new Set(services.map(({ service }) => service)).forEach(service => this.follow(service));
+        this.maintenance.onChanged();
     }
 
     /** Called when an upstream has been removed, which until then could run calls. */
     onUpstreamRemoved({ entry: { service, build } }: Upstream): void {
-        this.declarations.of(service).see([build], this.maxAwayMs);
+        this.view.onSeen(service, [build]);
     }
 
     close(): void {
-        this.isClosed = true;
-        clearInterval(this.removalTimer);
-        this.timers.forEach(timer => clearTimeout(timer));
+        this.maintenance.close();
         this.streams.close();
     }
 
-    private get lifetimeMs(): number {
-        return Math.max(minLifetimeMs, lifetimeFactor * this.maxTimeoutMs);
-    }
-
-    private get maxAwayMs(): number {
-        return this.lifetimeMs * awayShare;
-    }
-
     /** Whether more than one build may have begun streams of the service, as far as is known here. */
     isMixed(service: string): boolean {
-        this.see(service);
-        return this.declarations.of(service).recent(this.lifetimeMs).size > 1;
-    }
-
-    private see(service: string): void {
-        this.declarations.of(service).see(buildsOf(this.options.upstreams.ofService(service)), this.maxAwayMs);
+        return this.view.isMixed(service);
     }
 
     private async lookUp(
@@ -230,121 +180,12 @@
             throw unknownBuild("The store does not say now whether one build alone has served.", false, err as Error);
         }
     }
-
-    /** Declares the builds of a service in advance, so that no call waits for that. */
-    private follow(service: string): void {
-        this.see(service);
-        const builds = buildsOf(this.options.upstreams.ofService(service));
-        const known = this.declarations.of(service);
-        if (builds.every(build => known.isDeclared(build))) {
-            this.streams.onBuildsChanged(service);
-            return;
-        }
-        if (this.declaring.has(service)) {
-            return;
-        }
-        this.declaring.add(service);
-        this.after(this.options.random() * maxDeclareDelayMs, () => void this.declareInAdvance(service));
-    }
-
-    private async declareInAdvance(service: string): Promise<void> {
-        const progress = new Progress(maxAdvanceMs);
-        try {
-            await this.declarations.read(service, progress);
-            const delayMs = this.declarationDelayMs(service);
-            if (delayMs > 0) {
-                this.after(delayMs, () => void this.declareInAdvance(service));
-                return;
-            }
-            await this.declarations.declare(service, buildsOf(this.options.upstreams.ofService(service)), progress);
-            this.declaring.delete(service);
-            this.streams.onBuildsChanged(service);
-        }
-        catch (err) {
-            this.options.log.warn("builds not declared", { service, error: (err as Error).message });
-            this.after(advanceRetryMs, () => {
-                this.declaring.delete(service);
-                this.follow(service);
-            });
-        }
-        finally {
-            progress.dispose();
-        }
-    }
-
-    /**
-     * Streams from before the start of this instance have no records if one build was declared then. While they may be taken up, no other
-     * build is declared, unless few upstreams of the declared ones are left.
-     */
-    private declarationDelayMs(service: string): number {
-        const usable = this.options.upstreams.usable(service);
-        const declared = usable.filter(({ entry }) => this.mayBegin(entry));
-        const delayMs = this.startedAt + this.maxTimeoutMs - performance.now();
-        return declared.length >= usable.length * minDeclaredShare ? Math.max(0, delayMs) : 0;
-    }
-
-    /** Longest time from the beginning of a stream to its deadline. */
-    private get maxTimeoutMs(): number {
-        const routes = this.options.routes()?.config.routes.filter(isResumable) ?? [];
-        return routes.reduce((max, { timeoutMs }) => Math.max(max, timeoutMs), 0);
-    }
-
-    /** Sends records again that a machine has lost, and removes old builds. */
-    private async check(): Promise<void> {
-        const services = this.options.routes()?.config.services.map(({ name }) => name) ?? [];
-        services.forEach(service => this.streams.onBuildsChanged(service));
-        await this.removeOld();
-    }
-
-    /** Removes builds that have been away until all of their streams have ended, or learns that another instance has done so. */
-    private async removeOld(): Promise<void> {
-        const services = new Set(this.options.routes()?.config.services.map(({ name }) => name) ?? []);
-        for (const service of services) {
-            this.see(service);
-            const known = this.declarations.of(service);
-            const old = known.declared.size > 1 ? known.unseen(this.lifetimeMs) : [];
-            if (old.length > 0) {
-                await this.remove(service, old).catch((err: unknown) => {
-                    this.options.log.info("builds not removed", {
-                        service,
-                        builds: old,
-                        error: (err as Error).message,
-                    });
-                });
-                this.streams.onBuildsChanged(service);
-            }
-        }
-    }
-
-    private async remove(service: string, old: readonly string[]): Promise<void> {
-        const { duties, localInstance, peers } = this.options;
-        const local = localInstance.address();
-        const [first] = duties.carriers(removalDuty, 1, name => name === local || peers.isReachable(name));
-        if (first === local) {
-            await this.declarations.remove(service, old);
-            return;
-        }
-        const progress = new Progress(maxAdvanceMs);
-        await this.declarations.read(service, progress).finally(() => progress.dispose());
-    }
-
-    private after(ms: number, run: () => void): void {
-        const timer = setTimeout(() => {
-            this.timers.delete(timer);
-            if (!this.isClosed) {
-                run();
-            }
-        }, ms).unref();
-        this.timers.add(timer);
-    }
 }
 
 /** Whether an upstream of the build is only out of use for a moment, as after a failed connection. */
 const mayReturn = ({ entry, isLeaving }: Upstream, build: string): boolean =>
     entry.build === build && !entry.draining && !isLeaving;
 
-const buildsOf = (upstreams: readonly Upstream[]): string[] => [...new Set(upstreams.map(({ entry }) => entry.build))];
-
 /** @param isFinal Whether asking again would not help. */
 const unknownBuild = (detail: string, isFinal: boolean, cause?: Error): ProblemError =>
     new ProblemError("build_unknown", "notRun", detail, {
