--- a/packages/gateway/src/builds/buildDeclarations.ts
+++ b/packages/gateway/src/builds/buildDeclarations.ts
@@ -18,13 +18,19 @@
 const callTimeoutMs = 1_000;
 
 /** Changes that are tried before the next call or check tries again: another instance changes the same declaration. */
-const maxTries = 4;
+const maxDeclareTries = 4;
 
 const declarationSchema = z.object({ builds: z.array(z.string()) });
 
 /** Where builds are declared. */
 export type DeclarationStore = Pick<VersionedStore, "get" | "txn">;
 
+interface ChangeOptions {
+    /** Whether to write the declaration also if the edit changes nothing. */
+    readonly mustWrite?: boolean;
+    readonly maxTries?: number;
+}
+
 interface Declaration {
     readonly builds: readonly string[];
     readonly revision: number;
@@ -69,7 +75,9 @@
             if (change === undefined) {
                 // A removal that is under way fails if the declaration is written anew, also with the same builds.
                 const isReturning = builds.some(build => this.of(service).isOutdated(build));
-                change = this.change(service, known => [...new Set([...known, ...builds])], isReturning);
+                change = this.change(service, known => [...new Set([...known, ...builds])], {
+                    mustWrite: isReturning,
+                });
                 this.pending.set(service, change);
                 const forget = (): boolean => this.pending.delete(service);
                 change.then(forget, forget);
@@ -78,16 +86,16 @@
         }
     }
 
-    /** Removes builds whose streams have all ended. @throws StoreError */
+    /** Removes builds whose streams have all ended, unless the declaration is changed meanwhile: they may have come back. @throws StoreError */
     async remove(service: string, builds: readonly string[]): Promise<void> {
-        await this.change(service, known => known.filter(build => !builds.includes(build)));
+        await this.change(service, known => known.filter(build => !builds.includes(build)), { maxTries: 1 });
         this.log.info("builds removed", { service, builds, left: [...this.of(service).declared] });
     }
 
     private async change(
         service: string,
         edit: (known: readonly string[]) => readonly string[],
-        mustWrite = false,
+        { mustWrite = false, maxTries = maxDeclareTries }: ChangeOptions = {},
     ): Promise<void> {
         const progress = new Progress(callTimeoutMs);
         try {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./budgets/regionBudgets.js";
 export * from "./builds/buildDeclarations.js";
 export * from "./builds/buildRecords.js";
+export { Builds } from "./builds/builds.js";
 export * from "./builds/serviceBuilds.js";
 export * from "./builds/sharedRead.js";
 export * from "./builds/streamBuilds.js";
