--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -66,9 +66,11 @@
     });
 
     it("should leave out an entry that names no valid upstream, and an invalid configuration", () => {
-        const entry = { service: "s", address: "10.0.0.1:80", zone: "z", slots: 4, state: "ready" };
+        const entry = { service: "s", address: "10.0.0.1:80", zone: "z", version: "v1", slots: 4, state: "ready" };
         const decode = (value: Buffer) => storeLayout.decodeUpstream("servers/i-1", value);
         expect(decode(bytes(entry))?.id).toEqual("i-1");
+        expect(decode(bytes({ ...entry, version: 7 }))?.build).toEqual("7");
+        expect(decode(bytes({ ...entry, version: undefined }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, state: "dreaming" }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, address: 7 }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, slots: "4" }))).toEqual(undefined);
