--- a/bench/soak/workerFaults.ts
+++ b/bench/soak/workerFaults.ts
@@ -14,7 +14,7 @@
 /** Length of each faulty answer's first play. */
 const firstFaultMs = 500;
 
-const oddEntry = { service: "ops", address: "127.0.0.1:9", zone: "north-a", slots: 4, state: "ready" };
+const oddEntry = { service: "ops", address: "127.0.0.1:9", zone: "north-a", version: "v1", slots: 4, state: "ready" };
 
 /** Entries that name no upstream. */
 const oddEntries = [
--- a/tests/upstreams/oddEntries.test.ts
+++ b/tests/upstreams/oddEntries.test.ts
@@ -7,7 +7,7 @@
 import { FakeStore } from "../fakeStore.js";
 import { Deployment, waitUntil } from "../platform/deployment.js";
 
-const soundEntry = { service: "ops", address: "127.0.0.1:9", zone: "north-a", slots: 4, state: "ready" };
+const soundEntry = { service: "ops", address: "127.0.0.1:9", zone: "north-a", version: "v1", slots: 4, state: "ready" };
 
 const nested = (depth: number): string => `{"x":${"[".repeat(depth)}${"]".repeat(depth)}}`;
 
