--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,6 +41,7 @@
 export * from "./peers/peers.js";
 export * from "./peers/peerServer.js";
 export * from "./peers/relayStore.js";
+export * from "./peers/storeRequests.js";
 export * from "./protocol.js";
 export * from "./quotas/callPermit.js";
 export * from "./quotas/lentShares.js";
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -8,7 +8,8 @@
 import { peerName } from "../peers/peerMessages.js";
 import { Peers } from "../peers/peers.js";
 import { PeerServer } from "../peers/peerServer.js";
-import { handleStoreRequest, RelayStore } from "../peers/relayStore.js";
+import { RelayStore } from "../peers/relayStore.js";
+import { handleStoreRequest } from "../peers/storeRequests.js";
 import type { TrafficRecorder } from "../trafficMeter.js";
 import { RecordRemover } from "../turns/recordRemover.js";
 import { DiskLog } from "./diskLog.js";
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -14,7 +14,7 @@
 import type { LoadExchange } from "../upstreams/loadExchange.js";
 import type { JournalRequest, PeerRequest } from "./peerMessages.js";
 import type { RequestHandler } from "./peerServer.js";
-import { handleStoreRequest } from "./relayStore.js";
+import { handleStoreRequest } from "./storeRequests.js";
 
 /** The components that answer. */
 export interface FrontComponents {
