Keep the member list and the connections in advance apart from the peers

peers.ts held the registration in the store, the shared key, the order in which connections are opened and the known peers in one class of 280 lines.

memberList.ts reads and writes the store, preconnector.ts opens connections, and peers.ts keeps the known peers and refreshes them.

--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -2,17 +2,13 @@
 import { asError, Progress } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
 import type { StoredValue, VersionedStore } from "@marigolddrift/store";
-import { randomBytes } from "node:crypto";
-import { z } from "zod";
 
 import type { TrafficRecorder } from "../trafficMeter.js";
+import { MemberList, parseMember } from "./memberList.js";
 import { PeerClient } from "./peerClient.js";
 import { peerName } from "./peerMessages.js";
 import type { PeerAddress } from "./peerMessages.js";
-
-const membersPrefix = "marigolddrift/members/";
-const sharedKeyName = "marigolddrift/peer-key";
-const keyBytes = 24;
+import { Preconnector } from "./preconnector.js";
 
 /** Interval at which the member list is refreshed. */
 const refreshIntervalMs = 8_000;
@@ -31,30 +27,6 @@
 
 const callTimeoutMs = 1_000;
 
-/** Interval at which connections are checked while all needed ones are open. */
-const connectionCheckMs = 500;
-
-/** Interval at which missing connections are opened, one at a time: opening many at once stalls a small machine. */
-const connectIntervalMs = 150;
-
-const addressSchema = z.object({
-    instance: z.string(),
-    host: z.string(),
-    port: z.number(),
-    zone: z.string(),
-    region: z.string(),
-    keepsTurns: z.boolean().default(false),
-});
-
-const parseAddress = (value: Buffer): PeerAddress | undefined => {
-    try {
-        return addressSchema.parse(JSON.parse(value.toString()));
-    }
-    catch {
-        return undefined; // The caller logs it.
-    }
-};
-
 /** Registers this instance, and maintains connections to its peers. */
 export class Peers {
     /** Incremented when members are added, replaced or removed. */
@@ -62,33 +34,34 @@
     private readonly clients = new Map<string, PeerClient>();
     private readonly clientsByName = new Map<string, PeerClient>();
     private readonly firstRefreshesMs = [...firstRefreshesMs];
-    private connectOrderVersion = -1;
-    private connectOrderCache: readonly PeerClient[] = [];
-    private sharedKey: string | undefined;
-    private registered = false;
+    private readonly members: MemberList;
+    private readonly preconnector = new Preconnector({
+        version: () => this.version,
+        listNeeded: () => this.listNeeded(),
+    });
     private stopped = false;
     private refreshedAt = -Infinity;
-    private restarted = false;
     private membersReadAt: number | undefined;
     private refreshTimer: NodeJS.Timeout | undefined;
-    private connectTimer: NodeJS.Timeout | undefined;
 
     constructor(
-        private readonly machine: string,
+        machine: string,
         private readonly localAddress: () => PeerAddress,
-        private readonly store: VersionedStore,
+        store: VersionedStore,
         private readonly log: Logger,
         private readonly recordTraffic: TrafficRecorder = () => {},
         /** Returns the names of the front instances that are connected in advance: urgent ones, then the others. */
         private readonly neededFronts: () => readonly [readonly string[], readonly string[]] = () => [[], []],
         private readonly random: () => number = Math.random,
         /** Whether to find out if another process of this machine was registered before. */
-        private readonly detectsRestart = false,
-    ) {}
+        detectsRestart = false,
+    ) {
+        this.members = new MemberList(machine, localAddress, store, log, detectsRestart);
+    }
 
     /** Whether this instance has been added to the member list. */
     get isRegistered(): boolean {
-        return this.registered;
+        return this.members.isRegistered;
     }
 
     /**
@@ -97,23 +70,23 @@
      */
     get isSettled(): boolean {
         const readAt = this.membersReadAt;
-        return readAt !== undefined && (this.restarted || performance.now() - readAt >= settlingMs);
+        return readAt !== undefined && (this.members.hasRestarted || performance.now() - readAt >= settlingMs);
     }
 
     /** Shared key, which proves that a peer can read the same store. */
     get key(): string | undefined {
-        return this.sharedKey;
+        return this.members.key;
     }
 
     start(): void {
         void this.refresh();
-        this.connectNext();
+        this.preconnector.start();
     }
 
     stop(): void {
         this.stopped = true;
         clearTimeout(this.refreshTimer);
-        clearTimeout(this.connectTimer);
+        this.preconnector.stop();
         this.clients.forEach(client => client.close());
     }
 
@@ -174,14 +147,14 @@
 
     /** Reads the current member list: adds all registered peers and removes those that are no longer registered. */
     async reload(progress: Progress): Promise<void> {
-        const { values } = await progress.race(this.store.range(membersPrefix, progress));
+        const values = await this.members.read(progress);
         this.applyMembers(values);
         this.removeUnlisted(new Set(values.map(({ key }) => key)));
     }
 
     /** Removes this instance from the member list. */
     async unregister(progress: Progress): Promise<void> {
-        await progress.race(this.store.txn([], [], progress, [`${membersPrefix}${this.machine}`]));
+        await this.members.unregister(progress);
     }
 
     /** Picks a random peer to relay a store call, preferably in this region. */
@@ -204,10 +177,9 @@
         this.refreshedAt = performance.now();
         const progress = new Progress(callTimeoutMs);
         try {
-            this.sharedKey ??= await progress.race(this.loadSharedKey(progress));
-            await progress.race(this.register(progress));
-            const { values } = await progress.race(this.store.range(membersPrefix, progress, { mayBeStale: true }));
-            this.applyMembers(values);
+            await this.members.loadKey(progress);
+            await progress.race(this.members.register(progress));
+            this.applyMembers(await this.members.read(progress, { mayBeStale: true }));
             this.membersReadAt ??= performance.now();
         }
         catch (err) {
@@ -219,30 +191,12 @@
         if (!this.stopped) {
             this.refreshTimer = setTimeout(
                 () => void this.refresh(),
-                this.registered ? this.firstRefreshesMs.shift() ?? refreshIntervalMs : registrationRetryMs,
+                this.isRegistered ? this.firstRefreshesMs.shift() ?? refreshIntervalMs : registrationRetryMs,
             );
         }
     }
 
-    /** Opens one missing connection in advance, so that no call has to wait for it. */
-    private connectNext(): void {
-        const next = this.connectOrder().find(client => client.isUsable && !client.isConnected && !client.isConnecting);
-        void next?.preconnect();
-        this.connectTimer = setTimeout(
-            () => this.connectNext(),
-            next === undefined ? connectionCheckMs : connectIntervalMs,
-        );
-    }
-
-    /** Peers that are connected in advance, most urgent first. Computed once per version of the member list. */
-    private connectOrder(): readonly PeerClient[] {
-        if (this.connectOrderVersion !== this.version) {
-            this.connectOrderVersion = this.version;
-            this.connectOrderCache = this.listNeeded();
-        }
-        return this.connectOrderCache;
-    }
-
+    /** Peers that are connected in advance, most urgent first. */
     private listNeeded(): PeerClient[] {
         const { region } = this.localAddress();
         const [urgent, others] = this.neededFronts();
@@ -254,39 +208,6 @@
         return [...new Set([...find(urgent), ...near, ...find(others), ...far])];
     }
 
-    /** Reads the shared key, or creates it. If several instances create it concurrently, the first write wins. */
-    private async loadSharedKey(progress: Progress): Promise<string | undefined> {
-        const stored = await this.store.get(sharedKeyName, progress);
-        if (stored === undefined) {
-            const value = Buffer.from(randomBytes(keyBytes).toString("hex"));
-            const result = await this.store.txn(
-                [{ key: sharedKeyName, revision: 0 }],
-                [{ key: sharedKeyName, value }],
-                progress,
-            );
-            return result.succeeded ?
-                value.toString() :
-                (await this.store.get(sharedKeyName, progress))?.value.toString();
-        }
-        return stored.value.toString();
-    }
-
-    private async register(progress: Progress): Promise<void> {
-        if (this.registered) {
-            return;
-        }
-        const local = this.localAddress();
-        const key = `${membersPrefix}${this.machine}`;
-        if (this.detectsRestart) {
-            const stored = await this.store.get(key, progress);
-            const previous = stored && parseAddress(stored.value);
-            this.restarted ||= previous !== undefined && previous.instance !== local.instance;
-        }
-        await this.store.txn([], [{ key, value: Buffer.from(JSON.stringify(local)) }], progress);
-        this.registered = true;
-        this.log.info("registered", { machine: this.machine });
-    }
-
     /** Removes peers that are no longer registered, such as drained journal servers. */
     private removeUnlisted(listed: ReadonlySet<string>): void {
         for (const [key, client] of this.clients) {
@@ -319,14 +240,14 @@
 
     private createClient(address: PeerAddress): PeerClient {
         const link = address.region === this.localAddress().region ? "region" : "otherRegion";
-        return new PeerClient(address, () => this.sharedKey, exchange => this.recordTraffic({ ...exchange, link }));
+        return new PeerClient(address, () => this.key, exchange => this.recordTraffic({ ...exchange, link }));
     }
 
     private applyMembers(values: readonly StoredValue[]): void {
         // A list that is not recent may have the process that ran at this address before.
         const localName = peerName(this.localAddress());
         for (const { key, value } of values) {
-            const address = parseAddress(value);
+            const address = parseMember(value);
             const known = this.clients.get(key);
             if (address === undefined) {
                 this.log.warn("peer entry ignored", { key, reason: "invalid address" });
