Create the contexts of calls apart from the server for callers

entryServer.ts held the checks of a request's head and the context that is made of it, 70 lines, among the handling of connections and answers.

callContexts.ts reads the head and creates the context; entryServer.ts passes the request, its body and its trace as one value. The checks stand in the same order.

--- a/packages/gateway/src/entry/entryServer.ts
+++ b/packages/gateway/src/entry/entryServer.ts
@@ -1,28 +1,23 @@
 /** HTTP server for callers: selects the route of each request and runs the filter chain. */
-import { attachRouter, openPort, ProblemError, Progress, runChain, sendProblem } from "@marigolddrift/common";
-import type { Filter, Logger } from "@marigolddrift/common";
+import { attachRouter, openPort, ProblemError, runChain, sendProblem } from "@marigolddrift/common";
+import type { Filter, Logger, Progress } from "@marigolddrift/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import polka from "polka";
 
-import { fingerprintsOf } from "../crashes/fingerprint.js";
-import type { Fingerprints } from "../crashes/fingerprint.js";
-import type { CallContext, CallTrace } from "../filters/callContext.js";
+import type { CallContext } from "../filters/callContext.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import type { CallProtocol } from "../protocol.js";
-import { chooseTarget } from "../routes.js";
-import type { CallerLimits, RouteTable } from "../routes.js";
+import type { CallerLimits } from "../routes.js";
 import { BodyReader } from "./bodyReader.js";
-import { checkCaller, checkHeaderBytes, identifyWorkspace, pendingInputRead, toProblem } from "./callChecks.js";
+import { pendingInputRead, toProblem } from "./callChecks.js";
+import { createCallContext } from "./callContexts.js";
+import type { ArrivedRequest, CallContextSources } from "./callContexts.js";
 import { CallerConnections } from "./callerConnections.js";
 import { ConnectionRefuser } from "./connectionRefuser.js";
 import { DrainableServer } from "./drainableServer.js";
-import type { DrainSchedule } from "./drainSchedule.js";
-import type { InputBounds } from "./inputBounds.js";
 import { lingerAfterAnswer } from "./lingeringClose.js";
 import { RequestSequence } from "./requestSequence.js";
 import { stoppableRequest } from "./stoppableRequest.js";
-import { UnsentAnswer } from "./unsentAnswer.js";
 
 /** Maximum size of the request headers for the HTTP parser until there is a configuration. */
 const maxParserHeaderBytes = 128 * 1024;
@@ -36,23 +31,14 @@
 /** Maximum time for receiving a complete request. */
 const requestTimeoutMs = 30_000;
 
-/** Time after which callers may retry if the instance has no configuration yet. */
-const notReadyRetryAfterSeconds = 0.5;
-
 /** Time within which a head must be complete until there is a configuration. */
 const defaultHeadersTimeoutMs = 3_000;
 
 /** Settings and dependencies of an {@link EntryServer}. */
-export interface EntryServerOptions {
+export interface EntryServerOptions extends CallContextSources {
     readonly filters: readonly Filter<CallContext>[];
-    readonly protocol: CallProtocol;
-    routes(): RouteTable | undefined;
-    /** Set while the instance is stopping, so that callers should close their connections. */
-    drainSchedule(): DrainSchedule | undefined;
-    readonly input: InputBounds;
     /** Maximum size of a body. */
     maxBodyBytes(): number;
-    readonly random: () => number;
     readonly metrics: GatewayMetrics;
     readonly log: Logger;
 }
@@ -153,7 +139,7 @@
             body.start();
         }
         if (await this.sequence.enter(req, res)) {
-            await this.serve(req, res, body, arrivedAt);
+            await this.serve({ req, res, body, arrivedAt, trace: {} });
             await isSent;
         }
         else if (!connection.isRefused) {
@@ -165,19 +151,14 @@
         connection.leave(res);
     }
 
-    private async serve(
-        req: IncomingMessage,
-        res: ServerResponse,
-        body: BodyReader,
-        arrivedAt: number,
-    ): Promise<void> {
-        const trace: CallTrace = {};
+    private async serve(request: ArrivedRequest): Promise<void> {
+        const { req, res, body } = request;
         let progress: Progress | undefined;
         try {
             if (this.options.drainSchedule() !== undefined && this.sequence.isNewest(req, res)) {
                 res.setHeader("Connection", "close");
             }
-            const ctx = this.createContext(req, res, body, arrivedAt, trace);
+            const ctx = createCallContext(this.options, request);
             progress = ctx.progress;
             this.progresses.add(progress);
             await pendingInputRead();
@@ -186,90 +167,17 @@
         }
         catch (err) {
             body.release();
-            this.onFailed(req, res, body, trace, toProblem(err, progress));
+            this.onFailed(request, toProblem(err, progress));
         }
         finally {
             body.release();
             progress?.dispose();
             this.progresses.delete(progress!);
-            this.recordCall(req, arrivedAt, trace);
-        }
-    }
-
-    private createContext(
-        req: IncomingMessage,
-        res: ServerResponse,
-        body: BodyReader,
-        arrivedAt: number,
-        trace: CallTrace,
-    ): CallContext {
-        const table = this.options.routes();
-        if (table === undefined) {
-            const detail = "This instance has not read the configuration yet.";
-            throw new ProblemError("not_configured", "notRun", detail, {
-                retryAfterSeconds: notReadyRetryAfterSeconds,
-            });
-        }
-        checkHeaderBytes(req, table.config.limits.maxHeaderBytes);
-        const head = this.options.protocol.parseCall(req.headers);
-        const { program } = head;
-        Object.assign(trace, { request: head.id, program: program?.id, turnOf: program?.previousTurnId });
-        trace.resumes = head.resumption?.callId;
-        trace.config = table.config.version;
-        const route = table.match(req.headers.host ?? "", req.url ?? "");
-        const service = route && table.service(chooseTarget(route, this.options.random()));
-        if (route === undefined || service === undefined) {
-            throw new ProblemError("unknown_route", "notRun", "No route matches the host and path.");
+            this.recordCall(request);
         }
-        if (head.id === undefined) {
-            throw new ProblemError("invalid_request", "notRun", "The request has no id.");
-        }
-        const workspace = identifyWorkspace(table, route, this.options.protocol.readApiKey(req.headers));
-        const limitMs = Math.min(head.leftMs ?? Infinity, route.timeoutMs);
-        Object.assign(trace, { route: route.name, service: service.name, workspace: workspace?.name, limitMs });
-        if (this.options.drainSchedule()?.takes(limitMs, arrivedAt) === false) {
-            throw new ProblemError("draining", "notRun", "The instance is stopping.", { retryAfterSeconds: 0 });
-        }
-        const progress = new Progress(limitMs - (performance.now() - arrivedAt));
-        res.on("close", () => {
-            if (!res.writableFinished && (route.isStreaming || route.idempotent)) {
-                progress.abort(new ProblemError("caller_gone", "mayHaveRun", "The caller closed the connection."));
-            }
-        });
-        let fingerprints: Fingerprints | undefined;
-        const ctx: CallContext = {
-            req,
-            res,
-            head,
-            id: head.id,
-            route,
-            service,
-            workspace,
-            caller: table.workspaces && { workspace: workspace?.name },
-            priority: workspace?.priority ?? route.priority,
-            arrivedAt,
-            progress,
-            body: Buffer.alloc(0),
-            readBody: () => body.read(),
-            unsent: new UnsentAnswer(res, this.options.input.memory),
-            conversation: undefined,
-            reservation: undefined,
-            permit: undefined,
-            candidates: undefined,
-            trace,
-            checkCaller: () => checkCaller(req, res),
-            fingerprints: () => fingerprints ??= fingerprintsOf(req, ctx.body, workspace?.name),
-        };
-        return ctx;
     }
 
-    private onFailed(
-        req: IncomingMessage,
-        res: ServerResponse,
-        body: BodyReader,
-        trace: CallTrace,
-        err: ProblemError,
-    ): void {
+    private onFailed({ req, res, body, trace }: ArrivedRequest, err: ProblemError): void {
         Object.assign(trace, { status: err.status, error: err.code, verdict: err.verdict, detail: err.message });
         if (res.headersSent) {
             // Part of the response has been sent; only closing the connection can signal that it is incomplete.
@@ -284,7 +192,7 @@
         sendProblem(res, err);
     }
 
-    private recordCall(req: IncomingMessage, arrivedAt: number, trace: CallTrace): void {
+    private recordCall({ req, arrivedAt, trace }: ArrivedRequest): void {
         const ms = Math.round(performance.now() - arrivedAt);
         const { metrics, log } = this.options;
         metrics.onCall(trace.route ?? "none", trace.error ?? String(trace.status ?? "gone"), ms);
