Send calls to upstreams apart from the retries of the forward filter

`ForwardFilter.send` had 70 lines: the check that the upstream is still the one that the call was placed at, the request, the response and all that observes it.

upstreamSender.ts has these as functions of their own; the filter keeps leases, second copies and retries. The comment on `onPromptProcessed` stood at `recordTraffic`; it stands at its field again.

--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -3,56 +3,31 @@
  * than once.
  */
 import type { Filter, Logger } from "@marigolddrift/common";
-import type { Dispatcher, DispatchLease } from "@marigolddrift/dispatch";
+import type { Dispatcher } from "@marigolddrift/dispatch";
 
-import type { Builds } from "../builds/builds.js";
-import type { CallBlocker } from "../crashes/callBlocker.js";
-import type { CrashDetector } from "../crashes/crashDetector.js";
-import type { Fairness } from "../fairness/fairness.js";
 import type { CallAdmission } from "../limits/limitAdmission.js";
-import type { UpstreamLimits } from "../limits/upstreamLimits.js";
 import type { QueuedCall } from "../placement.js";
 import { createQueuedCall } from "../placement.js";
-import type { CallProtocol } from "../protocol.js";
-import { isResumable } from "../routes.js";
-import type { Exchange } from "../trafficMeter.js";
 import type { TurnStore } from "../turns/turnStore.js";
-import type { AffinityTable } from "../upstreams/affinityTable.js";
-import { attemptCall } from "../upstreams/attempt.js";
-import type { ReplyMemory } from "../upstreams/replyMemory.js";
-import type { UpstreamObserver } from "../upstreams/upstreamObserver.js";
-import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
-import { scopedName } from "../workspaces.js";
-import { AnswerWriter, streamedTokens } from "./answerWriter.js";
-import { outgoingBody } from "./callContext.js";
+import { AnswerWriter } from "./answerWriter.js";
 import type { CallContext } from "./callContext.js";
 import { raceCopies, singleLane } from "./hedge.js";
 import type { AttemptOutcome, Lane } from "./hedge.js";
 import type { Hedger } from "./hedger.js";
-import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
 import { Tries } from "./tries.js";
 import { retryPauseMs, UpstreamLeases } from "./upstreamLeases.js";
 import type { PermittedLease } from "./upstreamLeases.js";
+import { UpstreamSender } from "./upstreamSender.js";
+import type { UpstreamSenderOptions } from "./upstreamSender.js";
 
 /** Settings and dependencies of a {@link ForwardFilter}. */
-export interface ForwardFilterOptions {
+export interface ForwardFilterOptions extends UpstreamSenderOptions {
     readonly dispatcher: Dispatcher<QueuedCall>;
-    readonly upstreams: Upstreams;
-    readonly limits: UpstreamLimits;
     readonly admission: CallAdmission;
-    readonly fairness: Fairness;
-    readonly crashes: CrashDetector;
-    readonly blocker: CallBlocker;
-    readonly protocol: CallProtocol;
     readonly turns: TurnStore;
-    readonly replyMemory: ReplyMemory;
-    readonly observer: UpstreamObserver;
-    readonly builds: Pick<Builds, "onStreamBegun">;
-    readonly affinity: AffinityTable;
     /** Undefined if no second copies of calls are sent. */
     readonly hedger: Hedger | undefined;
     /** Called when an upstream has processed the prompt of a call, so that the prompt is now in its cache. */
-    readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
     readonly onPromptProcessed: (upstream: string, ctx: CallContext) => void;
     readonly log: Logger;
 }
@@ -61,10 +36,12 @@
 export class ForwardFilter implements Filter<CallContext> {
     private readonly answers: AnswerWriter;
     private readonly leases: UpstreamLeases;
+    private readonly sender: UpstreamSender;
 
     constructor(private readonly options: ForwardFilterOptions) {
         this.answers = new AnswerWriter(options.turns, options.replyMemory, options.onPromptProcessed);
         this.leases = new UpstreamLeases(options);
+        this.sender = new UpstreamSender(options);
     }
 
     async handle(ctx: CallContext): Promise<void> {
@@ -164,6 +141,7 @@
         return outcomes;
     }
 
+    /** Sends the call to the upstream of a lease. All sends, also of second copies, pass through here. */
     private async sendLeased(
         ctx: CallContext,
         queued: QueuedCall,
@@ -183,7 +161,7 @@
             ctx.checkCaller();
             // While the call waited, others like it may have ended their upstreams.
             this.options.blocker.check(ctx, isCopy || tries.mayHaveRun);
-            return outcome = await this.send(ctx, queued, lease, lane);
+            return outcome = await this.sender.send(ctx, queued, lease, lane);
         }
         finally {
             if (outcome === undefined || outcome.result.kind === "notRun") {
@@ -195,89 +173,8 @@
             lease.release();
         }
     }
-
-    /** Sends the call to the upstream of a lease. All sends, also of second copies, pass through here. */
-    private async send(
-        ctx: CallContext,
-        queued: QueuedCall,
-        lease: DispatchLease,
-        lane: Lane,
-    ): Promise<AttemptOutcome> {
-        const { worker } = lease;
-        const upstream = this.options.upstreams.get(worker);
-        // The process that the call was placed at may have been replaced meanwhile, under its id and with another build.
-        const isReplaced = upstream !== undefined && ctx.candidates?.accepts(upstream.entry) === false;
-        if (upstream === undefined || upstream.isLeaving || isReplaced) {
-            const change = upstream === undefined ? "left" : isReplaced ? "been replaced" : "said that it is leaving";
-            const detail = `the upstream has just ${change}`;
-            const unreachable = upstream === undefined;
-            return {
-                worker,
-                result: { kind: "notRun", detail, endedBy: "upstream", unreachable },
-                response: undefined,
-            };
-        }
-        ctx.trace.build = upstream.entry.build;
-        const response = createResponse(ctx, lane);
-        const { prompt } = ctx.head;
-        const headers = this.options.protocol.buildUpstreamHeaders(ctx.req.rawHeaders, {
-            upstream: upstream.entry.id,
-            leftMs: Math.floor(ctx.progress.leftMs),
-            caller: ctx.caller,
-            enginePriority: prompt === undefined ? undefined : this.options.fairness.urgencyOf(ctx),
-        });
-        const body = outgoingBody(ctx);
-        const hasBody = body.length > 0 || ctx.req.headers["content-length"] !== undefined;
-        const call = { method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
-        const startedAt = performance.now();
-        response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
-        if (response instanceof StreamedResponse && isResumable(ctx.route)) {
-            const streamId = scopedName(ctx.workspace, ctx.id);
-            response.onBegun = () => this.options.builds.onStreamBegun(streamId, ctx.route, upstream);
-        }
-        response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
-        const { protocol, replyMemory: memory, observer } = this.options;
-        const observation = observer.begin(upstream, { ...queued, score: lease.score });
-        response.onFirstByte = () => {
-            observation.onFirstByte();
-            lane.onFirstByte();
-        };
-        const attempt = { call, callId: ctx.id, protocol, sink: response, memory };
-        const result = await attemptCall(upstream, attempt, lane.progress);
-        const tokens = response instanceof StreamedResponse ? streamedTokens(ctx, response) : undefined;
-        observation.onEnd({ result, status: response.status, tokens });
-        this.options.recordTraffic(upstream, {
-            kind: "call",
-            sentBytes: body.length,
-            receivedBytes: response.receivedBytes,
-            ms: result.kind === "complete" ? performance.now() - startedAt : undefined,
-        });
-        if (result.kind === "notRun" && result.unreachable) {
-            upstream.eject();
-        }
-        if (result.kind === "complete") {
-            this.options.blocker.onAnswered(ctx);
-            if (queued.affinityKey !== undefined && response.status! < 500) {
-                this.options.affinity.onServed(queued.affinityKey, lease.worker);
-            }
-        }
-        if (result.kind === "broken" && result.endedBy === "upstream" && !response.hasData) {
-            this.options.crashes.onBroken(upstream, ctx.fingerprints());
-        }
-        return { worker, result, response };
-    }
 }
 
-const createResponse = (ctx: CallContext, lane: Lane): StreamedResponse | BufferedResponse => {
-    if (!ctx.route.isStreaming) {
-        return new BufferedResponse();
-    }
-    const response = new StreamedResponse(ctx.unsent);
-    response.isRaced = lane.isRaced;
-    response.claim = lane.claim;
-    return response;
-};
-
 /** Refuses a call that the quota of its workspace has no room for before it waits for an upstream. */
 const admitUnderQuota = async (ctx: CallContext): Promise<void> => {
     if (ctx.permit !== undefined) {
