Share the set-up of the hostile suites and the handling of test processes

answers, heads and bodies of tests/hostile had the same front, crowd and hooks four times; hostileFront.ts and programProcess.ts each wrote the settings of a machine, of which tests/platform/machineSettings.ts has the text already, and each spawned, read and killed the program.

smallestFront.ts sets up a suite, machineSettings.ts gets the section `limits`, and childProgram.ts has the process. The tests and their checks are unchanged.

--- a/tests/hostile/bodies.test.ts
+++ b/tests/hostile/bodies.test.ts
@@ -1,12 +1,10 @@
 import { expect } from "earl";
-import { afterEach, before, beforeEach, describe, it } from "node:test";
+import { afterEach, beforeEach, describe, it } from "node:test";
 
 import { Crowd } from "./crowd.js";
 import type { HostileCaller } from "./crowd.js";
-import { buildBundle, callerLimits, headOf, HostileFront } from "./hostileFront.js";
-
-/** The smallest front. */
-const settings = { memoryMb: 178, fds: 256 };
+import { callerLimits, headOf, HostileFront } from "./hostileFront.js";
+import { smallestFront, useSmallestFront } from "./smallestFront.js";
 
 const callers = 40;
 const bodyBytes = callerLimits.maxBodyBytes;
@@ -45,72 +43,62 @@
 
 // Guards against callers with bodies of permitted size that together fill the memory of the machine.
 describe("bodies of permitted size from many callers at once", () => {
-    let front: HostileFront;
-    let crowd: Crowd;
-    before(buildBundle);
-    beforeEach(async () => {
-        front = await HostileFront.start(settings);
-        crowd = new Crowd(front.address);
-    });
-    afterEach(async () => {
-        crowd.close();
-        await front.close();
-    });
+    const setup = useSmallestFront();
 
     it("should be bounded together if they arrive whole, most one byte short", async t => {
         const body = Buffer.alloc(bodyBytes, "x");
-        await crowd.play(callers, async (caller, index) => {
+        await setup.crowd.play(callers, async (caller, index) => {
             await caller.write(lengthHead(), writeTimeoutMs);
             await caller.write(isWhole(index) ? body : body.subarray(1), writeTimeoutMs);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded together if they arrive piece by piece, most one byte short", async t => {
         const body = Buffer.alloc(bodyBytes, "x");
-        await crowd.play(callers, async (caller, index) => {
+        await setup.crowd.play(callers, async (caller, index) => {
             await caller.write(lengthHead(), writeTimeoutMs);
             await inPieces(caller, isWhole(index) ? body : body.subarray(1), pieceBytes);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded together if they arrive in large chunks, most without the last", async t => {
         const body = Buffer.from(chunkOf(pieceBytes).repeat(bodyBytes / pieceBytes));
-        await crowd.play(callers, async (caller, index) => {
+        await setup.crowd.play(callers, async (caller, index) => {
             await caller.write(chunkedHead(), writeTimeoutMs);
             await caller.write(body, writeTimeoutMs);
             await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded together if they arrive in chunks of one byte, most without the last", async t => {
         const body = Buffer.from(chunkOf(1).repeat(tinyBodyBytes));
-        await crowd.play(tinyCallers, async (caller, index) => {
+        await setup.crowd.play(tinyCallers, async (caller, index) => {
             await caller.write(chunkedHead(), writeTimeoutMs);
             await inPieces(caller, body, 1024 * 1024);
             await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     // Guards against a cost for each chunk that no bound counts: what one read of each connection holds fills the machine.
     it("should be bounded together if 60 of the largest size arrive in chunks of one byte", async t => {
         const body = Buffer.from(chunkOf(1).repeat(bodyBytes));
-        await crowd.play(manyTinyCallers, async (caller, index) => {
+        await setup.crowd.play(manyTinyCallers, async (caller, index) => {
             await caller.write(chunkedHead(), writeTimeoutMs);
             await caller.write(body, manyTinyWriteTimeoutMs);
             await caller.write(isWhole(index) ? chunkedEnd : "", writeTimeoutMs);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 });
 
 // Guards against a bound that refuses a caller that is alone.
 describe("a single body of permitted size", () => {
     let front: HostileFront;
-    beforeEach(async () => front = await HostileFront.start(settings));
+    beforeEach(async () => front = await HostileFront.start(smallestFront));
     afterEach(() => front.close());
 
     it("should be served whole, in large chunks and in chunks of one byte", async t => {
--- a/tests/hostile/heads.test.ts
+++ b/tests/hostile/heads.test.ts
@@ -1,11 +1,9 @@
 import { expect } from "earl";
-import { afterEach, before, beforeEach, describe, it } from "node:test";
+import { describe, it } from "node:test";
 
-import { Crowd, writeFor } from "./crowd.js";
-import { buildBundle, callerLimits, headOf, HostileFront } from "./hostileFront.js";
-
-/** The smallest front, with fewer descriptors than the crowd has connections. */
-const settings = { memoryMb: 178, fds: 256 };
+import { writeFor } from "./crowd.js";
+import { callerLimits, headOf } from "./hostileFront.js";
+import { useSmallestFront } from "./smallestFront.js";
 
 const callers = 300;
 const playMs = 5_000;
@@ -20,61 +18,44 @@
 
 // Guards against callers that never send a request, and so are never answered and never closed.
 describe("connections without a request", () => {
-    let front: HostileFront;
-    let crowd: Crowd;
-    before(buildBundle);
-    beforeEach(async () => {
-        front = await HostileFront.start(settings);
-        crowd = new Crowd(front.address);
-    });
-    afterEach(async () => {
-        crowd.close();
-        await front.close();
-    });
+    const setup = useSmallestFront();
 
     it("should be bounded if their heads are over the limit", async t => {
         const filler = `X-Filler: ${"x".repeat(callerLimits.maxHeaderBytes * 4)}`;
-        await crowd.play(callers, caller => caller.write(headOf("GET", "/look/1", [filler]), writeTimeoutMs));
-        expect(await front.findFaults(t)).toEqual([]);
+        await setup.crowd.play(callers, caller => caller.write(headOf("GET", "/look/1", [filler]), writeTimeoutMs));
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded if their heads never end", async t => {
-        await crowd.play(callers, async caller => {
+        await setup.crowd.play(callers, async caller => {
             await caller.write(headOf("GET", "/look/1", [], true), writeTimeoutMs);
             await writeFor(caller, smallLines, playMs, 250);
         });
-        expect(await front.findFaults(t)).toEqual([]);
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded if their heads stop short of their end", async t => {
         const filler = `X-Filler: ${"x".repeat(callerLimits.maxHeaderBytes / 2)}`;
-        await crowd.play(callers, caller => caller.write(headOf("GET", "/look/1", [filler], true), writeTimeoutMs));
-        expect(await front.findFaults(t)).toEqual([]);
+        await setup.crowd.play(
+            callers,
+            caller => caller.write(headOf("GET", "/look/1", [filler], true), writeTimeoutMs),
+        );
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 
     it("should be bounded if they send empty lines without end", async t => {
-        await crowd.play(callers, caller => writeFor(caller, "\r\n".repeat(512), playMs, 100));
-        expect(await front.findFaults(t)).toEqual([]);
+        await setup.crowd.play(callers, caller => writeFor(caller, "\r\n".repeat(512), playMs, 100));
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 });
 
 // Guards against callers of which one read has thousands of requests: what these need until the connection is closed fills the machine.
 describe("the smallest heads behind one another", () => {
-    let front: HostileFront;
-    let crowd: Crowd;
-    before(buildBundle);
-    beforeEach(async () => {
-        front = await HostileFront.start(settings);
-        crowd = new Crowd(front.address);
-    });
-    afterEach(async () => {
-        crowd.close();
-        await front.close();
-    });
+    const setup = useSmallestFront();
 
     it("should be bounded if 60 callers write them without end", async t => {
         const heads = tinyHead.repeat(20_000);
-        await crowd.play(tinyHeadCallers, caller => writeFor(caller, heads, playMs));
-        expect(await front.findFaults(t)).toEqual([]);
+        await setup.crowd.play(tinyHeadCallers, caller => writeFor(caller, heads, playMs));
+        expect(await setup.front.findFaults(t)).toEqual([]);
     });
 });
--- a/tests/hostile/hostileFront.ts
+++ b/tests/hostile/hostileFront.ts
@@ -1,8 +1,7 @@
 /** Runs the built front as a process of its own, against stand-ins of the store and the workers, and watches its resources. */
 import { delay } from "@marigolddrift/common";
 import { PlatformStandin, WorkerStandin } from "@marigolddrift/platform";
-import { execFileSync, spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
+import { execFileSync } from "node:child_process";
 import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { get, request } from "node:http";
 import { tmpdir } from "node:os";
@@ -10,6 +9,9 @@
 import type { TestContext } from "node:test";
 import { fileURLToPath } from "node:url";
 
+import { machineSettings } from "../platform/machineSettings.js";
+import { ChildProgram } from "../processes/childProgram.js";
+
 const root = fileURLToPath(new URL("../../../", import.meta.url));
 const program = join(root, "target/marigolddrift.cjs");
 
@@ -88,9 +90,7 @@
     peakDescriptors = 0;
     private readonly store = new PlatformStandin();
     private readonly dir = mkdtempSync(join(tmpdir(), "hostile-"));
-    private child: ChildProcess | undefined;
-    private exit: string | undefined;
-    private output = "";
+    private process: ChildProgram | undefined;
     private sampler: NodeJS.Timeout | undefined;
 
     private constructor(readonly settings: HostileSettings) {}
@@ -120,8 +120,8 @@
     async findFaults(test: Pick<TestContext, "diagnostic">): Promise<string[]> {
         const status = await this.callOnce();
         const faults: string[] = [];
-        if (this.exit !== undefined) {
-            return [`the process ended with ${this.exit}`, `an ordinary request: ${status}`];
+        if (this.process?.exit !== undefined) {
+            return [`the process ended with ${this.process.exit}`, `an ordinary request: ${status}`];
         }
         test.diagnostic(JSON.stringify({ ...this.usage(), peakDescriptors: this.peakDescriptors, status }));
         const { memoryMb, fds } = this.settings;
@@ -154,7 +154,7 @@
     }
 
     usage(): Usage {
-        const { pid } = this.child!;
+        const { pid } = this.process!;
         const status = readFileSync(`/proc/${pid}/status`, "utf8");
         const megabytes = (name: string): number =>
             Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)?.[1] ?? 0) / 1024);
@@ -167,22 +167,17 @@
 
     /** Whether the process has ended by itself. */
     get hasEnded(): boolean {
-        return this.exit !== undefined;
+        return this.process?.exit !== undefined;
     }
 
     /** Lines of the process's log with the given event. */
     logLines(event: string): string[] {
-        return this.output.split("\n").filter(line => line.includes(`"event":"${event}"`));
+        return this.process!.logLines(event);
     }
 
     async close(): Promise<void> {
         clearInterval(this.sampler);
-        const { child } = this;
-        if (child?.exitCode === null && child.signalCode === null) {
-            const ended = new Promise(resolve => child.once("exit", resolve));
-            child.kill("SIGKILL");
-            await ended;
-        }
+        await this.process?.kill();
         this.plainWorker.close();
         this.streamingWorker.close();
         this.store.close();
@@ -192,19 +187,11 @@
     private async startProcess(): Promise<void> {
         const file = join(this.dir, "front.toml");
         writeFileSync(file, this.settingsText());
-        const child = spawn(process.execPath, [...nodeOptions, program, "front"], {
-            env: { ...process.env, MARIGOLDDRIFT_SETTINGS: file },
-            stdio: ["ignore", "pipe", "pipe"],
-        });
-        this.child = child;
-        child.once("exit", (code, signal) => this.exit = signal ?? String(code));
-        [child.stdout, child.stderr].forEach(stream =>
-            stream.on("data", (data: Buffer) => this.output += String(data))
-        );
+        this.process = new ChildProgram([...nodeOptions, program, "front"], file);
         const startedAt = performance.now();
         while (!await this.isReady()) {
             if (this.hasEnded || performance.now() - startedAt > giveUpMs) {
-                throw new Error(`the front did not start: ${this.output.slice(-2_000)}`);
+                throw new Error(`the front did not start: ${this.process.lastOutput}`);
             }
             await delay(50);
         }
@@ -233,31 +220,13 @@
 
     private settingsText(): string {
         const { ip, settings } = this;
-        return [
-            "node = \"front-1\"",
-            `ip = "${ip}"`,
-            "zone = \"north-a\"",
-            "region = \"north\"",
-            "innerPorts = [7380, 7395]",
-            "[zones]",
-            "north-a = \"north\"",
-            "[listen]",
-            `front = "${ip}:${frontPort}"`,
-            `ready = "${ip}:${readyPort}"`,
-            "[limits]",
-            `memoryMb = ${settings.memoryMb}`,
-            `fds = ${settings.fds}`,
-            "[tolerate]",
-            "machines = 1",
-            "[bounds]",
-            "graceS = 8",
-            "contactMs = 4000",
-            "drainMs = 2500",
-            "configApplyMs = 2500",
-            "[platform]",
-            `address = "${this.store.address}"`,
-            "",
-        ].join("\n");
+        return machineSettings({
+            node: "front-1",
+            ip,
+            store: this.store.address,
+            listen: [`front = "${ip}:${frontPort}"`, `ready = "${ip}:${readyPort}"`],
+            limits: [`memoryMb = ${settings.memoryMb}`, `fds = ${settings.fds}`],
+        });
     }
 }
 
--- a/tests/hostile/replies.test.ts
+++ b/tests/hostile/replies.test.ts
@@ -4,9 +4,7 @@
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 
 import { buildBundle, HostileFront } from "./hostileFront.js";
-
-/** The smallest front. */
-const settings = { memoryMb: 178, fds: 256 };
+import { smallestFront } from "./smallestFront.js";
 
 const calls = 20;
 const replyBytes = 1024 * 1024;
@@ -37,7 +35,7 @@
     });
     beforeEach(async () => {
         const { port } = server.address() as AddressInfo;
-        front = await HostileFront.start({ ...settings, plainWorkerAddress: `127.0.0.1:${port}` });
+        front = await HostileFront.start({ ...smallestFront, plainWorkerAddress: `127.0.0.1:${port}` });
     });
     afterEach(() => front.close());
 
--- a/tests/platform/machineSettings.ts
+++ b/tests/platform/machineSettings.ts
@@ -11,6 +11,8 @@
     readonly fields?: readonly string[];
     /** Fields of the section `listen`, one a line. */
     readonly listen?: readonly string[];
+    /** Fields of the section `limits`, one a line; without them, the section is missing. */
+    readonly limits?: readonly string[];
     readonly graceS?: number;
 }
 
@@ -28,6 +30,7 @@
         store = "10.200.1.7:8142",
         fields = [],
         listen = [],
+        limits = [],
         graceS = 8,
     } = settings;
     return [
@@ -41,6 +44,7 @@
         "north-a = \"north\"",
         "[listen]",
         ...listen,
+        ...(limits.length === 0 ? [] : ["[limits]", ...limits]),
         "[tolerate]",
         "machines = 1",
         "[bounds]",
--- a/tests/processes/programProcess.ts
+++ b/tests/processes/programProcess.ts
@@ -1,8 +1,6 @@
 /** Runs the program as real processes on loopback, against stand-ins of the store and the workers. */
 import { delay } from "@marigolddrift/common";
 import { PlatformStandin, WorkerStandin } from "@marigolddrift/platform";
-import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { get } from "node:http";
 import { createServer } from "node:net";
@@ -10,6 +8,9 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
+import { machineSettings } from "../platform/machineSettings.js";
+import { ChildProgram } from "./childProgram.js";
+
 const program = fileURLToPath(new URL("../../../platform/dist/main.js", import.meta.url));
 
 /** Ports of a process; a front tries its inner ports from the last one on. */
@@ -86,33 +87,17 @@
         const name = `${role}-${ip}-${portOffset}`;
         const inner = ports.inner + portOffset;
         const dataDir = settings.dataDir ?? join(this.dir, `${name}.disk`);
-        const listen = [
-            "[listen]",
-            `front = "${ip}:${ports.front + portOffset}"`,
-            `ready = "${ip}:${ports.ready + portOffset}"`,
-        ];
-        return [
-            `node = "${name}"`,
-            `ip = "${ip}"`,
-            "zone = \"north-a\"",
-            "region = \"north\"",
-            `innerPorts = [${inner}, ${inner + 15}]`,
-            `firstStart = ${firstStart}`,
-            ...(role === "store" ? [`dataDir = "${dataDir}"`] : []),
-            "[zones]",
-            "north-a = \"north\"",
-            ...(role === "front" ? listen : ["[listen]"]),
-            "[tolerate]",
-            "machines = 1",
-            "[bounds]",
-            "graceS = 8",
-            "contactMs = 4000",
-            "drainMs = 2500",
-            "configApplyMs = 2500",
-            "[platform]",
-            `address = "${this.store.address}"`,
-            "",
-        ].join("\n");
+        const isFront = role === "front";
+        return machineSettings({
+            node: name,
+            ip,
+            innerPorts: [inner, inner + 15],
+            store: this.store.address,
+            fields: [`firstStart = ${firstStart}`, ...(isFront ? [] : [`dataDir = "${dataDir}"`])],
+            listen: isFront ?
+                [`front = "${ip}:${ports.front + portOffset}"`, `ready = "${ip}:${ports.ready + portOffset}"`] :
+                [],
+        });
     }
 
     async close(): Promise<void> {
@@ -126,38 +111,33 @@
 
 /** One process. */
 export class ProgramProcess {
-    /** How the process ended; undefined while it runs. */
-    exit: string | undefined;
-    private output = "";
-    private readonly child: ChildProcess;
+    private readonly child: ChildProgram;
 
     constructor(private readonly settings: ProcessSettings, readonly settingsFile: string, text: string) {
         writeFileSync(settingsFile, text);
-        this.child = spawn(process.execPath, ["--max-old-space-size=96", program, settings.role], {
-            env: { ...process.env, MARIGOLDDRIFT_SETTINGS: settingsFile },
-            stdio: ["ignore", "pipe", "ignore"],
-        });
-        this.child.stdout!.on("data", (data: Buffer) => this.output += String(data));
-        this.child.once("exit", (code, signal) => this.exit = signal ?? String(code));
+        this.child = new ChildProgram(["--max-old-space-size=96", program, settings.role], settingsFile);
     }
 
     get pid(): number {
-        return this.child.pid!;
+        return this.child.pid;
+    }
+
+    /** How the process ended; undefined while it runs. */
+    get exit(): string | undefined {
+        return this.child.exit;
     }
 
     signal(signal: NodeJS.Signals): void {
-        this.child.kill(signal);
+        this.child.signal(signal);
     }
 
     async kill(): Promise<void> {
-        this.signal("SIGKILL");
-        await until(() => this.exit !== undefined);
+        await this.child.kill();
     }
 
     /** Lines of the log with an event. */
     lines(event: string): Record<string, unknown>[] {
-        const lines = this.output.split("\n").filter(line => line.includes(`"event":"${event}"`));
-        return lines.map(line => JSON.parse(line) as Record<string, unknown>);
+        return this.child.logLines(event).map(line => JSON.parse(line) as Record<string, unknown>);
     }
 
     /** Resolves to whether the ready address answers 200 within some time. */
