Test the slow start of an upstream without luck or the machine's speed

Cause, in the test: a cold upstream is considered with probability 0.1 for each call, so the count is random, and the upstream is cold for only 3 s of the real clock. The product does as documented.

The test now gives the gateway the same random number each time, and a cold time that ends after the test. With 0.1 the cold upstream must get none of 60 calls, with 0.099 it must get some, which fixes its weight to 0.1; the earlier bound let probabilities of twice that pass. One that is not cold must get calls after 5.2 s even with 0.999, and the cold one still none.

--- a/tests/platform/unevenUpstreams.test.ts
+++ b/tests/platform/unevenUpstreams.test.ts
@@ -1,9 +1,15 @@
+import type { Gateway } from "@marigolddrift/gateway";
 import { storeLayout, WorkerStandin } from "@marigolddrift/platform";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
 
 import { config, Deployment, waitUntil } from "./deployment.js";
 
+/** Time after which an upstream that is not cold gets its full share of the calls, and some more. */
+const rampMs = 5_200;
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
 describe("uneven upstreams", () => {
     let deployment: Deployment;
     const others: WorkerStandin[] = [];
@@ -29,9 +35,14 @@
 
     const all = (): WorkerStandin[] => [deployment.plainWorker, ...others];
 
-    const callMany = async (count: number, path: string, headers: Record<string, string> = {}): Promise<void> => {
+    const callMany = async (
+        count: number,
+        path: string,
+        headers: Record<string, string> = {},
+        gateway?: Gateway,
+    ): Promise<void> => {
         for (let index = 0; index < count; index++) {
-            await deployment.call("POST", path, headers, "x");
+            await deployment.call("POST", path, headers, "x", gateway);
         }
     };
 
@@ -85,16 +96,38 @@
         }
     });
 
-    // Guards against a new upstream that gets the calls of all instances at once while it is cold.
+    // Guards against a new upstream that gets the calls of all instances at once while it is cold. The gateway's random numbers
+    // are all the same, and the upstream is cold for longer than the test lasts, so that neither luck nor a slow machine decides.
     it("should bring a new one in by degrees", async () => {
-        await new Promise(resolve => setTimeout(resolve, 5_200));
-        const added = new WorkerStandin("i-ops-4", "ops", false);
-        await added.start();
-        others.push(added);
-        deployment.store.put("servers/i-ops-4", { ...added.entry(), coldLeftMs: 3_000 });
-        await waitUntil(() => deployment.gateways[0]!.upstreams.usable("ops").length === 4);
-        await callMany(60, "/order/1");
-        expect(added.ran.length).toSatisfy(calls => calls < 8);
+        let draw = 0.1;
+        const gateway = await deployment.addGateway({ random: () => draw });
+        await sleep(rampMs);
+        const add = async (id: string, coldLeftMs: number): Promise<WorkerStandin> => {
+            const added = new WorkerStandin(id, "ops", false);
+            await added.start();
+            others.push(added);
+            const count = all().length;
+            deployment.store.put(`servers/${id}`, { ...added.entry(), coldLeftMs });
+            await waitUntil(() => gateway.upstreams.usable("ops").length === count);
+            return added;
+        };
+        // Two at once, so that one that is considered is chosen before one that is busy.
+        const countCalls = async (workers: readonly WorkerStandin[]): Promise<number[]> => {
+            const before = workers.map(worker => worker.ran.length);
+            await Promise.all(Array.from({ length: 2 }, () => callMany(30, "/order/1", {}, gateway)));
+            return workers.map((worker, index) => worker.ran.length - before[index]!);
+        };
+        const cold = await add("i-ops-4", 60_000);
+        expect(await countCalls([cold])).toEqual([0]);
+        draw = 0.099;
+        expect((await countCalls([cold]))[0]!).toSatisfy(calls => calls > 0);
+
+        const warm = await add("i-ops-5", 0);
+        await sleep(rampMs);
+        draw = 0.999;
+        const [coldCalls, warmCalls] = await countCalls([cold, warm]);
+        expect(coldCalls).toEqual(0);
+        expect(warmCalls!).toSatisfy(calls => calls > 0);
     });
 
     it("should read for how long an upstream stays slow, and bear entries without or with an odd time", () => {
