Let calls that wait for the bucket hold no more places than are served meanwhile

What callers saw: refused callers of a small quota were told to return up to some seconds after they could be served.

Cause: if the next permit is at most 100 ms away, the calls that found none wait and ask again. Each time all of them took places in the queue from which Retry-After follows, also those that were refused the second time and took places again: 16 calls at 5 a second, 80 ms before the next permit, moved the next caller's time by 3.2 s.

Evidence: the new test of the granter got 3200 ms before this change, where 200 ms is due, and passes with it.

Calls that wait now take as many places as can be served within 100 ms. Where the quota is so large that all that wait fit into that time, nothing changes.

--- a/packages/gateway/src/quotas/quotaGranter.ts
+++ b/packages/gateway/src/quotas/quotaGranter.ts
@@ -18,6 +18,10 @@
 /** Longest time for which calls wait for the bucket to refill instead of being refused. */
 const maxRefillWaitMs = 100;
 
+/** Number of calls that can be served while calls wait, the first of them after `retryInMs`. */
+const placesOfWaiting = (retryInMs: number, spacingMs: number): number =>
+    1 + Math.floor((maxRefillWaitMs - retryInMs) / spacingMs);
+
 /** Permits are borrowed for the demand that is expected in this time. */
 const borrowAheadMs = 100;
 
@@ -141,9 +145,12 @@
             const { retryInMs, spacingMs } = workspace.queue(0, now);
             return [granted, started, retryInMs, spacingMs, startRetryInMs, waitMs];
         }
-        const { retryInMs, spacingMs } = workspace.queue(short, now);
+        const { retryInMs, spacingMs } = workspace.queue(0, now);
+        const mayWait = retryInMs <= maxRefillWaitMs;
+        // Calls that wait ask again. If all of them took places, those refused next would be told to return later than they can be served.
+        workspace.queue(mayWait ? Math.min(short, placesOfWaiting(retryInMs, spacingMs)) : short, now);
         workspace.recordShortage(now);
-        const waitMs = retryInMs <= maxRefillWaitMs ? Math.max(1, Math.ceil(retryInMs)) : 0;
+        const waitMs = mayWait ? Math.max(1, Math.ceil(retryInMs)) : 0;
         finish(waitMs === 0);
         return [granted, started, retryInMs, spacingMs, startRetryInMs, waitMs];
     }
--- a/tests/gateway/quotas.test.ts
+++ b/tests/gateway/quotas.test.ts
@@ -1,9 +1,11 @@
+import { QuotaGranter } from "@marigolddrift/gateway";
+import type { QuotaAnswer, QuotaAsk, QuotaResponse } from "@marigolddrift/gateway";
 import type { Clock } from "@sinonjs/fake-timers";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
 import { withClock } from "../clock.js";
-import { allowedInWindow, QuotaFleet, workspace } from "./quotaFleet.js";
+import { allowedInWindow, QuotaFleet, settings, workspace } from "./quotaFleet.js";
 
 /** Time in which the leases of a fleet of up to 53 instances are in force. */
 const lentMs = 3_000;
@@ -301,3 +303,46 @@
         });
     });
 });
+
+describe("quota granter", () => {
+    // Guards against callers that are told to return long after they can be served, as calls that waited before them for the bucket
+    // to refill, and asked again, held several places of the queue.
+    it("should count each call once among those that are served before a refused one, also if it has waited", () =>
+        withClock(async clock => {
+            const small = workspace("w", 5, 4);
+            const granter = new QuotaGranter({
+                settings,
+                issuer: 1,
+                regionMembers: () => 1,
+                mayHoldWhole: () => true,
+                borrow: () => undefined,
+                onBorrowed: () => {},
+            });
+            granter.applyWorkspaces([{ name: "w", slot: 0, terms: small.quota! }]);
+            let offer: readonly [issuer: number, until: number, leaseMs: number] | undefined;
+            const renew = (asks: QuotaAsk[] = []): QuotaResponse => {
+                const response = granter.handle({
+                    kind: "takeQuota",
+                    renewal: offer === undefined ? ["a", 1, 1] : ["a", 1, 1, ...offer],
+                    asks,
+                });
+                offer = response.offer;
+                return response;
+            };
+            const ask = (plain: number): QuotaAnswer => renew([["w", 0, plain, [], 0, 0]]).answers![0]!;
+            for (let elapsed = 0; elapsed < 2_000; elapsed += 100) {
+                renew();
+                await clock.tickAsync(100);
+            }
+            renew();
+            expect(ask(4)[0]).toEqual(4);
+            await clock.tickAsync(120);
+            // The next permit is there after 80 ms, for which all of these wait.
+            const [granted, , firstRetryMs, , , waitMs] = ask(16);
+            expect([granted, Math.round(firstRetryMs), waitMs > 0]).toEqual([0, 80, true]);
+            await clock.tickAsync(waitMs);
+            const [grantedLater, , retryMs, spacingMs, , furtherWaitMs] = ask(16);
+            expect([grantedLater, Math.round(spacingMs), furtherWaitMs]).toEqual([1, 200, 0]);
+            expect(retryMs).toSatisfy(ms => ms >= 195 && ms <= 205);
+        }));
+});
