--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -158,9 +158,13 @@
 
     private async writeState(incompleteMs: number): Promise<void> {
         const file = await open(join(this.dir, stateFile), "w");
-        await file.write(`complete-at ${Date.now() + incompleteMs}\n`);
-        await file.sync();
-        await file.close();
+        try {
+            await file.writeFile(`complete-at ${Date.now() + incompleteMs}\n`);
+            await file.sync();
+        }
+        finally {
+            await file.close();
+        }
         await syncDirectory(this.dir);
     }
 
@@ -182,7 +186,8 @@
 
     private async write(bytes: Buffer): Promise<SegmentId> {
         const current = this.current ??= await this.createSegment();
-        await current.file.write(bytes);
+        // Writes again what a single write leaves out, as on a disk that is nearly full.
+        await current.file.writeFile(bytes);
         await current.file.datasync();
         current.bytes += bytes.length;
         if (current.bytes >= segmentRolloverBytes) {
