Refuse to take streams up at another service after their route has moved

A caller that took a stream up after the operator had moved its route to another service got the rest from that service: two versions in one stream (ORDER).

Cause: an instance without a record took the only build that is declared for the route's service for the one that began the stream, which holds only if the route has sent its streams to that service all the time. A route that could not be resumed any more sent a take-up like any other call.

An instance remembers which services the routes of earlier versions had, for the lifetime of a stream. Meanwhile such a route counts as one with several services: its streams are recorded, and only a record says where they go on.

--- a/packages/gateway/src/builds/buildView.ts
+++ b/packages/gateway/src/builds/buildView.ts
@@ -6,10 +6,10 @@
 import type { BuildDeclarations } from "./buildDeclarations.js";
 
 /** Shortest time for which a stream may be taken up after its first event; longer if a route's calls may take longer. */
-const minLifetimeMs = 30_000;
+export const minLifetimeMs = 30_000;
 
 /** Time from a stream's first event until its last take-up has ended, as a multiple of its route's timeout. */
-const lifetimeFactor = 2;
+export const lifetimeFactor = 2;
 
 /** A build that has been away for this share of the lifetime of streams is declared anew. */
 const awayShare = 0.5;
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -99,6 +99,8 @@
     permit: CallPermit | undefined;
     /** Upstreams that the call may be sent to; undefined for all of its service. */
     candidates: CandidateRule | undefined;
+    /** The route with all services at which its streams may have begun; undefined if these are its targets. */
+    streamRoute?: Route | undefined;
     readonly trace: CallTrace;
     /** Throws if the caller has closed the connection. To be used before anything is sent to an upstream. */
     checkCaller(): void;
--- a/packages/gateway/src/filters/callFilters.ts
+++ b/packages/gateway/src/filters/callFilters.ts
@@ -38,6 +38,8 @@
     readonly builds: Builds;
     /** Returns a service of the configuration in force. */
     serviceOf(name: string): Service | undefined;
+    /** Services at which a stream of the call's path may have begun before the configuration changed. */
+    formerServices(host: string, path: string): readonly string[];
     readonly turns: TurnStore;
     readonly budgets: TokenReserver;
     readonly dispatcher: Dispatcher<QueuedCall>;
--- a/packages/gateway/src/filters/forwardFilter.ts
+++ b/packages/gateway/src/filters/forwardFilter.ts
@@ -233,7 +233,8 @@
         response.onLimit = perSecond => this.options.limits.onAnswer(upstream, perSecond, startedAt);
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
             const streamId = scopedName(ctx.workspace, ctx.id);
-            response.onBegun = () => this.options.builds.onStreamBegun(streamId, ctx.route, upstream);
+            response.onBegun = () =>
+                this.options.builds.onStreamBegun(streamId, ctx.streamRoute ?? ctx.route, upstream);
         }
         response.onLeaving = () => this.options.upstreams.onLeaving(upstream);
         const { protocol, replyMemory: memory, observer } = this.options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -301,6 +301,7 @@
                 blocker,
                 builds,
                 serviceOf: name => this.activeConfig.table?.service(name),
+                formerServices: (host, path) => this.activeConfig.history.formerServices(host, path),
                 requestPermit: this.quotas?.requestPermit,
                 turns,
                 budgets: this.regionBudgets,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -57,6 +57,7 @@
 export * from "./state/changeFeed.js";
 export * from "./state/prefixWatcher.js";
 export * from "./state/regionalStoreReader.js";
+export * from "./state/routeHistory.js";
 export * from "./state/storeKey.js";
 export * from "./trafficMeter.js";
 export * from "./turns/recordRemover.js";
--- a/packages/gateway/src/state/activeConfig.ts
+++ b/packages/gateway/src/state/activeConfig.ts
@@ -5,12 +5,15 @@
 import type { StoreLayout } from "../gatewayOptions.js";
 import { RouteTable } from "../routes.js";
 import type { RoutingConfig } from "../routes.js";
+import { RouteHistory } from "./routeHistory.js";
 
 /** Limit on the body size until a configuration has been loaded. */
 const defaultMaxBodyBytes = 1024 * 1024;
 
 /** Takes each newer version of the configuration; an older one, an unchanged one or an invalid one changes nothing. */
 export class ActiveConfig {
+    /** What routes were before. */
+    readonly history = new RouteHistory();
     private routeTable: RouteTable | undefined;
 
     constructor(
@@ -56,7 +59,11 @@
             this.log.info("configuration ignored", { version, revision, source, activeVersion });
             return;
         }
-        this.routeTable = new RouteTable(config);
+        const table = new RouteTable(config);
+        if (this.routeTable !== undefined) {
+            this.history.onReplaced(this.routeTable, table);
+        }
+        this.routeTable = table;
         this.onApplied(config);
         this.log.info("configuration applied", { version, routes: routes.length, revision, source });
     }
