Test that a process whose log nobody reads serves and ends when it is told to

A process whose standard output blocks would not end, since the runtime waits for its threads at the exit.

--- a/tests/processes/programProcess.ts
+++ b/tests/processes/programProcess.ts
@@ -175,10 +175,15 @@
         return this.lines(event).length > 0;
     }
 
+    /** Reads no more of the log, as a reader that hangs. */
+    stopReading(): void {
+        this.child.stdout!.pause();
+    }
+
     /** Sends one call; resolves to its status, or the code of the error. */
-    call(): Promise<number | string> {
+    call(path = "/look/1"): Promise<number | string> {
         const { ip, portOffset = 0 } = this.settings;
-        return statusOf(ip, ports.front + portOffset, "/look/1");
+        return statusOf(ip, ports.front + portOffset, path);
     }
 }
 
