--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -102,7 +102,7 @@
         response.onLeaving = () => upstreams.onLeaving(upstream);
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
             const streamId = scopedName(ctx.workspace, ctx.id);
-            response.onBegun = () => builds.onStreamBegun(streamId, ctx.route, upstream);
+            response.onBegun = () => builds.onStreamBegun(streamId, ctx.streamRoute ?? ctx.route, upstream);
         }
     }
 
--- a/tests/processes/childProgram.ts
+++ b/tests/processes/childProgram.ts
@@ -38,6 +38,11 @@
         return this.log.split("\n").filter(line => line.includes(`"event":"${event}"`));
     }
 
+    /** Reads no more of the log, as a reader that hangs. */
+    stopReading(): void {
+        this.child.stdout!.pause();
+    }
+
     signal(signal: NodeJS.Signals): void {
         this.child.kill(signal);
     }
