Open the connection first in the test of unresponsive peers

"should leave an unresponsive peer unused for longer after each failure" failed once with pauses of 0 ms after both failures, in 404 ms.

Cause, in the test's set-up: the request of 200 ms also opened the connection. A peer counts as silent only after 150 ms without a response, so that nothing is put aside if the connection took over 50 ms; the peer's own answer to the first request, that its time is over, then comes after the second one was sent, which shows a peer that is only slow.

Evidence: behind a proxy that delays the connection by 0 and 30 ms, the test's body gave pauses of 1.0 and 2.0 s; with 60, 100 and 160 ms 0 and 0, in 398 to 402 ms, the failure that was seen. With the connection opened first, all five delays give 1.0 and 2.0 s. The test file passed 3 of 3. The expectation is unchanged.

--- a/tests/gateway/peerClient.test.ts
+++ b/tests/gateway/peerClient.test.ts
@@ -43,6 +43,8 @@
         withPeer(neverResolve, async client => {
             const pauses: number[] = [];
             for (let failure = 0; failure < 2; failure++) {
+                // The time that the connection takes is none in which the peer is silent.
+                await client.preconnect();
                 await expect(client.ask(request, new Progress(200))).toBeRejected();
                 const failedAt = performance.now();
                 while (!client.isUsable) {
