Give each instance in the test of stops at once an address of its own

"should not leave before one of them is back, with stop signals 0 ms apart" failed once, as the address of an instance that had stopped still accepted a connection.

Cause, in the test's set-up: the port is given by the system, which gives it to any other listener at 127.0.0.1 once the instance has ended, and the test connects to the port.

Evidence: the test's body gives [false, false, true]; with another listener at the first one's port [true, false, true], the failure that was seen. With addresses of their own both give [false, false, true]. That another listener had the port in the run that failed is not recorded. The instances now have loopback addresses made from the process id. The expectations are unchanged; the test file passed.

--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -8,6 +8,7 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 
+const loopback = "127.0.0.1";
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 };
 const engine = { slots: 4, kvCapacity: 90_000, tokensPerEvent: 10 };
 
@@ -70,6 +71,7 @@
     readonly streamingWorker = new WorkerStandin("i-brain", "brain", true);
     readonly plainWorker = new WorkerStandin("i-ops", "ops", false);
     readonly gateways: Gateway[] = [];
+    private readonly hosts = new Map<Gateway, string>();
     private readonly storeProxies: StoreProxy[] = [];
     private nextRequestId = 0;
 
@@ -97,7 +99,7 @@
             machine,
             zone: "north-a",
             regionOf: () => "north",
-            host: "127.0.0.1",
+            host: loopback,
             port: 0,
             peerPorts: [0],
             store: new PlatformStore(proxy.address),
@@ -113,10 +115,16 @@
         });
         await gateway.start();
         this.gateways.push(gateway);
+        this.hosts.set(gateway, options.host ?? loopback);
         await waitUntil(() => gateway.isReady && gateway.upstreams.size >= 2);
         return gateway;
     }
 
+    /** The address on which a gateway listens. */
+    hostOf(gateway: Gateway): string {
+        return this.hosts.get(gateway)!;
+    }
+
     /** Sends a call; generates a `Request-Id` if the headers have none. */
     async call(
         method: "GET" | "POST",
@@ -127,7 +135,7 @@
     ): Promise<ReceivedResponse> {
         const id = headers["Request-Id"] ?? this.newId();
         const sent = { "Host": "carts.example", "Deadline-Ms": "2500", ...headers, "Request-Id": id };
-        return await sendRequest({ host: "127.0.0.1", port: gateway.port, method, path, headers: sent }, body);
+        return await sendRequest({ host: this.hostOf(gateway), port: gateway.port, method, path, headers: sent }, body);
     }
 
     /** Sends a turn of a program. */
--- a/tests/platform/stopsAtOnce.test.ts
+++ b/tests/platform/stopsAtOnce.test.ts
@@ -7,14 +7,17 @@
 
 const graceMs = 8_000;
 
+/** Instances that a test starts at most; a process id has 22 bits, and a loopback address 24 that are free. */
+const maxInstances = 4;
+
 /** Time between two checks whether callers are served. */
 const checkIntervalMs = 50;
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
-const accepts = (gateway: Gateway): Promise<boolean> =>
+const accepts = (host: string, port: number): Promise<boolean> =>
     new Promise(resolve => {
-        const socket = connect(gateway.port, "127.0.0.1");
+        const socket = connect(port, host);
         const end = (isOpen: boolean): void => {
             socket.destroy();
             resolve(isOpen);
@@ -23,13 +26,22 @@
         socket.on("error", () => end(false));
     });
 
+/**
+ * A loopback address that no other process binds to, nor another instance of this one. The system gives the port of an instance
+ * that has ended to any other listener on its address, so that it would still seem to accept connections.
+ */
+const ownAddress = (index: number): string => {
+    const number = process.pid * maxInstances + index;
+    return `127.${(number >> 16) & 0xff}.${(number >> 8) & 0xff}.${number & 0xff}`;
+};
+
 describe("instances of an availability zone that are stopped at once", () => {
     let deployment: Deployment;
     let stopped: Promise<void>[];
     beforeEach(async () => {
         deployment = await Deployment.start(0);
-        await deployment.addGateway({ graceMs });
-        await deployment.addGateway({ graceMs });
+        await addGateway();
+        await addGateway();
         await Promise.all(deployment.gateways.map(gateway => gateway.refreshPeers()));
         stopped = [];
     });
@@ -38,6 +50,11 @@
         deployment.close();
     });
 
+    const addGateway = (): Promise<Gateway> =>
+        deployment.addGateway({ graceMs, host: ownAddress(deployment.gateways.length + 1) });
+
+    const takesConnections = (gateway: Gateway): Promise<boolean> => accepts(deployment.hostOf(gateway), gateway.port);
+
     /** Stops an instance as the program does at SIGTERM. */
     const stop = async (gateway: Gateway): Promise<void> => {
         await gateway.drain();
@@ -55,17 +72,25 @@
             // The first one that ends is replaced after a second, as a start takes some time.
             const replacedAt = performance.now() + 1_000;
             while (performance.now() < replacedAt) {
-                const served = await Promise.all([accepts(first), accepts(second)]);
+                const served = await Promise.all([takesConnections(first), takesConnections(second)]);
                 expect(served.some(Boolean)).toEqual(true);
                 await sleep(checkIntervalMs);
             }
-            const call = await deployment.call("GET", "/look/1", {}, undefined, await accepts(first) ? first : second);
+            const call = await deployment.call(
+                "GET",
+                "/look/1",
+                {},
+                undefined,
+                await takesConnections(first) ? first : second,
+            );
             expect(call.status).toEqual(200);
-            const replacement = await deployment.addGateway({ graceMs });
+            const replacement = await addGateway();
             await Promise.all([first.refreshPeers(), second.refreshPeers()]);
             await waitUntil(() => first.entry.connections + second.entry.connections === 0);
             await Promise.all(stopped);
-            expect(await Promise.all([accepts(first), accepts(second), accepts(replacement)])).toEqual([
+            expect(
+                await Promise.all([takesConnections(first), takesConnections(second), takesConnections(replacement)]),
+            ).toEqual([
                 false,
                 false,
                 true,
