Keep the set of owned slots and its announcements apart from their ownership

slots.ts kept the map of the owned slots, its version and the timer of its announcements among claims, handovers and leases, and asked in four places whether this instance is the preferred owner of a slot.

ownedSlots.ts has the set and announces it; `isPreferredHere` and `missingSlots` name the questions that are asked of it.

--- a/packages/daemon/src/controllers/slots.ts
+++ b/packages/daemon/src/controllers/slots.ts
@@ -12,6 +12,7 @@
 import type { Membership } from "./membership.js";
 import { OwnedSlot } from "./ownedSlot.js";
 import type { Mutation } from "./ownedSlot.js";
+import { OwnedSlots } from "./ownedSlots.js";
 import { PreferredOwners } from "./preferredOwners.js";
 import { SlotAcquirer } from "./slotAcquirer.js";
 import { SlotClaims } from "./slotClaims.js";
@@ -20,8 +21,6 @@
 
 const tickMs = 500;
 
-const announceDelayMs = 10;
-
 /** Settings and callbacks of {@link Slots}. */
 export interface SlotsOptions {
     readonly leaseSeconds: number;
@@ -49,13 +48,10 @@
     readonly directory = new SlotDirectory();
     readonly groupCommit: GroupCommit;
     readonly lease: InstanceLease;
-    /** Incremented whenever the set of owned slots changes. */
-    version = 1;
-    private readonly owned = new Map<number, OwnedSlot>();
+    private readonly owned: OwnedSlots;
     private readonly claims: SlotClaims;
     private readonly acquirer: SlotAcquirer;
     private timer: NodeJS.Timeout | undefined;
-    private announceTimer: NodeJS.Timeout | undefined;
     private readonly preferredOwners: PreferredOwners;
     private readonly handovers: SlotHandovers;
 
@@ -67,6 +63,7 @@
         private readonly log: Logger,
         private readonly metrics: Metrics,
     ) {
+        this.owned = new OwnedSlots(identity.instance, this.directory, membership);
         this.groupCommit = new GroupCommit(
             store,
             {
@@ -113,18 +110,21 @@
 
     /** Durably owned slots, as a flat list of alternating slots and epochs. */
     announcement(): number[] {
-        return [...this.owned.values()].filter(slot => !slot.provisional).flatMap(slot => [slot.slot, slot.epoch]);
+        return this.owned.announcement();
+    }
+
+    /** Incremented whenever the set of owned slots changes. */
+    get version(): number {
+        return this.owned.version;
     }
 
     all(): OwnedSlot[] {
-        return [...this.owned.values()];
+        return this.owned.all();
     }
 
     /** Number of durably owned slots for which this instance is the preferred owner. */
     get preferredSlotCount(): number {
-        const isPreferredHere = (slot: OwnedSlot): boolean =>
-            !slot.provisional && this.preferredOwners.ownerOf(slot.slot)?.instance === this.identity.instance;
-        return this.all().filter(isPreferredHere).length;
+        return this.all().filter(({ slot, provisional }) => !provisional && this.isPreferredHere(slot)).length;
     }
 
     /** Whether a program can be opened on a slot of this instance. */
@@ -242,24 +242,29 @@
         if (this.membership.leaving) {
             return;
         }
-        const missing: number[] = [];
-        for (let slot = 0; slot < this.options.slotCount(); slot++) {
-            const ownedSlot = this.owned.get(slot);
-            const isPreferred = this.preferredOwners.ownerOf(slot)?.instance === this.identity.instance;
-            if (isPreferred && (ownedSlot === undefined || ownedSlot.provisional) && !this.claims.isClaiming(slot)) {
-                missing.push(slot);
-            }
-        }
+        const missing = this.missingSlots();
         if (this.lease.isValid()) {
             void this.acquirer.acquireAll(missing);
         }
     }
 
+    /** Slots that this instance should own durably, does not, and is not claiming. */
+    private missingSlots(): number[] {
+        const slots = Array.from({ length: this.options.slotCount() }, (_, slot) => slot);
+        return slots.filter(slot =>
+            this.isPreferredHere(slot) && this.owned.get(slot)?.provisional !== false && !this.claims.isClaiming(slot)
+        );
+    }
+
+    /** Whether this instance is the preferred owner of a slot. */
+    private isPreferredHere(slot: number): boolean {
+        return this.preferredOwners.ownerOf(slot)?.instance === this.identity.instance;
+    }
+
     private async claimIfPreferred(slot: number, progress: Progress): Promise<void> {
         const owner = this.directory.ownerOf(slot);
         const ownerAlive = owner !== undefined && this.membership.isAlive(owner);
-        const isPreferred = this.preferredOwners.ownerOf(slot)?.instance === this.identity.instance;
-        if (!isPreferred || ownerAlive || this.membership.leaving) {
+        if (!this.isPreferredHere(slot) || ownerAlive || this.membership.leaving) {
             throw new NotOwnerError(slot, ownerAlive ? owner : this.preferredOwners.ownerOf(slot)?.instance);
         }
         if (await this.lease.ensureValid() === "proven") {
@@ -268,8 +273,7 @@
     }
 
     private addOwned(slot: OwnedSlot): void {
-        this.owned.set(slot.slot, slot);
-        this.onOwnedChanged();
+        this.owned.add(slot);
         this.log.info("slot owned", { slot: slot.slot, epoch: slot.epoch, provisional: slot.provisional });
         this.metrics.count("slots.owned");
         this.options.onOwned(slot);
@@ -281,7 +285,7 @@
         for (let slot = 0; slot < count; slot++) {
             const announced = this.directory.ownerOf(slot);
             const isUnowned = announced === undefined || !this.membership.isAlive(announced);
-            if (isUnowned && this.preferredOwners.ownerOf(slot)?.instance === this.identity.instance) {
+            if (isUnowned && this.isPreferredHere(slot)) {
                 const record = { ...claimSlot(undefined, slot, this.identity.instance), epoch: 0 };
                 const owned = new OwnedSlot(slot, { record, revision: 0 }, true);
                 this.addOwned(owned);
@@ -323,22 +327,11 @@
     }
 
     private release(slot: number, reason: string): void {
-        this.owned.delete(slot);
-        this.onOwnedChanged();
+        this.owned.remove(slot);
         this.log.info("slot released", { slot, reason });
         this.options.onReleased(slot);
     }
 
-    /** Records a change of the owned slots; changes within {@link announceDelayMs} are announced together. */
-    private onOwnedChanged(): void {
-        this.version += 1;
-        this.directory.recordAnnouncement(this.identity.instance, this.announcement());
-        this.announceTimer ??= setTimeout(() => {
-            this.announceTimer = undefined;
-            this.membership.broadcast({ type: "slots", version: this.version, owned: this.announcement() });
-        }, announceDelayMs);
-    }
-
     /** Error for a call that needs the store while the store is unavailable. */
     static notDurableError(detail: string): ProblemError {
         return new ProblemError("not_durable", "notRun", detail, { retryAfterSeconds: 5 });
