Keep what peers are told and answered apart from the assembly of a daemon

daemon.ts assembles, starts and stops the components, and also had the heartbeat, the events of the membership and the answers to peers. The report that an upstream leaves stood there twice.

peerDuties.ts has the messages and answers; `reportLeaving` is used by both clients.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,7 +13,6 @@
 import { EngineMemory } from "./controllers/engineMemory.js";
 import { LinkBudget } from "./controllers/linkBudget.js";
 import { Membership } from "./controllers/membership.js";
-import type { Peer } from "./controllers/membership.js";
 import { PoolReconciler } from "./controllers/poolReconciler.js";
 import { Programs } from "./controllers/programs.js";
 import { Slots } from "./controllers/slots.js";
@@ -24,9 +23,9 @@
 import { AdminServer } from "./http/adminServer.js";
 import { CallerServer } from "./http/callerServer.js";
 import { Owner } from "./owner.js";
+import { createMembershipEvents, createPeerHandlers } from "./peerDuties.js";
 import { createInstanceId } from "./peers/identity.js";
 import type { Identity } from "./peers/identity.js";
-import type { ControlRequest, Heartbeat } from "./peers/messages.js";
 import { PeerServer } from "./peers/peerServer.js";
 import { TlsFiles } from "./peers/tls.js";
 import { Router } from "./router.js";
@@ -87,9 +86,7 @@
         this.list = overrides.list ?? new HttpInstanceList(cfg.platform.list);
         const random = overrides.random ?? Math.random;
         const tls = cfg.tls === undefined ? undefined : new TlsFiles(cfg.tls);
-        const onLeaving = (address: string): void =>
-            this.upstreams.publishNotices([{ address, leaving: true, source: "report" }]);
-        this.engines = new EngineClient(this.agent, onLeaving);
+        this.engines = new EngineClient(this.agent, address => this.reportLeaving(address));
         this.memory = new EngineMemory(this.engines, this.log, this.metrics, cfg.policy.placement === "expectedFinish");
         this.membership = this.createMembership(tls);
         this.bundles = new BundleManager(this.store, () => this.membership, {
@@ -128,7 +125,7 @@
             lease: this.slots.lease,
             pools: () => this.bundle.pool,
         });
-        this.peers = new PeerServer(this.identity, cfg.peer, tls, this.peerHandlers(), this.log);
+        this.peers = new PeerServer(this.identity, cfg.peer, tls, createPeerHandlers(this), this.log);
         this.callers = new CallerServer({
             filters: createEdgeFilters(
                 this.programs,
@@ -223,18 +220,8 @@
     private createMembership(tls: TlsFiles | undefined): Membership {
         const { timing, peer } = this.cfg;
         const options = { heartbeatMs: timing.heartbeatMs, listPollMs: timing.listPollMs, seeds: peer.seeds };
-        return new Membership(this.identity, peer, tls, this.list, options, {
-            onPeerUp: reachablePeer =>
-                reachablePeer.link.send({
-                    type: "slots",
-                    version: this.slots.version,
-                    owned: this.slots.announcement(),
-                }),
-            onPeerDead: instance => this.slots.directory.removeOwner(instance),
-            onInstanceList: instances => this.upstreams.onInstanceList(instances),
-            onHeartbeat: (from, heartbeat) => this.onHeartbeat(from, heartbeat),
-            heartbeat: to => this.heartbeat(to),
-        }, this.log);
+        const events = createMembershipEvents(this);
+        return new Membership(this.identity, peer, tls, this.list, options, events, this.log);
     }
 
     private createSlots(): Slots {
@@ -271,18 +258,16 @@
                 ...chainDependencies,
                 bundle,
                 zone: this.identity.zone,
-                client: this.createServiceClient(),
+                client: new ServiceClient(this.agent, address => this.reportLeaving(address)),
             }),
             isIdempotent: service => bundle().service[service]?.idempotent ?? false,
             random,
         });
     }
 
-    private createServiceClient(): ServiceClient {
-        return new ServiceClient(
-            this.agent,
-            address => this.upstreams.publishNotices([{ address, leaving: true, source: "report" }]),
-        );
+    /** Tells the peers that an upstream has said that it is leaving. */
+    private reportLeaving(address: string): void {
+        this.upstreams.publishNotices([{ address, leaving: true, source: "report" }]);
     }
 
     private onBundle(bundle: Bundle): void {
@@ -296,39 +281,4 @@
         this.memory.pauseModel.onEnd(pauseKind);
         this.memory.onEnded(program);
     }
-
-    private heartbeat(to: Peer): Heartbeat {
-        return {
-            type: "heartbeat",
-            leaving: this.membership.leaving,
-            bundle: this.bundles.version,
-            slotsVersion: this.slots.version,
-            periodMs: this.membership.heartbeatPeriodMs(to),
-            loads: to.region === this.identity.region ? this.upstreams.polledLoads() : [],
-        };
-    }
-
-    private onHeartbeat(from: Peer, heartbeat: Heartbeat): void {
-        this.upstreams.onPeerLoads(heartbeat.loads);
-        void this.bundles.onPeerVersion(from);
-    }
-
-    private peerHandlers(): ConstructorParameters<typeof PeerServer>[3] {
-        return {
-            onHello: hello => this.membership.onHello(hello),
-            onClosed: hello => this.membership.onClosed(hello),
-            onHeartbeat: (hello, heartbeat) => this.membership.onHeartbeat(hello, heartbeat),
-            onSlots: (hello, _, owned) => this.slots.onPeerAnnouncement(hello.instance, owned),
-            onUpstreams: notices => this.upstreams.onPeerNotices(notices),
-            answer: (req, progress) => this.owner.answer(req, progress),
-            onControlRequest: (ask, progress) => this.onAsk(ask, progress),
-        };
-    }
-
-    private async onAsk(ask: ControlRequest, progress: Parameters<Slots["handOver"]>[1]): Promise<unknown> {
-        if (ask.kind === "handOver") {
-            return await this.slots.handOver(ask.slot, progress);
-        }
-        return ask.kind === "bundle" ? this.bundles.currentRelease : this.sweeper.selectReleasable(ask.programs);
-    }
 }
