--- a/tests/processes/hardStarts.test.ts
+++ b/tests/processes/hardStarts.test.ts
@@ -59,6 +59,14 @@
         expect(isOpen).toEqual(true);
     });
 
+    // Guards against a list of all ports of a range that no memory holds: the process is ended before it can say why.
+    it("should say why it does not start if its inner ports are none", async () => {
+        const settings = { role: "front", ip: around.newAddress() } as const;
+        const text = around.settingsText(settings).replace(/innerPorts = .*/, "innerPorts = [1, 4000000000]");
+        const front = around.startProcess(settings, text);
+        expect(await front.logs("start failed", 9_000)).toEqual(true);
+    });
+
     // Guards against records of streams that are bounded by their number, not by the size of the ids that callers choose.
     it("should outlive callers of resumable streams with long ids", async () => {
         const worker = new WorkerStandin("i-brain", "brain", true);
