Leave out entries of upstreams with a version of more than 1,024 characters

One entry with a very long version kept the versions of all other upstreams of its service from being declared, so that no resumable stream could begin at them.

Cause: all versions of a service are declared together in one value of the store, which refuses one of more than 1 MB. An entry that is taken may have a version of nearly that length.

--- a/tests/platform/adapter.test.ts
+++ b/tests/platform/adapter.test.ts
@@ -71,6 +71,9 @@
         expect(decode(bytes(entry))?.id).toEqual("i-1");
         expect(decode(bytes({ ...entry, version: 7 }))?.build).toEqual("7");
         expect(decode(bytes({ ...entry, version: undefined }))).toEqual(undefined);
+        // Guards against a version that does not fit into the declaration of its service, with which no other is declared either.
+        expect(decode(bytes({ ...entry, version: "v".repeat(1_024) }))?.build.length).toEqual(1_024);
+        expect(decode(bytes({ ...entry, version: "v".repeat(1_025) }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, state: "dreaming" }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, address: 7 }))).toEqual(undefined);
         expect(decode(bytes({ ...entry, slots: "4" }))).toEqual(undefined);
