Take a peer out of use whose address or key is none

One odd entry in the member list kept an instance from connecting to all peers behind it in the order of its connections, and logged an unhandled rejection every 150 ms.

Cause: the WebSocket's constructor throws on an address that is no URL, and on a key that is no header. The preconnect rejected, and the peer was not taken out of use, so that it was the next one to connect to again and again.

--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -1,5 +1,5 @@
 /** Requests to one peer over a WebSocket connection, which is opened on first use. */
-import { isDeadlineExceeded, Progress } from "@marigolddrift/common";
+import { asError, isDeadlineExceeded, Progress } from "@marigolddrift/common";
 import { LatencyEstimate } from "@marigolddrift/policy";
 import { HistoryGoneError, StoreError } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
@@ -194,14 +194,9 @@
         return this.connecting;
     }
 
-    private open(): Promise<WebSocket> {
-        const { host, port } = this.address;
-        const socket = new WebSocket(`ws://${host}:${port}/peer`, {
-            handshakeTimeout: handshakeTimeoutMs,
-            perMessageDeflate: false,
-            headers: { authorization: `Bearer ${this.getKey() ?? ""}` },
-        });
-        return new Promise((resolve, reject) => {
+    private async open(): Promise<WebSocket> {
+        const socket = this.createSocket();
+        return await new Promise((resolve, reject) => {
             socket.on("open", () => {
                 this.socket = socket;
                 this.usableFrom = -Infinity;
@@ -210,12 +205,32 @@
             socket.on("message", (data: Buffer) => this.onMessage(socket, data));
             socket.on("error", err => {
                 this.onFailure();
-                reject(new StoreError("no", `cannot connect to peer ${this.address.instance}`, err));
+                reject(this.unconnectedError(err));
             });
             socket.on("close", () => this.onClosed(socket));
         });
     }
 
+    /** @throws StoreError if the address or the key is none, as in an entry or a value of another writer. */
+    private createSocket(): WebSocket {
+        const { host, port } = this.address;
+        try {
+            return new WebSocket(`ws://${host}:${port}/peer`, {
+                handshakeTimeout: handshakeTimeoutMs,
+                perMessageDeflate: false,
+                headers: { authorization: `Bearer ${this.getKey() ?? ""}` },
+            });
+        }
+        catch (err) {
+            this.onFailure();
+            throw this.unconnectedError(asError(err));
+        }
+    }
+
+    private unconnectedError(err: Error): StoreError {
+        return new StoreError("no", `cannot connect to peer ${this.address.instance}`, err);
+    }
+
     /** What can't be decoded says nothing about any request: the connection ends, and with it the requests on it. */
     private onMessage(socket: WebSocket, data: Buffer): void {
         const frame = decodeResponse(this.packr, data);
--- a/tests/gateway/peerClient.test.ts
+++ b/tests/gateway/peerClient.test.ts
@@ -89,6 +89,17 @@
             }
         }));
 
+    // Guards against one odd entry in the member list, tried every 150 ms in place of all peers behind it, which are never connected.
+    for (const odd of [{ port: 99_999 }, { port: 1.5 }, { host: "::1" }, { host: "a b" }, { key: "odd\nkey" }]) {
+        it(`should leave a peer unused that cannot be connected to: ${JSON.stringify(odd)}`, async () => {
+            const address = { instance: "b", host: "127.0.0.1", port: 1, zone: "z", region: "r", keepsTurns: false };
+            const client = new PeerClient({ ...address, ...odd }, () => "key" in odd ? odd.key : key());
+            await client.preconnect();
+            expect(client.isUsable).toEqual(false);
+            client.close();
+        });
+    }
+
     it("should return the response to a request", () =>
         withPeer(async () => "value", async client => {
             expect(await client.ask(request, new Progress(1_000)) as unknown).toEqual("value");
