Put four broken variants of the soak into the code that does the job now

`--variants` ended with an error at the first of them.

The same faults are put in at the new places.

--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -21,16 +21,17 @@
     {
         name: "a call that must not be repeated is sent again after it may have run",
         seed: 101,
-        file: `${gateway}/filters/forwardFilter.ts`,
+        file: `${gateway}/filters/tries.ts`,
         find: "const mayRepeat = ctx.route.idempotent && ",
         replace: "const mayRepeat = ",
     },
     {
         name: "the caller is told that a call has not run when its answer was lost",
         seed: 102,
-        file: `${gateway}/filters/forwardFilter.ts`,
-        find: "throw tries.runs > 0 ? asMayHaveRun(err) : err;",
-        replace: "throw tries.runs > 0 ? new ProblemError(\"no_upstream\", \"notRun\", String(err)) : err;",
+        file: `${gateway}/filters/tries.ts`,
+        find: "return this.mayHaveRun && ",
+        replace:
+            "return this.mayHaveRun ? new ProblemError(\"no_upstream\", \"notRun\", String(err)) : this.mayHaveRun && ",
     },
     {
         name: "a worker's promise that a call has not run is believed without its statement",
@@ -91,7 +92,7 @@
     {
         name: "an instance closes its connections before its calls have ended",
         seed: 111,
-        file: "platform/src/program.ts",
+        file: "platform/src/frontRole.ts",
         find: "await gateway.drain();",
         replace: "await Promise.race([gateway.drain(), new Promise(resolve => setTimeout(resolve, 2_000))]);",
     },
@@ -128,7 +129,7 @@
         name: "a machine with a disk does not read the turns on it",
         seed: 116,
         file: `${gateway}/journal/turnJournal.ts`,
-        find: "                this.addUnflushed(entry.turn, segment);",
+        find: "this.addUnflushed(entry.turn, segment);",
         replace: "this.unflushedBySegment.set(segment, 0);",
     },
     {
