Add broken variants of the soak for ports that are taken and for streams of two builds

Three are added: the error of a port that is taken has no listener, a process goes on without a port that is taken at its start, and a stream that is taken up goes on at any build. The last one shows only with workers of several versions, for which variants have a flag now.

--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -52,8 +52,9 @@
     for (const variant of variants.filter(({ name }) => name.includes(namePart))) {
         const program = join(dir, "variant.cjs");
         await buildVariant(variant, program);
-        const { seed, overlapsStarts = false } = variant;
-        const result = await runSoak({ seed, seconds: variantSeconds, program, losesPower: true, overlapsStarts });
+        const { seed, overlapsStarts = false, mixesVersions = false } = variant;
+        const faults = { losesPower: true, overlapsStarts, mixesVersions };
+        const result = await runSoak({ seed, seconds: variantSeconds, program, ...faults });
         const isCaught = result.violations.length > 0;
         missed += isCaught ? 0 : 1;
         print(
--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -10,6 +10,8 @@
     readonly seed: number;
     /** Whether the fault shows only where processes are started beside others. */
     readonly overlapsStarts?: boolean;
+    /** Whether the fault shows only where workers of several software versions serve. */
+    readonly mixesVersions?: boolean;
     readonly file: string;
     readonly find: string;
     readonly replace: string;
@@ -169,6 +171,30 @@
         find: "if (!passingCodes.has(err.code)) {",
         replace: "if (err.code !== undefined) {",
     },
+    {
+        name: "the error of a port that is taken has no listener",
+        seed: 122,
+        overlapsStarts: true,
+        file: "packages/common/src/listen.ts",
+        find: "server.once(\"error\", onError);",
+        replace: "",
+    },
+    {
+        name: "a process goes on without a port that is taken at its start",
+        seed: 123,
+        overlapsStarts: true,
+        file: "packages/common/src/listen.ts",
+        find: "if (!passingCodes.has(err.code)) {",
+        replace: "if (passingCodes.has(err.code)) { return ports[0]!; } else {",
+    },
+    {
+        name: "a stream that is taken up goes on at any build",
+        seed: 124,
+        mixesVersions: true,
+        file: `${gateway}/filters/buildFilter.ts`,
+        find: "accepts: entry => entry.build === build",
+        replace: "accepts: () => true",
+    },
 ];
 
 /** Faults that belong together, as one check hides the lack of another. */
