--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -10,6 +10,8 @@
     readonly seed: number;
     /** Whether the fault shows only where processes are started beside others. */
     readonly overlapsStarts?: boolean;
+    /** Whether the fault shows only where workers of several software versions serve. */
+    readonly mixesVersions?: boolean;
     readonly file: string;
     readonly find: string;
     readonly replace: string;
@@ -21,16 +23,17 @@
     {
         name: "a call that must not be repeated is sent again after it may have run",
         seed: 101,
-        file: `${gateway}/filters/forwardFilter.ts`,
+        file: `${gateway}/filters/tries.ts`,
         find: "const mayRepeat = ctx.route.idempotent && ",
         replace: "const mayRepeat = ",
     },
     {
         name: "the caller is told that a call has not run when its answer was lost",
         seed: 102,
-        file: `${gateway}/filters/forwardFilter.ts`,
-        find: "throw tries.runs > 0 ? asMayHaveRun(err) : err;",
-        replace: "throw tries.runs > 0 ? new ProblemError(\"no_upstream\", \"notRun\", String(err)) : err;",
+        file: `${gateway}/filters/tries.ts`,
+        find: "return this.mayHaveRun && ",
+        replace:
+            "return this.mayHaveRun ? new ProblemError(\"no_upstream\", \"notRun\", String(err)) : this.mayHaveRun && ",
     },
     {
         name: "a worker's promise that a call has not run is believed without its statement",
@@ -91,7 +94,7 @@
     {
         name: "an instance closes its connections before its calls have ended",
         seed: 111,
-        file: "platform/src/program.ts",
+        file: "platform/src/frontRole.ts",
         find: "await gateway.drain();",
         replace: "await Promise.race([gateway.drain(), new Promise(resolve => setTimeout(resolve, 2_000))]);",
     },
@@ -128,7 +131,7 @@
         name: "a machine with a disk does not read the turns on it",
         seed: 116,
         file: `${gateway}/journal/turnJournal.ts`,
-        find: "                this.addUnflushed(entry.turn, segment);",
+        find: "this.addUnflushed(entry.turn, segment);",
         replace: "this.unflushedBySegment.set(segment, 0);",
     },
     {
@@ -168,6 +171,30 @@
         find: "if (!passingCodes.has(err.code)) {",
         replace: "if (err.code !== undefined) {",
     },
+    {
+        name: "the error of a port that is taken has no listener",
+        seed: 122,
+        overlapsStarts: true,
+        file: "packages/common/src/listen.ts",
+        find: "server.once(\"error\", onError);",
+        replace: "",
+    },
+    {
+        name: "a process goes on without a port that is taken at its start",
+        seed: 123,
+        overlapsStarts: true,
+        file: "packages/common/src/listen.ts",
+        find: "if (!passingCodes.has(err.code)) {",
+        replace: "if (passingCodes.has(err.code)) { return ports[0]!; } else {",
+    },
+    {
+        name: "a stream that is taken up goes on at any build",
+        seed: 124,
+        mixesVersions: true,
+        file: `${gateway}/filters/buildFilter.ts`,
+        find: "accepts: entry => entry.build === build",
+        replace: "accepts: () => true",
+    },
 ];
 
 /** Faults that belong together, as one check hides the lack of another. */
