Retire a build before it is removed, and begin streams by a fresh declaration only

Callers that took a stream up could get the rest from a worker of another version (ORDER). A build was removed from the declaration once no entry had named it for 30 s. An instance that had been cut off from the store for longer still let streams begin there, and whoever read the declaration meanwhile concluded that the one build left had begun them. Even an instance in touch could be overtaken: a removal followed what the remover saw of the entries, not what others had read.

A build is now marked as retired first, and removed once the declaration has stood unchanged for 10 minutes and the lifetime of a stream. An instance lets streams begin only by a declaration whose read began less than 10 minutes ago and does not show the build as retired; it reads the declaration again about once a minute, and on demand. The reads are linearizable, so a read without the mark began before the mark was written, and all streams begun by it have ended before the removal, whatever the views of entries are. A bare pause of 20 minutes, half of it for the fence, would not do: a build may have been away for 19 minutes before the remover, which then removes it right after another instance has read it. The mark is written by one instance; the others no longer read the declaration every 2 s while a build is away.

The age of a read is the larger of the monotonic and the wall clock's, since the former may stand still while a machine is suspended.

What it costs: 6.2 reads a second for 370 instances and one service (counted from the interval); records, and refusals without one, go on for 11 to 13 minutes after a release in place of 30 s; an instance that can't read the store for 10 minutes refuses new resumable streams with 503, also where one build serves.

A release cost two writes.

Changed tests: the two that call remove() retire the build first, through another instance, and name the time (0), for a build that is not retired is not removed any more. What they expect is as it was; one checks besides that the removal is under way.

--- a/packages/gateway/src/builds/buildMaintenance.ts
+++ b/packages/gateway/src/builds/buildMaintenance.ts
@@ -8,6 +8,7 @@
 import type { Upstreams } from "../upstreams/upstreams.js";
 import type { BuildDeclarations } from "./buildDeclarations.js";
 import type { BuildView } from "./buildView.js";
+import { maxDeclarationAgeMs } from "./serviceBuilds.js";
 import type { StreamBuilds } from "./streamBuilds.js";
 
 /** Interval at which builds are looked for that no upstream has any more, and records are sent again that a machine has lost. */
@@ -20,6 +21,12 @@
 const maxAdvanceMs = 2_000;
 const advanceRetryMs = 250;
 
+/**
+ * Interval at which an instance reads the declarations again, so that many reads must fail before it may begin no more streams.
+ * Between half and one and a half of it, drawn each time: all instances start together.
+ */
+const refreshIntervalMs = 60_000;
+
 /** Share of the upstreams that must have a declared build for another build to wait. */
 const minDeclaredShare = 0.5;
 
@@ -42,6 +49,8 @@
 /** Keeps the declarations as the upstreams come and go. */
 export class BuildMaintenance {
     private readonly declaring = new Set<string>();
+    /** Monotonic times at which declarations are read again, by service. */
+    private readonly refreshAt = new Map<string, number>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private readonly checkTimer = setInterval(() => void this.check(), checkIntervalMs).unref();
     private readonly startedAt = performance.now();
@@ -75,7 +84,7 @@
 
     private isDeclared(service: string, builds: readonly string[]): boolean {
         const known = this.options.declarations.of(service);
-        return builds.every(build => known.isDeclared(build));
+        return builds.every(build => known.isCurrent(build));
     }
 
     private async declareInAdvance(service: string): Promise<void> {
@@ -117,41 +126,70 @@
         return declared.length >= usable.length * minDeclaredShare ? Math.max(0, delayMs) : 0;
     }
 
-    /** Sends records again that a machine has lost, and removes old builds. */
+    /** Sends records again that a machine has lost, reads the declarations again, and removes old builds. */
     private async check(): Promise<void> {
-        const { streams, view } = this.options;
+        const { declarations, streams, view, log } = this.options;
         const services = [...view.resumableServices()];
-        services.forEach(service => streams.onBuildsChanged(service));
         for (const service of services) {
-            await this.removeOld(service);
+            streams.onBuildsChanged(service);
+            this.follow(service);
+        }
+        for (const service of services) {
+            await Promise.all([this.refresh(service), this.removeOld(service)]).catch((err: unknown) => {
+                const old = declarations.of(service).unseen(view.lifetimeMs);
+                log.info("builds not removed", { service, builds: old, error: asError(err).message });
+            });
+            streams.onBuildsChanged(service);
+        }
+    }
+
+    /** Reads a declaration again in time. One that can't be read is read again after the same interval, or as soon as a call needs it. */
+    private async refresh(service: string): Promise<void> {
+        const now = performance.now();
+        const dueAt = this.refreshAt.get(service);
+        if (dueAt === undefined || now >= dueAt) {
+            this.refreshAt.set(service, now + refreshIntervalMs * (0.5 + this.options.random()));
+        }
+        if (dueAt === undefined || now < dueAt) {
+            return;
+        }
+        const progress = new Progress(maxAdvanceMs);
+        try {
+            await this.options.declarations.read(service, progress);
+        }
+        catch (err) {
+            this.options.log.info("builds not read", { service, error: asError(err).message });
+        }
+        finally {
+            progress.dispose();
         }
     }
 
-    /** Removes builds that have been away until all of their streams have ended, or learns that another instance has done so. */
+    /**
+     * Retires builds that have been away for the lifetime of a stream, and removes them once no instance can have begun streams there for
+     * as long. Done by one instance; the others learn of it when they next read the declaration.
+     */
     private async removeOld(service: string): Promise<void> {
-        const { declarations, streams, view, log } = this.options;
+        const { declarations, view } = this.options;
         view.see(service);
         const known = declarations.of(service);
         const old = known.declared.size > 1 ? known.unseen(view.lifetimeMs) : [];
-        if (old.length === 0) {
+        const present = old.filter(build => !known.retired.has(build));
+        const minUnchangedMs = maxDeclarationAgeMs + view.lifetimeMs;
+        const mayRemove = old.length > 0 && known.unchangedMs >= minUnchangedMs;
+        if ((present.length === 0 && !mayRemove) || !this.isRemover()) {
             return;
         }
-        await this.remove(service, old).catch((err: unknown) => {
-            log.info("builds not removed", { service, builds: old, error: asError(err).message });
-        });
-        streams.onBuildsChanged(service);
+        await (present.length > 0 ?
+            declarations.retire(service, present) :
+            declarations.remove(service, old, minUnchangedMs));
     }
 
-    private async remove(service: string, old: readonly string[]): Promise<void> {
-        const { declarations, duties, localInstance, peers } = this.options;
+    private isRemover(): boolean {
+        const { duties, localInstance, peers } = this.options;
         const local = localInstance.address();
         const [first] = duties.carriers(removalDuty, 1, name => name === local || peers.isReachable(name));
-        if (first === local) {
-            await declarations.remove(service, old);
-            return;
-        }
-        const progress = new Progress(maxAdvanceMs);
-        await declarations.read(service, progress).finally(() => progress.dispose());
+        return first === local;
     }
 
     private after(ms: number, run: () => void): void {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./builds/buildDeclarations.js";
 export * from "./builds/buildRecords.js";
 export { Builds } from "./builds/builds.js";
+export * from "./builds/elapsed.js";
 export * from "./builds/serviceBuilds.js";
 export * from "./builds/sharedRead.js";
 export * from "./builds/streamBuilds.js";
--- a/tests/gateway/builds.test.ts
+++ b/tests/gateway/builds.test.ts
@@ -1,5 +1,14 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { BuildDeclarations, BuildRecords, ServiceBuilds, SharedRead, StreamBuilds } from "@marigolddrift/gateway";
+import {
+    BuildDeclarations,
+    BuildRecords,
+    currentMoment,
+    elapsedMs,
+    maxDeclarationAgeMs,
+    ServiceBuilds,
+    SharedRead,
+    StreamBuilds,
+} from "@marigolddrift/gateway";
 import type { PeerClient } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { Packr } from "msgpackr";
@@ -58,17 +67,91 @@
         expect(declarations.of("brain").isDeclared("v1")).toEqual(true);
     });
 
+    // Guards against a removal while another instance may still begin streams by what it has read before (ORDER).
+    it("should be removed only if they are retired, and the declaration has not been changed for the whole time", () =>
+        withClock(async clock => {
+            const store = new FakeStore();
+            const remover = new BuildDeclarations(store, silentLogger);
+            const other = new BuildDeclarations(store, silentLogger);
+            const declared = async () => [...(await remover.read("brain", progress)).declared].sort();
+            await remover.declare("brain", ["v1", "v2"], progress);
+            clock.tick(1_000);
+            await remover.remove("brain", ["v1"], 1_000);
+            expect(await declared()).toEqual(["v1", "v2"]);
+            await remover.retire("brain", ["v1"]);
+            clock.tick(500);
+            // v1 comes back and leaves again, which the remover does not see.
+            await other.declare("brain", ["v1"], progress);
+            await other.retire("brain", ["v1"]);
+            clock.tick(999);
+            await remover.remove("brain", ["v1"], 1_000);
+            expect(await declared()).toEqual(["v1", "v2"]);
+            clock.tick(1_000);
+            await remover.remove("brain", ["v1"], 1_000);
+            expect(await declared()).toEqual(["v2"]);
+        }));
+
     it("should be removed without those that were declared meanwhile", async () => {
         const store = new FakeStore();
         const declarations = new BuildDeclarations(store, silentLogger);
         await declarations.declare("brain", ["v1", "v2"], progress);
         await new BuildDeclarations(store, silentLogger).declare("brain", ["v3"], progress);
-        await declarations.remove("brain", ["v1"]);
+        await declarations.retire("brain", ["v1"]);
+        await declarations.remove("brain", ["v1"], 0);
         expect([...declarations.of("brain").declared].sort()).toEqual(["v2", "v3"]);
     });
 });
 
+describe("the time since a moment", () => {
+    // Guards against a machine that was suspended: its monotonic clock may have stood still while others removed a build (ORDER).
+    it("should count while the monotonic clock stands still, and while the wall clock is set back", () =>
+        withClock(async clock => {
+            const moment = currentMoment();
+            clock.setSystemTime(Date.now() + 60_000);
+            expect(elapsedMs(moment)).toEqual(60_000);
+            clock.setSystemTime(Date.now() - 3_600_000);
+            clock.tick(5_000);
+            expect(elapsedMs(moment)).toEqual(5_000);
+        }));
+});
+
 describe("builds of a service", () => {
+    // Guards against streams at a build that others have removed while this instance could not read the declaration (ORDER).
+    it("should not begin streams once the declaration has not been read for long", () =>
+        withClock(async clock => {
+            const builds = new ServiceBuilds();
+            builds.apply(["v1"], 1);
+            clock.tick(maxDeclarationAgeMs - 1);
+            expect(builds.isDeclared("v1")).toEqual(true);
+            clock.tick(1);
+            expect([builds.isDeclared("v1"), builds.isCurrent("v1")]).toEqual([false, true]);
+            builds.apply(["v1"], 1);
+            expect(builds.isDeclared("v1")).toEqual(true);
+        }));
+
+    // Guards against the time of a read that is counted from its end: the store may have answered long before (ORDER).
+    it("should count the age of the declaration from the beginning of its read", () =>
+        withClock(async clock => {
+            const builds = new ServiceBuilds();
+            const startedAt = currentMoment();
+            clock.tick(maxDeclarationAgeMs);
+            builds.apply(["v1"], 1, { startedAt });
+            expect(builds.isDeclared("v1")).toEqual(false);
+        }));
+
+    // Guards against an instance that refuses all streams for good because the key was removed by hand, and its revision is lower (LOST).
+    it("should take over a declaration that was written anew, but not an older read", () =>
+        withClock(async clock => {
+            const builds = new ServiceBuilds();
+            const before = currentMoment();
+            clock.tick(10);
+            builds.apply(["v1", "v2"], 7);
+            builds.apply(["v1"], 6, { startedAt: before });
+            expect([...builds.declared]).toEqual(["v1", "v2"]);
+            builds.apply([], 0);
+            expect(builds.declared.size).toEqual(0);
+        }));
+
     // Guards against streams at a build that others have removed from the declaration while it was away.
     it("should be declared anew after they have been away", () =>
         withClock(async clock => {
--- a/tests/gateway/buildsAtChanges.test.ts
+++ b/tests/gateway/buildsAtChanges.test.ts
@@ -1,5 +1,5 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { BuildDeclarations, BuildRecords, Builds } from "@marigolddrift/gateway";
+import { BuildDeclarations, BuildRecords, Builds, maxDeclarationAgeMs } from "@marigolddrift/gateway";
 import { StoreError } from "@marigolddrift/store";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -25,7 +25,8 @@
     readonly unused = new Set<string>();
     readonly all: Builds;
 
-    constructor(store: FakeStore, name: string) {
+    /** @param carrier The instance that carries all duties. */
+    constructor(store: FakeStore, name: string, carrier = name) {
         const call = <T>(run: () => Promise<T>): Promise<T> =>
             this.isCutOff ? Promise.reject(new StoreError("no", "cut off")) : run();
         const views = () => this.builds.map(build => ({ entry: { id: `i-${build}`, service: "brain", build } }));
@@ -41,7 +42,7 @@
             },
             // No holder is reached: each side of a split loses the machines of the other.
             peers: { version: 1, journals: [], isReachable: () => false },
-            duties: { carriers: () => [name] },
+            duties: { carriers: () => [carrier] },
             localInstance: { address: () => name },
             routes: () => ({ config: { routes: [route], services: [{ name: "brain" }] } }),
             random: () => 0,
@@ -69,6 +70,16 @@
     }
 };
 
+const declare = async ({ all }: Instance): Promise<string> => {
+    try {
+        await all.declareForCall("brain", new Progress(2_000));
+        return "declared";
+    }
+    catch (err) {
+        return (err as { code: string; }).code;
+    }
+};
+
 describe("declared builds", () => {
     // Guards against a removal of a build that an instance out of touch with the store still lets begin streams (ORDER).
     it("should not name another build for a stream that an instance began that has been cut off from the store", async () => {
@@ -97,6 +108,100 @@
         });
     });
 
+    // Guards against the same after the build was removed: an instance may be cut off for any time (ORDER).
+    it("should begin no streams at an instance that has been cut off for long, until it reads the store again", async () => {
+        await withClock(async clock => {
+            const store = new FakeStore();
+            const cut = new Instance(store, "a");
+            const calm = new Instance(store, "b");
+            cut.builds = ["v1", "v2"];
+            calm.builds = ["v1", "v2"];
+            cut.all.onUpstreamsAdded();
+            calm.all.onUpstreamsAdded();
+            await clock.tickAsync(1_000);
+            cut.isCutOff = true;
+            calm.builds = ["v2"];
+            // At each moment: streams may not begin at v1 and be taken for streams of v2.
+            const wrong: number[] = [];
+            const upstream = cut.upstream("v1");
+            const stepMs = 15_000;
+            for (let ms = 0; ms < 2 * maxDeclarationAgeMs; ms += stepMs) {
+                await clock.tickAsync(stepMs);
+                const mayBegin = cut.all.mayBegin(upstream.entry as never);
+                if (mayBegin) {
+                    cut.all.onStreamBegun(`s-${ms}`, route as never, upstream as never);
+                }
+                if (mayBegin && await find(calm, `s-${ms}`) === "v2") {
+                    wrong.push(ms);
+                }
+            }
+            const mayBegin = cut.all.mayBegin(upstream.entry as never);
+            const refusal = await declare(cut);
+            const removed = await find(calm, "s-none");
+            cut.isCutOff = false;
+            const again = await declare(cut);
+            const mayBeginAgain = cut.all.mayBegin(upstream.entry as never);
+            const foundAgain = await find(calm, "s-none");
+            cut.all.close();
+            calm.all.close();
+            expect(wrong).toEqual([]);
+            expect([mayBegin, refusal, removed]).toEqual([false, "no_upstream", "v2"]);
+            // v2 is read; v1 is declared anew before it begins streams, after which nobody takes one for another's.
+            expect(again).toEqual("declared");
+            expect([mayBeginAgain, foundAgain]).not.toEqual([true, "v2"]);
+        });
+    });
+
+    // Guards against a fence that closes while the store is in reach (LOST), and against reads that are more than planned.
+    it("should begin streams for as long as the store is in reach, at about one read a minute", async t => {
+        await withClock(async clock => {
+            const store = new FakeStore();
+            const instance = new Instance(store, "a");
+            instance.builds = ["v1"];
+            instance.all.onUpstreamsAdded();
+            await clock.tickAsync(1_000);
+            const upstream = instance.upstream("v1");
+            const [reads, writes] = [store.reads, store.writes];
+            let refused = 0;
+            const minutes = 60;
+            for (let minute = 0; minute < minutes; minute++) {
+                await clock.tickAsync(60_000);
+                refused += instance.all.mayBegin(upstream.entry as never) ? 0 : 1;
+            }
+            instance.all.close();
+            t.diagnostic(JSON.stringify({ reads: store.reads - reads, writes: store.writes - writes, minutes }));
+            expect([refused, store.writes - writes]).toEqual([0, 0]);
+            // The draw of this instance is always the lowest: half the interval, seen at checks of 2 s.
+            expect(store.reads - reads <= 2 * minutes).toEqual(true);
+        });
+    });
+
+    // Guards against a build that stays declared after its release, so that streams are recorded without need.
+    it("should be removed after a release, at few calls of the store", async t => {
+        await withClock(async clock => {
+            const store = new FakeStore();
+            // As duties are carried by the first of the instances that reach each other.
+            const instances = ["a", "b", "c"].map(name => new Instance(store, name, "a"));
+            instances.forEach(({ all }, index) => {
+                instances[index]!.builds = ["v1", "v2"];
+                all.onUpstreamsAdded();
+            });
+            await clock.tickAsync(1_000);
+            const writes = store.writes;
+            instances.forEach(instance => instance.builds = ["v2"]);
+            const lifetimeMs = 30_000;
+            await clock.tickAsync(maxDeclarationAgeMs + lifetimeMs);
+            const mixedBefore = instances.map(({ all }) => all.isMixed("brain"));
+            await clock.tickAsync(lifetimeMs + 2 * 60_000);
+            const mixedAfter = instances.map(({ all }) => all.isMixed("brain"));
+            instances.forEach(({ all }) => all.close());
+            t.diagnostic(JSON.stringify({ writes: store.writes - writes, reads: store.reads }));
+            expect(mixedBefore).toEqual([true, true, true]);
+            expect(mixedAfter).toEqual([false, false, false]);
+            expect(store.writes - writes).toEqual(2);
+        });
+    });
+
     // Guards against a removal that overtakes an instance which has just found the build in the declaration (ORDER).
     it("should be declared after it has come back while its removal was under way", async () => {
         const store = new FakeStore();
@@ -111,8 +216,10 @@
             },
         };
         const remover = new BuildDeclarations(slow, silentLogger);
-        const removal = remover.remove("brain", ["v1"]);
+        await new BuildDeclarations(store, silentLogger).retire("brain", ["v1"]);
+        const removal = remover.remove("brain", ["v1"], 0);
         await new Promise(resolve => setTimeout(resolve, 20));
+        expect(held.length).toEqual(1);
         // v1 comes back after a long time: the other instance declares it anew before it begins streams there.
         const known = first.of("brain");
         known.see(["v1"], -1);
