Follow the store in a component of its own

gateway.ts wired the configuration in force, the entries of the upstreams and the two watchers of the store among all other components, started and stopped each, and chose among them for peers.

state/followedStore.ts assembles these four, starts and stops them, and says whether both parts have been read.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,18 +40,14 @@
 import { Quotas } from "./quotas/quotas.js";
 import type { RoutingConfig } from "./routes.js";
 import { StallMonitor } from "./stallMonitor.js";
-import { ActiveConfig } from "./state/activeConfig.js";
 import { BatchWriter } from "./state/batchWriter.js";
-import { directSource } from "./state/regionalStoreReader.js";
-import { watchPrefix } from "./state/watchedPrefix.js";
-import type { WatchedPrefix } from "./state/watchedPrefix.js";
+import { FollowedStore } from "./state/followedStore.js";
 import type { Exchange } from "./trafficMeter.js";
 import { StoreArchive } from "./turns/storeArchive.js";
 import { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import { ReplyMemory } from "./upstreams/replyMemory.js";
-import { UpstreamFollower } from "./upstreams/upstreamFollower.js";
 import { connectionsPerInstance, Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
 
@@ -87,10 +83,7 @@
     private readonly storeArchive: StoreArchive;
     private readonly journalArchive: JournalArchive;
     private readonly localInstance: LocalInstance;
-    private readonly activeConfig: ActiveConfig;
-    private readonly config: WatchedPrefix;
-    private readonly upstreamEntries: WatchedPrefix;
-    private readonly upstreamFollower: UpstreamFollower;
+    private readonly followedStore: FollowedStore;
     private readonly dispatcher: Dispatcher<QueuedCall>;
     private readonly fairness: Fairness;
     private readonly peers: Peers;
@@ -102,7 +95,7 @@
     private readonly stallMonitor: StallMonitor;
 
     constructor(private readonly options: GatewayOptions) {
-        const { log, layout, observesUpstreams = true } = options;
+        const { log, observesUpstreams = true } = options;
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
@@ -110,7 +103,6 @@
         const { collector } = this.input;
         this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes, bytes => collector.onRefused(bytes));
         this.drainController = new DrainController(() => this, options.graceMs, log);
-        this.activeConfig = new ActiveConfig(layout, config => this.onConfig(config), log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         this.peers = createGatewayPeers(options, {
             store: this.store,
@@ -129,7 +121,7 @@
                 this.builds.onUpstreamRemoved(upstream);
                 this.limits.forget(upstream);
             },
-            () => this.activeConfig.table,
+            () => this.followedStore.table,
             connectionsPerInstance,
             log,
         );
@@ -164,19 +156,27 @@
         this.turns = new TurnStore(this.journalArchive, log);
         this.budgets = new Budgets(options.instance, this.writer, this.store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
-        this.fairness = new Fairness(() => this.activeConfig.table?.workspaces, {
+        this.fairness = new Fairness(() => this.followedStore.table?.workspaces, {
             loadOfPeers: () => this.loadExchange.workspacesOfPeers,
             slots: service => pool.slots(service, this.peers.namesInRegion(topology.region).length + 1),
         });
         const queueOf = this.fairness.queueOf.bind(this.fairness);
         const policy = { place: placeNear, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
-        this.builds = new Builds({ ...fleet, store: this.store, upstreams, routes: () => this.activeConfig.table });
-        const onUpstreamsAdded = (): void => {
-            this.builds.onUpstreamsAdded();
-            this.dispatcher.dispatchAllQueued();
-        };
-        this.upstreamFollower = new UpstreamFollower(this.upstreams, layout, onUpstreamsAdded, log);
+        this.builds = new Builds({ ...fleet, store: this.store, upstreams, routes: () => this.followedStore.table });
+        this.followedStore = new FollowedStore({
+            ...options,
+            localInstance,
+            duties,
+            peers,
+            upstreams,
+            store: this.store,
+            onConfig: config => this.onConfig(config),
+            onUpstreamsAdded: () => {
+                this.builds.onUpstreamsAdded();
+                this.dispatcher.dispatchAllQueued();
+            },
+        });
         const admission = new LimitAdmission(this.dispatcher, pool, random);
         this.entry = this.createEntry(pool, admission, random);
         this.explainer = new Explainer({
@@ -187,24 +187,9 @@
             limits: this.limits,
             dispatcher: this.dispatcher,
             admission,
-            routes: () => this.activeConfig.table,
+            routes: () => this.followedStore.table,
             drainSchedule: () => this.drainController.schedule,
         });
-        const watchOptions = { ...options, store: this.store, localInstance, duties, peers };
-        const outages = {
-            onDisconnected: () => this.upstreamFollower.onStoreLost(),
-            onReconnected: () => this.upstreamFollower.onStoreRegained(),
-        };
-        this.config = watchPrefix(watchOptions, layout.configKey, {
-            ...outages,
-            onSnapshot: values => values.forEach(stored => this.activeConfig.apply(stored, directSource)),
-            onChanges: changes => this.activeConfig.applyChanges(changes, this.config.reader.source),
-        });
-        this.upstreamEntries = watchPrefix(watchOptions, layout.upstreamsPrefix, {
-            ...outages,
-            onSnapshot: values => this.upstreamFollower.onSnapshot(values),
-            onChanges: changes => changes.forEach(change => this.upstreamFollower.onChange(change)),
-        });
         const answerPeer = this.createPeerHandler();
         addGauges(this.metrics, {
             entry: this.entry,
@@ -215,10 +200,10 @@
             blocker: this.blocker,
             builds: this.builds,
             quotas: this.quotas,
-            activeConfig: this.activeConfig,
+            activeConfig: this.followedStore.activeConfig,
             stallMonitor: this.stallMonitor,
-            config: this.config.watcher,
-            upstreamEntries: this.upstreamEntries.watcher,
+            config: this.followedStore.config.watcher,
+            upstreamEntries: this.followedStore.upstreamEntries.watcher,
         });
     }
 
@@ -229,12 +214,12 @@
 
     /** Version of the configuration in force; undefined until one has been read. */
     get configVersion(): number | undefined {
-        return this.activeConfig.table?.config.version;
+        return this.followedStore.table?.config.version;
     }
 
     /** Whether callers can connect, and the instance knows what it needs to serve them. */
     private get canServe(): boolean {
-        return this.port !== 0 && this.activeConfig.table !== undefined && this.upstreamFollower.hasSnapshot;
+        return this.port !== 0 && this.followedStore.isKnown;
     }
 
     /** Resolves once callers can connect. Waits for ports that are not free. */
@@ -242,8 +227,7 @@
         const { host, port, peerPorts, stopSignal } = this.options;
         this.peerPort = await this.peerServer.listen(host, peerPorts, stopSignal);
         this.peers.start();
-        this.config.watcher.start();
-        this.upstreamEntries.watcher.start();
+        this.followedStore.start();
         this.port = await this.entry.listen(host, port, stopSignal);
     }
 
@@ -258,8 +242,7 @@
     }
 
     close(): void {
-        this.config.watcher.stop();
-        this.upstreamEntries.watcher.stop();
+        this.followedStore.stop();
         this.stallMonitor.close();
         this.loadExchange.close();
         this.facts.close();
@@ -277,7 +260,7 @@
 
     private createPeerHandler(): RequestHandler {
         const { drainController, budgets, regionBudgets, loadExchange, facts, permits, quotas, journalArchive } = this;
-        const { layout, store } = this.options;
+        const { store } = this.options;
         return createFrontHandler({
             drainController,
             budgets,
@@ -289,7 +272,7 @@
             journalArchive,
             store,
             canServe: () => this.canServe,
-            followed: prefix => prefix === layout.configKey ? this.config : this.upstreamEntries,
+            followed: prefix => this.followedStore.followed(prefix),
         });
     }
 
@@ -300,7 +283,7 @@
             filters: createCallFilters({
                 blocker,
                 builds,
-                serviceOf: name => this.activeConfig.table?.service(name),
+                serviceOf: name => this.followedStore.table?.service(name),
                 requestPermit: this.quotas?.requestPermit,
                 turns,
                 budgets: this.regionBudgets,
@@ -319,10 +302,10 @@
                 log,
             }),
             protocol,
-            routes: () => this.activeConfig.table,
+            routes: () => this.followedStore.table,
             drainSchedule: () => this.drainController.schedule,
             input: this.input,
-            maxBodyBytes: () => this.activeConfig.maxBodyBytes,
+            maxBodyBytes: () => this.followedStore.activeConfig.maxBodyBytes,
             random,
             metrics,
             log,
