Say plainly what some tests guard against and what some names hold

Some guards and comments could only be understood with the code beside them ("for nobody", "the same", "places" for slots, "worst" for the input with the largest product of size and time).

--- a/packages/gateway/src/entry/bodyReader.ts
+++ b/packages/gateway/src/entry/bodyReader.ts
@@ -91,7 +91,7 @@
     start(): void {
         if (this.reading === undefined) {
             this.reading = this.collect();
-            // Nobody may wait for the body yet.
+            // Without a handler, a failure before the body is awaited would be an unhandled rejection.
             this.reading.catch(() => {});
         }
     }
--- a/packages/gateway/src/entry/inputMemory.ts
+++ b/packages/gateway/src/entry/inputMemory.ts
@@ -163,32 +163,32 @@
     /** Refuses inputs until the others fit, or none is left that may be refused. */
     private refuseUntil(maxBytes: number): void {
         while (this.totalBytes > maxBytes) {
-            const worst = this.findWorst();
-            if (worst === undefined) {
+            const largest = this.findLargestHold();
+            if (largest === undefined) {
                 return;
             }
-            const { control: { kind }, bytes, since } = worst;
+            const { control: { kind }, bytes, since } = largest;
             const refused = { kind, bytes, heldMs: Math.round(this.now() - since), totalBytes: this.totalBytes };
-            this.holders.delete(worst);
-            this.paused.delete(worst);
+            this.holders.delete(largest);
+            this.paused.delete(largest);
             this.totalBytes -= bytes;
             this.onRefused(refused);
-            worst.control.refuse();
+            largest.control.refuse();
         }
     }
 
-    /** The input that holds the most for the longest: the product of both is the largest. */
-    private findWorst(): Holder | undefined {
+    /** The refusable input with the largest product of its size and the time for which it has been held. */
+    private findLargestHold(): Holder | undefined {
         const now = this.now();
         // An input that has just begun counts, too: one that is too large by itself must be found.
         const score = ({ bytes, since }: Holder): number => bytes * (now - since + 1);
-        let worst: Holder | undefined;
+        let largest: Holder | undefined;
         for (const holder of this.holders) {
             const isCandidate = holder.isRefusable && holder.bytes > 0;
-            if (isCandidate && (worst === undefined || score(holder) > score(worst))) {
-                worst = holder;
+            if (isCandidate && (largest === undefined || score(holder) > score(largest))) {
+                largest = holder;
             }
         }
-        return worst;
+        return largest;
     }
 }
--- a/packages/gateway/src/entry/requestSequence.ts
+++ b/packages/gateway/src/entry/requestSequence.ts
@@ -43,7 +43,7 @@
 const untilTurn = (socket: Socket, res: ServerResponse): Promise<boolean> =>
     new Promise(resolve => {
         const onClose = (): void => resolve(false);
-        // Any number of requests may wait.
+        // Each waiting request adds a listener, of which there may be more than the ten that the runtime warns about.
         socket.setMaxListeners(0);
         socket.once("close", onClose);
         res.once("socket", () => {
--- a/packages/gateway/src/quotas/grantedWorkspace.ts
+++ b/packages/gateway/src/quotas/grantedWorkspace.ts
@@ -114,7 +114,7 @@
         return { granted, retryInMs };
     }
 
-    /** Adds permits that were borrowed, which may be granted until a time. */
+    /** Adds borrowed permits, which may be granted until they expire. */
     addBorrowed(count: number, until: number, now: number): void {
         this.borrowed.push({ count, until });
         this.recentlyBorrowed.add(count, now);
--- a/packages/gateway/src/quotas/shareLender.ts
+++ b/packages/gateway/src/quotas/shareLender.ts
@@ -25,7 +25,7 @@
     readonly at: number;
 }
 
-/** Keeps where the share of each slot is, so that it is never lent twice at a time. */
+/** Records to which instance the share of each slot is lent, so that it is never lent to two at a time. */
 export class ShareLender {
     private readonly lent = new Array<LentShare | undefined>(quotaSlots).fill(undefined);
     private readonly choices = new Map<string, Choice>();
--- a/tests/platform/brokenRequests.test.ts
+++ b/tests/platform/brokenRequests.test.ts
@@ -28,7 +28,7 @@
         });
     });
 
-// Guards against a refusal of the next request that was sent as the answer to a call which runs, and its own answer lost.
+// Guards against the refusal of the next request being sent as the answer to a running call, whose own answer was then lost.
 describe("requests that break off", () => {
     let deployment: Deployment;
     before(async () => {
--- a/tests/platform/brokenStreams.test.ts
+++ b/tests/platform/brokenStreams.test.ts
@@ -7,7 +7,7 @@
 
 const calls = 12;
 
-// Guards against the text or the head of another worker's error in the middle of a stream that had begun and broke off.
+// Guards against the error response of another worker being written into a stream that had begun and then broke off.
 describe("streams that break off before another worker answers with an error", () => {
     let deployment: Deployment;
     const second = new WorkerStandin("i-brain-2", "brain", true);
--- a/tests/platform/callerLeaves.test.ts
+++ b/tests/platform/callerLeaves.test.ts
@@ -40,7 +40,7 @@
         ]);
     });
 
-    // Guards against the same because one caller left.
+    // Guards against all calls of an instance being refused for a second because one caller left.
     it("should not make the worker unusable for others when its caller leaves", async () => {
         const gateway = deployment.gateways[0]!;
         const headers = { "Host": "carts.example", "Request-Id": "leaves", "Deadline-Ms": "2500" };
--- a/tests/platform/draining.test.ts
+++ b/tests/platform/draining.test.ts
@@ -11,10 +11,10 @@
 /** Time between the signal and the end of the process in {@link Deployment}. */
 const graceMs = 4_000;
 
-/** Places of the plain worker while calls are sent throughout a stop. */
+/** Slots of the plain worker while calls are sent throughout a stop. */
 const workerSlots = 12;
 
-/** Just below the size from which an upstream's reply is taken for endless. */
+/** Just below the size above which an upstream's reply counts as endless. */
 const longAnswerBytes = 4_100_000;
 
 /** A caller that has opened a connection and sends its request later. */
@@ -66,7 +66,7 @@
         const { plainWorker, store, gateways } = deployment;
         const [gateway] = gateways;
         plainWorker.delayMs = callMs;
-        // As many places as the instance has connections, so that calls do not end at their limits while they wait for one.
+        // As many slots as the instance has connections, so that calls do not end at their limits while they wait for one.
         store.put("servers/i-ops", { ...plainWorker.entry(), slots: workerSlots });
         await waitUntil(() => gateway!.upstreams.get("i-ops")?.entry.slots === workerSlots);
         const callers = Array.from({ length: 90 }, (_, index) => new LateCaller(`late-${index}`, gateway!.port));
--- a/tests/platform/emptiedMachine.test.ts
+++ b/tests/platform/emptiedMachine.test.ts
@@ -25,7 +25,7 @@
     }
 }
 
-/** A store that does not answer reads of the requests to empty machines, as to a machine that it turns away. */
+/** A store that never answers reads of the requests to empty machines, as if it rejected the calls of this machine. */
 class SilentRequestsStore extends PlatformStore {
     override range(...args: Parameters<PlatformStore["range"]>): ReturnType<PlatformStore["range"]> {
         return args[0].startsWith("op/retire/") ? new Promise(() => {}) : super.range(...args);
--- a/tests/platform/pipelining.test.ts
+++ b/tests/platform/pipelining.test.ts
@@ -120,7 +120,7 @@
         });
     }
 
-    // Guards against calls that run on for nobody: a connection that is not read does not tell that its caller has left.
+    // Guards against calls that keep running after their caller has left, which a connection that is not read does not show.
     it("should not hide that the caller has left, however large they are", async () => {
         const gateway = deployment.gateways[0]!;
         const { limits, ...others } = config(4);
--- a/tests/platform/workspaces.test.ts
+++ b/tests/platform/workspaces.test.ts
@@ -135,7 +135,7 @@
         const [other, unknown] = [await turn("x1", south, "turn-of-north"), await turn("x2", south, "never-made")];
         expect(other.status).toEqual(unknown.status);
         expect(other.body).toEqual(unknown.body);
-        // The same id is free for a turn of its own.
+        // Turns are named within their workspace, so that another one may use the same id.
         expect((await turn("turn-of-north", south)).status).toEqual(200);
         expect((await turn("next-of-south", south, "turn-of-north")).status).toEqual(200);
     });
