Let the soak kill all fronts in a series, and use open connections at the last overlapping starts

A series of kills is drawn now, and played once before the last starts beside others.

Played only with overlapping starts, so that the draws of the variants without them stay.

--- a/bench/soak/soakFaults.ts
+++ b/bench/soak/soakFaults.ts
@@ -1,6 +1,7 @@
 /** Faults that a soak injects, drawn by a seeded random source. */
 import { delay } from "@marigolddrift/common";
 
+import { KillSeries } from "./killSeries.js";
 import { LateCallers } from "./lateCallers.js";
 import type { Machine } from "./machine.js";
 import type { OverlappingStart, OverlappingStarts } from "./overlappingStarts.js";
@@ -57,7 +58,8 @@
 
     /**
      * Plays each faulty answer once and a series of stops, in some runs with nothing beside it, then starts faults until the
-     * time is over, and waits until all have ended. If processes are started beside others, it does that to all fronts last.
+     * time is over, and waits until all have ended. If processes are started beside others, it kills all fronts then, and starts
+     * processes beside all of them last.
      */
     async run(ms: number): Promise<void> {
         const endsAt = performance.now() + ms;
@@ -73,18 +75,22 @@
         }
         await Promise.all(this.running);
         if (this.starts !== undefined) {
+            this.start({ name: "series of kills", inject: () => this.killAll() });
+            await Promise.all(this.running);
             await this.startAll(this.starts);
         }
     }
 
-    /** Starts a process of each front and of one machine with a disk beside others, in all ways at once. */
+    /** Starts a process of each front and of one machine with a disk beside others, in all ways at once, while callers use open connections. */
     private async startAll(starts: OverlappingStarts): Promise<void> {
         const machines = [...this.fleet.fronts, pick(this.fleet.stores, this.random)];
         const first = Math.floor(this.random() * machines.length);
         for (const [index, machine] of machines.entries()) {
             const all = starts.all(machine);
             const start = all[(first + index) % all.length]!;
-            this.start({ name: start.name, inject: () => this.startBeside(machine, start) });
+            const inject = (): Promise<void> => this.startBeside(machine, start);
+            const isUsed = machine.role === "front" && !start.kills;
+            this.start({ name: start.name, inject: isUsed ? () => this.withLateCalls(machine, inject) : inject });
             await delay(this.random() * maxStartMs);
         }
         await Promise.all(this.running);
@@ -130,6 +136,7 @@
             ]),
             ...(this.isSeriesRunning || fronts.length === 0 ? [] : [
                 { name: "series of stops", inject: () => this.stopAll(false) },
+                ...(this.starts === undefined ? [] : [{ name: "series of kills", inject: () => this.killAll() }]),
             ]),
             { name: "new configuration", inject: async () => fleet.changeConfig() },
             ...this.workerFaults.draw(),
@@ -200,10 +207,14 @@
         return this.loseDisk(() => this.record.disturbances.during([store.name], disturb));
     }
 
-    private async stopWithLateCalls(front: Machine, downMs: number): Promise<void> {
+    private stopWithLateCalls(front: Machine, downMs: number): Promise<void> {
+        return this.withLateCalls(front, () => this.fleet.restart(front, "SIGTERM", downMs));
+    }
+
+    private async withLateCalls(front: Machine, stop: () => Promise<void>): Promise<void> {
         const callers = new LateCallers(this.fleet, this.record, this.random, front);
         await callers.open();
-        await Promise.all([callers.use(), this.fleet.restart(front, "SIGTERM", downMs)]);
+        await Promise.all([callers.use(), stop()]);
     }
 
     private async stopAtStart(front: Machine, downMs: number): Promise<void> {
@@ -231,6 +242,18 @@
         this.isSeriesRunning = false;
     }
 
+    /** Kills all fronts that are not stopped. */
+    private async killAll(): Promise<void> {
+        this.isSeriesRunning = true;
+        const fronts = this.fleet.fronts.filter(machine => !this.lost.has(machine));
+        const series = new KillSeries(this.fleet, this.record, this.random, fronts);
+        this.injected.push(`  ${series.description}`);
+        fronts.forEach(front => this.lost.add(front));
+        await series.run();
+        fronts.forEach(front => this.lost.delete(front));
+        this.isSeriesRunning = false;
+    }
+
     /** A machine is asked to be emptied while it is stopped; once it says that it is empty, its disk is lost. */
     private async retireAtStart(store: Machine, downMs: number): Promise<void> {
         const { fleet } = this;
