--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -195,6 +195,14 @@
         find: "accepts: entry => entry.build === build",
         replace: "accepts: () => true",
     },
+    {
+        name: "only the instance that began a stream knows its build",
+        seed: 125,
+        mixesVersions: true,
+        file: `${gateway}/builds/streamBuilds.ts`,
+        find: "this.timer ??= setTimeout(() => this.send(), sendDelayMs);",
+        replace: "",
+    },
 ];
 
 /** Faults that belong together, as one check hides the lack of another. */
