Test that a stream does not go on at a worker that is known to be replaced before it answers

Callers saw events of two versions in one stream. The log of front-4:

Whether the process is still the one that the call was placed at is looked at before the call is sent, and not again before its answer is passed on. A new stream notes its build as uncertain in this case; a take-up has no such check.

--- a/tests/platform/resumedStreamsAtChanges.test.ts
+++ b/tests/platform/resumedStreamsAtChanges.test.ts
@@ -193,6 +193,25 @@
         expect(counts.joined).toEqual(0);
     });
 
+    // Guards against a worker that is replaced under its id and address after the call was sent, and is known to be so before it answers (ORDER).
+    it("should not go on at another version if the entry of a restarted worker is read before its first event", async () => {
+        fleet = await Fleet.start({ v1: 1, v2: 1 });
+        await fleet.startFronts();
+        const begun = (await fleet.begin()).filter(({ events: [first] }) => first?.version === "v1");
+        const old = fleet.workers.get("i-brain-v1-0")!;
+        old.close();
+        const next = new WorkerStandin("i-brain-v1-0", "brain", true);
+        const late = { preemptedAtEvent: receivedEvents, preemptionMs: 400 };
+        Object.assign(next, { version: "v2", namesVersion: true, events: 12, delayMs: 15, ...late });
+        await next.start(Number(old.address.split(":")[1]));
+        fleet.workers.set("i-brain-v1-0", next);
+        const resuming = fleet.resumeAll(begun);
+        await pause(200);
+        fleet.list("i-brain-v1-0");
+        const counts = await resuming;
+        expect(counts.joined).toEqual(0);
+    });
+
     // Guards against take-ups that wait behind all new streams, with one version, too (LOST).
     it("should go on about as often as new streams begin while all workers are busy", async () => {
         fleet = await Fleet.start({ v1: 1 });
