Pass nothing of a taken-up stream on from an upstream that has been replaced

Callers that took a stream up saw events of two versions (ORDER): the upstream that the call was placed at had been replaced under its id and address, its new entry was read after the call had been sent, and the first event was passed on all the same.

Cause: whether the upstream is still the one that the call was placed at was looked at before the call is sent, and not again.

The build of the entry is looked at again for each piece of a successful reply until something of it has been passed on. If it is another one, the reply is given up; that the call may have run is counted, and it goes to another upstream of the build if its route allows another attempt. It says nothing of the health of the upstream. An upstream that has come back with the same build goes on.

--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -46,7 +46,7 @@
         this.onFirstByte();
     }
 
-    onData(chunk: Buffer): void {
+    onData(chunk: Buffer): undefined {
         this.chunks.push(chunk);
     }
 
@@ -80,6 +80,8 @@
     onFirstByte: () => void = () => {};
     /** Called at the first whole event, before anything is written; returns false if the caller gets another response. */
     claim: () => boolean = () => true;
+    /** Returns why a successful stream may not begin; called until something of it has been passed on. */
+    refuseToBegin: () => string | undefined = () => undefined;
     /** Called before the first data of a successful stream is passed on. */
     onBegun: () => void = () => {};
     /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
@@ -124,7 +126,15 @@
         this.head = head;
     }
 
-    onData(chunk: Buffer): void {
+    onData(chunk: Buffer): string | undefined {
+        const refusal = this.isSuccess && !this.res.headersSent ? this.refuseToBegin() : undefined;
+        if (refusal === undefined) {
+            this.passOn(chunk);
+        }
+        return refusal;
+    }
+
+    private passOn(chunk: Buffer): void {
         if (this.firstDataAt === undefined) {
             this.onFirstByte();
             this.firstDataAt = performance.now();
--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -103,6 +103,9 @@
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
             const streamId = scopedName(ctx.workspace, ctx.id);
             response.onBegun = () => builds.onStreamBegun(streamId, ctx.streamRoute ?? ctx.route, upstream);
+            if (ctx.head.resumption !== undefined) {
+                response.refuseToBegin = () => replacementOf(upstream, upstreams.get(upstream.entry.id));
+            }
         }
     }
 
@@ -136,6 +139,12 @@
     return upstream.isLeaving ? "said that it is leaving" : undefined;
 };
 
+/** Returns why a stream that is taken up may not go on with a reply: its process may be another one than the call was placed at. */
+const replacementOf = ({ entry }: Upstream, present: Upstream | undefined): string | undefined =>
+    present !== undefined && present.entry.build !== entry.build ?
+        `the upstream has been replaced by one of build "${present.entry.build}"` :
+        undefined;
+
 const changedUpstream = (worker: string, change: string, unreachable: boolean): AttemptOutcome => ({
     worker,
     result: { kind: "notRun", detail: `the upstream has just ${change}`, endedBy: "upstream", unreachable },
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -33,7 +33,8 @@
     /** Set by the attempt: to be called when the caller does not read, and when it does again. */
     onFull: (isFull: boolean) => void;
     onHead(head: ReplyHead): void;
-    onData(chunk: Buffer): void;
+    /** Returns why nothing of the reply may be passed on; undefined once it has been. */
+    onData(chunk: Buffer): string | undefined;
     /**
      * Whether the body that has arrived can be the whole one.
      *
@@ -137,8 +138,12 @@
         if (this.result !== undefined) {
             return false;
         }
-        this.attempt.sink.onData(chunk);
-        return true;
+        const refusal = this.attempt.sink.onData(chunk);
+        if (refusal !== undefined) {
+            this.onEndedHere();
+            this.result = this.broken(refusal);
+        }
+        return refusal === undefined;
     }
 
     onEnd(endedWithConnection: boolean): void {
