Review: turns of all programs are refused after one crash of a domain

Shown by review/8/run.sh: four workers of one zone crash for 3 s while turns with the same input, of different programs, wait there. From then on every turn with that input gets 502 call_blocked, at both fronts, with all workers back: 30 of 30 tries reach no worker.

--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -241,6 +241,19 @@
         this.answer({ ...request, id, worker: this });
     }
 
+    /** Ends as a process does: its connections are reset, and new ones are refused. */
+    crash() {
+        this.server.close();
+        this.sockets.forEach(socket => socket.resetAndDestroy());
+    }
+
+    /** Starts again at its address, under its id. */
+    async restart() {
+        this.born = Date.now();
+        const [host, port] = this.address.split(":");
+        await new Promise(done => this.server.listen(Number(port), host, done));
+    }
+
     entry(state = "ready") {
         const { service, address, born, fields } = this;
         return {
@@ -385,6 +398,7 @@
             ...fields,
             "[zones]",
             `north-a = "north"`,
+            `south-a = "south"`,
             "[listen]",
             ...(role === "front" ? [`front = "${this.address}"`, `ready = "${this.ready}"`] : []),
             "[limits]",
