Review: the loss of a zone that may be lost takes answered turns with it

Shown by review/10/run.sh: with tolerate.zones 1 a zone loses its disks right after turns were answered; a turn whose two copies stood there reaches no worker afterwards.

--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -276,6 +276,47 @@
     }
 }
 
+/** A way to a worker whose open connections can go silent: nothing passes any more, and nobody is told. New ones work. */
+export class Proxy {
+    pairs = new Set();
+
+    async open(target) {
+        const [host, port] = target.split(":");
+        this.server = createServer(near => {
+            const far = connect(Number(port), host);
+            const pair = { near, far, isSilent: false };
+            this.pairs.add(pair);
+            for (const [from, to] of [[near, far], [far, near]]) {
+                from.on("data", chunk => pair.isSilent || to.write(chunk));
+                from.on("end", () => pair.isSilent || to.end());
+                from.on("error", () => pair.isSilent || to.destroy());
+                from.on("close", () => {
+                    if (!pair.isSilent) {
+                        to.destroy();
+                        this.pairs.delete(pair);
+                    }
+                });
+            }
+        });
+        await new Promise(done => this.server.listen(0, "127.0.0.1", done));
+        this.address = `127.0.0.1:${this.server.address().port}`;
+    }
+
+    /** Returns how many connections have gone silent. */
+    silence() {
+        this.pairs.forEach(pair => pair.isSilent = true);
+        return this.pairs.size;
+    }
+
+    close() {
+        this.server.close();
+        this.pairs.forEach(({ near, far }) => {
+            near.destroy();
+            far.destroy();
+        });
+    }
+}
+
 /** Sends a request on a connection of its own and returns the answer as it came, and how its framing ended. */
 export const sendCall = (
     { address, method = "POST", path, headers, body = "", host = "carts.example" },
@@ -387,7 +428,7 @@
             `class = "${role}"`,
             `serves = ["${role}"]`,
             `ip = "${ip}"`,
-            `zone = "north-a"`,
+            `zone = "${options.zone ?? "north-a"}"`,
             `region = "north"`,
             `innerPorts = [${this.inner.join(",")}]`,
             `firstStart = ${options.firstStart ?? true}`,
@@ -398,6 +439,7 @@
             ...fields,
             "[zones]",
             `north-a = "north"`,
+            `north-b = "north"`,
             `south-a = "south"`,
             "[listen]",
             ...(role === "front" ? [`front = "${this.address}"`, `ready = "${this.ready}"`] : []),
@@ -408,7 +450,7 @@
             "fds = 4100",
             "[tolerate]",
             `machines = ${rig.toleratedLosses}`,
-            "zones = 0",
+            `zones = ${rig.toleratedZones}`,
             "regions = 0",
             "[bounds]",
             "seedLagS = 3",
@@ -461,6 +503,13 @@
         );
     }
 
+    /** Starts again after a loss; the system no longer starts for the first time. */
+    restart() {
+        this.options.firstStart = false;
+        writeFileSync(this.file, this.settings());
+        this.start();
+    }
+
     signal(name) {
         this.child.kill(name);
     }
@@ -489,9 +538,10 @@
     nextAddress = 1;
     nextId = 1;
 
-    constructor(dir, { toleratedLosses = 1 } = {}) {
+    constructor(dir, { toleratedLosses = 1, toleratedZones = 0 } = {}) {
         this.record = new Record(join(dir, "record.txt"));
         this.toleratedLosses = toleratedLosses;
+        this.toleratedZones = toleratedZones;
         this.dir = mkdtempSync(join(tmpdir(), "case-"));
         this.net = 20 + process.pid % 200;
     }
