Review: a new version during a freeze ends the frozen front's streams

Replaces the case on turns that are taken up on a route with retain and resumable, a mix that no sheet has.

--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -1,4 +1,4 @@
-/** A worker breaks off a turn, the caller takes the stream up again, and the next turn goes on from it. */
+/** A front freezes while a worker of a new version comes; its callers take their streams up at another front. */
 import {
     exits,
     limits,
@@ -12,39 +12,34 @@
     withTrouble,
 } from "../lib-2/rig.mjs";
 
-const events = 7;
-const eventsBeforeBreak = 3;
-const turns = 4;
+const contactMs = 4_000;
+const streams = 20;
+const events = 14;
+const pauseMs = 120;
+/** Callers leave a stream that has been silent for two seconds. */
+const patienceMs = 2_000;
+const budgetMs = 4_000;
+const freezeMs = 3_200;
 
 await runCase(import.meta.dirname, {}, async rig => {
-    const bodies = new Map();
-    let breaksNext = false;
-    const stream = async ({ id, socket, body, headers, worker }) => {
-        bodies.set(id, body.toString());
+    const stream = async ({ id, socket, headers, worker }) => {
         const from = Number(headers["last-event-id"] ?? 0) + 1;
-        const isBroken = breaksNext;
-        breaksNext = false;
-        rig.record.add(`${worker.id} runs ${id} from event ${from} with the body ${JSON.stringify(body.toString())}`);
+        rig.record.add(`${worker.id} (${worker.fields.version}) runs ${id} from event ${from}`);
         socket.write(
             `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ${id}\r\nResponse-Signature: ${
                 signatureOf(id)
             }\r\nTransfer-Encoding: chunked\r\n\r\n`,
         );
         for (let event = from; event <= events && !socket.destroyed; event++) {
-            const text = `id: ${event}\ndata: piece ${event}\n\n`;
+            const text = `id: ${event}\ndata: piece ${event} of ${worker.fields.version}\n\n`;
             socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
-            await sleep(40);
-            if (isBroken && event === eventsBeforeBreak) {
-                rig.record.add(`${worker.id} breaks ${id} off after event ${event}`);
-                socket.resetAndDestroy();
-                return;
-            }
+            await sleep(pauseMs);
         }
         socket.write("0\r\n\r\n");
     };
     rig.store.put("op/config", {
         version: 3,
-        routes: [route("talk", "/talk/", { kind: "stream", service: "floor", retain: true, resumable: true })],
+        routes: [route("talk", "/talk/", { kind: "stream", service: "floor", resumable: true })],
         services: [{
             name: "floor",
             healthPath: "/health",
@@ -53,86 +48,84 @@
         }],
         limits,
     });
-    await rig.addWorker(new RawWorker("i-a", "floor", stream, { slots: 12 }));
-    await rig.addWorker(new RawWorker("i-b", "floor", stream, { slots: 12 }));
+    const addWorker = async (id, version) =>
+        await rig.addWorker(new RawWorker(id, "floor", stream, { slots: 12, version }));
+    for (const id of ["i-a", "i-b", "i-c"]) {
+        await addWorker(id, "v1");
+    }
     for (const name of ["store-1", "store-2", "store-3"]) {
         await rig.add("store", name);
     }
-    const front = await rig.add("front", "front-1");
-    if (!await until(() => front.isReady(), 15_000)) {
-        throw new Error(`the front is not ready: ${front.log}`);
+    const fronts = [await rig.add("front", "front-1"), await rig.add("front", "front-2")];
+    for (const front of fronts) {
+        if (!await until(() => front.isReady(), 15_000)) {
+            throw new Error(`the front is not ready: ${front.log}`);
+        }
     }
-    await sleep(4_500);
+    await sleep(contactMs + 500);
 
-    const attempt = async (program, input, previous, resumed) => {
+    const attempt = async (front, leftMs, resumed) => {
         const id = rig.newId();
         const headers = {
             "Request-Id": id,
-            "Deadline-Ms": "4000",
+            "Deadline-Ms": String(Math.round(leftMs)),
             "Model": "m",
-            "Token-Usage": "100,70",
-            "Program-Id": program,
-            "Session-Id": program,
-            "Finish-Ms": "9000",
-            "Token-Budget": "3000",
-            ...(previous === undefined ? {} : { "Previous-Turn": previous }),
-            ...(resumed === undefined ? {} : { "Last-Event-Id": String(resumed.lastEvent), "Resumes": resumed.id }),
+            "Token-Usage": "100,140",
+            "Prompt-Prefix": `${id.slice(0, 8)}:100`,
+            ...(resumed === undefined ? {} : { "Last-Event-Id": String(resumed.last), "Resumes": resumed.id }),
         };
         rig.record.add(
-            `caller sends ${id}${previous === undefined ? "" : `, from ${previous}`}${
-                resumed === undefined ? "" : `, after event ${resumed.lastEvent} of ${resumed.id}`
+            `caller sends ${id} to ${front.node}${
+                resumed === undefined ? "" : `, after event ${resumed.last} of ${resumed.id}`
             }`,
         );
-        const answer = await sendCall({ address: front.address, path: "/talk/1", headers, body: input });
-        const pieces = [...answer.body.toString().matchAll(/^data: (.*)\n\n/gm)].map(([, piece]) => piece);
-        const reason = answer.status === 200 ? "" : answer.body.toString().slice(0, 160);
+        const answer = await sendCall(
+            { address: front.address, path: "/talk/1", headers, body: "how full" },
+            leftMs,
+            patienceMs,
+        );
+        const text = answer.body.toString();
+        const ids = [...text.matchAll(/^id: (\d+)\n/gm)].map(([, number]) => Number(number));
         rig.record.add(
-            `caller of ${id} gets ${answer.status}, ${answer.isComplete ? "complete" : `ended by ${answer.ending}`}: ${
-                pieces.join(", ")
-            }${reason}`,
+            `caller of ${id} gets ${answer.status} with ${ids.length} events, ${
+                answer.isComplete ? "complete" : `ended by ${answer.ending}`
+            }${answer.status === 200 ? "" : ` ${text.slice(0, 230)}`}`,
         );
-        return { id, pieces, isWhole: answer.status === 200 && answer.isComplete };
+        return { id, ids, status: answer.status, isWhole: answer.status === 200 && answer.isComplete };
     };
-    /** A turn of the caller, with its retry after a broken connection. */
-    const turn = async (program, input, previous) => {
-        const first = await attempt(program, input, previous);
-        if (first.isWhole) {
-            return first;
+    const call = async front => {
+        const startedAt = performance.now();
+        const first = await attempt(front, budgetMs);
+        if (first.isWhole || first.ids.length === 0) {
+            return { takenUp: false };
         }
-        const second = await attempt(program, input, previous, { id: first.id, lastEvent: first.pieces.length });
-        return { ...second, pieces: [...first.pieces, ...second.pieces] };
+        const leftMs = budgetMs - (performance.now() - startedAt);
+        const second = await attempt(fronts[1], leftMs, { id: first.id, last: first.ids.at(-1) });
+        return { takenUp: true, goesOn: second.status === 200 && second.ids.length > 0 };
     };
 
-    let broken = 0;
-    let judged = 0;
-    for (let index = 0; index < turns; index++) {
-        const program = `program-${index + 1}`;
-        breaksNext = withTrouble;
-        const first = await turn(program, "first input;");
-        if (!first.isWhole) {
-            rig.record.add(`the first turn of ${program} was not answered whole`);
-            continue;
-        }
-        const second = await turn(program, "second input;", first.id);
-        const expected = `first input;${first.pieces.map(piece => `${piece}\n`).join("")}second input;`;
-        const body = bodies.get(second.id);
-        if (body !== undefined) {
-            judged += 1;
-            broken += body === expected ? 0 : 1;
-            rig.record.add(
-                `the second turn of ${program} ran ${
-                    body === expected ?
-                        "on the whole conversation" :
-                        `without ${
-                            first.pieces.filter(piece => !body.includes(piece)).join(", ")
-                        }, which the caller had got`
-                }`,
-            );
-        }
+    const begun = Array.from({ length: streams }, () => call(fronts[0]));
+    await sleep(300);
+    if (withTrouble) {
+        fronts[0].signal("SIGSTOP");
+        rig.record.add("front-1 freezes");
+        setTimeout(() => {
+            fronts[0].signal("SIGCONT");
+            rig.record.add("front-1 goes on");
+        }, freezeMs);
     }
-    rig.record.add(`${broken} of ${judged} second turns ran on a conversation of which a part was missing`);
-    if (judged === 0 && !withTrouble) {
-        return exits.couldNotRun;
+    if (process.env.CONTROL !== "1") {
+        await sleep(300);
+        await addWorker("i-d", "v2");
+        rig.record.add("a worker of version v2 is ready");
     }
-    return broken > 0 ? exits.broken : exits.held;
+    await sleep(600);
+    const fresh = Array.from({ length: streams / 2 }, () => attempt(fronts[1], budgetMs));
+    const taken = (await Promise.all(begun)).filter(({ takenUp }) => takenUp);
+    const goOn = taken.filter(({ goesOn }) => goesOn).length;
+    const begin = (await Promise.all(fresh)).filter(({ ids }) => ids.length > 0).length;
+    rig.record.add(
+        `${taken.length} streams were taken up at front-2, ${goOn} went on; ${begin} of ${fresh.length} new streams began there`,
+    );
+    return taken.length >= 12 && goOn / taken.length < 0.5 * (begin / fresh.length) ? exits.broken : exits.held;
 });
--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -321,6 +321,7 @@
 export const sendCall = (
     { address, method = "POST", path, headers, body = "", host = "carts.example" },
     timeoutMs = 8_000,
+    silenceMs = Infinity,
 ) => new Promise(done => {
     const [ip, port] = address.split(":");
     const socket = connect(Number(port), ip);
@@ -331,8 +332,11 @@
         [name, value],
     ) => `${name}: ${value}\r\n`);
     socket.on("connect", () => socket.write(`${method} ${path} HTTP/1.1\r\n${lines.join("")}\r\n${body}`));
+    let silence;
     socket.on("data", chunk => {
         input = Buffer.concat([input, chunk]);
+        clearTimeout(silence);
+        silence = silenceMs === Infinity ? undefined : setTimeout(() => socket.destroy(), silenceMs);
         const answer = parseAnswer(input);
         if (answer?.isWhole) {
             ending = "framing";
@@ -343,6 +347,7 @@
     socket.on("error", err => ending = err.code ?? err.message);
     socket.on("close", () => {
         clearTimeout(timer);
+        clearTimeout(silence);
         const answer = parseAnswer(input);
         const isUnframed = answer !== undefined && !answer.isFramed;
         done({
