--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -56,7 +56,10 @@
     for (const name of ["store-1", "store-2", "store-3"]) {
         await rig.add("store", name);
     }
-    const fronts = [await rig.add("front", "front-1"), await rig.add("front", "front-2")];
+    const fronts = [];
+    for (let number = 1; number <= 7; number++) {
+        fronts.push(await rig.add("front", `front-${number}`));
+    }
     for (const front of fronts) {
         if (!await until(() => front.isReady(), 15_000)) {
             throw new Error(`the front is not ready: ${front.log}`);
--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -125,12 +125,44 @@
             case "/api/kv-txn":
                 return this.txn(body);
             case "/api/kv-lease":
-                return [200, { lease: this.nextLease++, ttlMs: body.ttlMs }];
+                return [200, { lease: this.openLease(body.ttlMs), ttlMs: body.ttlMs }];
             default:
-                return [404, {}];
+                return this.serveLease(url.pathname);
         }
     }
 
+    leases = new Map();
+
+    openLease(ttlMs) {
+        const lease = this.nextLease++;
+        this.leases.set(lease, { ttlMs, timer: setTimeout(() => this.endLease(lease), ttlMs) });
+        return lease;
+    }
+
+    endLease(lease) {
+        const keys = [...this.items.values()].filter(item => item.lease === lease).map(({ key }) => key);
+        clearTimeout(this.leases.get(lease).timer);
+        this.leases.delete(lease);
+        if (keys.length > 0) {
+            this.write([], keys);
+        }
+    }
+
+    serveLease(path) {
+        const [, call, id] = /^\/api\/(kv-keep|kv-lease-end)\/(\d+)$/.exec(path) ?? [];
+        const lease = this.leases.get(Number(id));
+        if (lease === undefined) {
+            return [404, {}];
+        }
+        if (call === "kv-lease-end") {
+            this.endLease(Number(id));
+            return [200, {}];
+        }
+        clearTimeout(lease.timer);
+        lease.timer = setTimeout(() => this.endLease(Number(id)), lease.ttlMs);
+        return [200, { ttlMs: lease.ttlMs }];
+    }
+
     range(prefix, after) {
         const keys = [...this.items.keys()].filter(key => key.startsWith(prefix) && key > after).sort();
         const page = keys.slice(0, 500);
@@ -163,10 +195,14 @@
                 items: expectedRev.map(({ key }) => this.items.get(key)).filter(item => item !== undefined),
             }];
         }
+        if (writes.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) {
+            return [404, {}];
+        }
         return [200, { rev: this.write(writes, remove) }];
     }
 
     close() {
+        this.leases.forEach(({ timer }) => clearTimeout(timer));
         this.waiting.forEach(wake => wake());
         this.server.close();
         this.server.closeAllConnections();
@@ -225,11 +261,40 @@
         this.address = `127.0.0.1:${this.server.address().port}`;
     }
 
+    /** What the worker says of itself; undefined for calls of callers. */
+    ownAnswer(path) {
+        const { born, isDraining = false } = this;
+        if (path === "/health") {
+            return [isDraining ? 503 : 200, { born }];
+        }
+        if (path === "/api/report") {
+            const models = [{ name: "m", version: 1, adapters: [] }];
+            const load = { queued: 0, active: 0, kvUsed: 0, kvTotal: 98_048, handles: 0, pinned: 0, held: 0, runs: [] };
+            const state = isDraining ? "draining" : "ready";
+            return [200, { stage: "both", models, busy: false, seq: 0, state, born, ...load }];
+        }
+        if (path === "/api/kv-events") {
+            return [200, { epoch: born, next: 0, lost: false, events: [], born }];
+        }
+        if (path === "/api/kv-list") {
+            return [200, { epoch: born, next: 0, held: [], born }];
+        }
+        if (path === "/api/hold-take") {
+            return [503, { born }];
+        }
+        return path.startsWith("/api/") ? [404, { born }] : undefined;
+    }
+
     onRequest(request) {
         const { headers, socket, path } = request;
         const id = headers["request-id"] ?? "";
-        if (path === "/health") {
-            socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`);
+        const own = this.ownAnswer(path.split("?")[0]);
+        if (own !== undefined) {
+            const [status, answer] = own;
+            const body = JSON.stringify(answer);
+            socket.write(
+                `HTTP/1.1 ${status} OK\r\nInstance-Id: ${this.id}\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+            );
             return;
         }
         if (headers["expect-instance"] !== undefined && headers["expect-instance"] !== this.id) {
@@ -255,6 +320,7 @@
     }
 
     entry(state = "ready") {
+        this.isDraining = state === "draining";
         const { service, address, born, fields } = this;
         return {
             service,
@@ -440,6 +506,8 @@
             `inTolerance = ${role === "store"}`,
             `discovery = "platform"`,
             `beatIntervalMs = 1200`,
+            `contracts = ["base","drain","config","cost","recover","agent","stream","engine","platform"]`,
+            "seeds = []",
             ...own,
             ...fields,
             "[zones]",
