Take only a blank line for the end of an event, whatever ends the lines

The shortened turn was kept, and the next one ran on it.

Cause: the pattern for two ends of a line could read one CR LF as CR and LF, so that each line seemed to end its event, with each framing.

On nine of the 39 tests of streams with each end of a line fail: the six cuts after a CR LF (connection, length and chunks, after the first and the last line), a CR LF that is cut before its LF, and a stream of nothing but comments; so does the one with a comment at the end, which was broken off though whole. All pass now.

Ends of lines are now written as LF first, also across pieces, and the state of the lines is followed instead of the last characters, so that there is nothing to read in two ways. A stream that ends with its connection must also have an event and end with a line.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./history.js";
 export * from "./httpAnswers.js";
 export * from "./iniFile.js";
+export * from "./lineEndNormalizer.js";
 export * from "./lineLogger.js";
 export * from "./listen.js";
 export * from "./log.js";
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -110,12 +110,9 @@
         return this.firstDataAt !== undefined;
     }
 
-    /**
-     * An error that is answered in place of the stream has no events. A connection that ends before the first event has
-     * broken off: the caller gets chunks, and would take it for a whole stream.
-     */
+    /** An error that is answered in place of the stream has no events. */
     isWhole(endedWithConnection: boolean): boolean {
-        return !this.isSuccess || (!this.events.isInsideEvent && (this.hasData || !endedWithConnection));
+        return !this.isSuccess || this.events.isWhole(endedWithConnection);
     }
 
     get isSuccess(): boolean {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -67,6 +67,7 @@
 export * from "./turns/turnRecord.js";
 export * from "./turns/turnStore.js";
 export * from "./upstreams/classifyReply.js";
+export * from "./upstreams/eventCollector.js";
 export * from "./upstreams/framing.js";
 export { LoadExchange } from "./upstreams/loadExchange.js";
 export * from "./upstreams/pieceJoiner.js";
--- a/packages/gateway/src/upstreams/eventCollector.ts
+++ b/packages/gateway/src/upstreams/eventCollector.ts
@@ -1,19 +1,15 @@
 /** Counts the events of an event stream and collects their data, while the stream itself is forwarded unchanged. */
 import { createParser } from "eventsource-parser";
 
+import { EventBoundary } from "./eventBoundary.js";
+
 /** Maps each byte to one character and back, so that the data is preserved byte for byte. */
 const byteEncoding = "latin1";
 
-/** Ends of a line; two of them end an event. */
-const eventEnd = /(?:\r\n|\r|\n)(?:\r\n|\r|\n)$/;
-
-/** Number of characters that may belong to the end of an event. */
-const maxEventEndLength = 4;
-
 /** Parses an event stream. */
 export class EventCollector {
     events = 0;
-    private lastCharacters = "";
+    private readonly boundary = new EventBoundary();
     private readonly data: string[] = [];
     private readonly parser = createParser({
         onEvent: event => {
@@ -22,14 +18,20 @@
         },
     });
 
-    /** Whether the stream has stopped inside an event, so that it must have been broken off. */
-    get isInsideEvent(): boolean {
-        return this.lastCharacters !== "" && !eventEnd.test(this.lastCharacters);
+    /**
+     * Whether the stream that has arrived can be the whole one.
+     *
+     * @param endedWithConnection Whether nothing but the end of the connection tells that the stream has ended: one that has no event
+     * or ends within a line has then been broken off.
+     */
+    isWhole(endedWithConnection: boolean): boolean {
+        const { hasEvent, isInsideEvent, isInsideLine } = this.boundary;
+        return !isInsideEvent && (!endedWithConnection || (hasEvent && !isInsideLine));
     }
 
     feed(chunk: Buffer): void {
         const text = chunk.toString(byteEncoding);
-        this.lastCharacters = (this.lastCharacters + text.slice(-maxEventEndLength)).slice(-maxEventEndLength);
+        this.boundary.feed(text);
         this.parser.feed(text);
     }
 
--- /dev/null
+++ b/tests/upstreams/streamEnds.test.ts
@@ -0,0 +1,111 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+
+import { Deployment, waitUntil } from "../platform/deployment.js";
+import { RawServer } from "../platform/rawServer.js";
+
+const signature = "3e1b.07.5a2.600.0.c9f2a4d1";
+
+/** Ends of a line that an event stream may have. */
+const lineEnds = { "LF": "\n", "CR LF": "\r\n", "CR": "\r" } as const;
+
+/** An event with two fields, a stream's beginning and its end, with LF as the end of each line. */
+const event = (id: number): string => `id: ${id}\ndata: piece ${id}\n\n`;
+const wholeEvents = event(1) + event(2);
+const lastEvent = event(3);
+
+/** Beginnings of the last event that end with a line, and one that ends within a line. */
+const cuts = { "after its first line": 1, "after its last line": 2, "within a line": undefined } as const;
+
+const cutEvent = (lines: 1 | 2 | undefined, lineEnd: string): string =>
+    lines === undefined ?
+        lastEvent.slice(0, -"ce 3\n\n".length).replaceAll("\n", lineEnd) :
+        lastEvent.split("\n").slice(0, lines).map(line => line + lineEnd).join("");
+
+/** Writes a body with each way of framing, its pieces one after the other. */
+const framings = {
+    "its connection": (pieces: readonly string[]) => `Connection: close\r\n\r\n${pieces.join("")}`,
+    "a length": (pieces: readonly string[]) =>
+        `Content-Length: ${pieces.join("").length}\r\nConnection: close\r\n\r\n${pieces.join("")}`,
+    "chunks": (pieces: readonly string[]) =>
+        `Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n${
+            [...pieces, ""].map(piece => `${piece.length.toString(16)}\r\n${piece}\r\n`).join("")
+        }`,
+};
+type Framing = keyof typeof framings;
+
+// Guards against a stream that broke off inside an event, after the end of a line, and was passed on and kept as whole.
+describe("streams that end with or without a whole event", () => {
+    let deployment: Deployment;
+    let reply = "";
+    const server = new RawServer(id => {
+        const head = `HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nRequest-Id: ${id}\r\n`;
+        return { bytes: `${head}Response-Signature: ${signature}\r\n${reply}`, end: "close", endDelayMs: 5 };
+    });
+
+    before(async () => {
+        deployment = await Deployment.start(1);
+        await server.start();
+        deployment.store.remove("servers/i-brain");
+        deployment.store.put("servers/i-raw-brain", server.entry("brain"));
+        const { upstreams } = deployment.gateways[0]!;
+        await waitUntil(() => upstreams.get("i-raw-brain") !== undefined);
+        await waitUntil(() => upstreams.get("i-brain")?.isAvailable(performance.now()) !== true);
+    });
+    after(() => {
+        server.close();
+        deployment.close();
+    });
+
+    /** Sends a turn; resolves to what its caller receives, or to "broken off". */
+    const turn = async (id: string, previous?: string): Promise<string> => {
+        try {
+            const { status, body } = await deployment.turn(`p-${id}`, id, "input;", previous);
+            return `${status} ${body}`;
+        }
+        catch {
+            return "broken off";
+        }
+    };
+
+    const isKept = async (id: string): Promise<boolean> => !(await turn(`${id}-next`, id)).startsWith("404 ");
+
+    for (const [endName, lineEnd] of Object.entries(lineEnds)) {
+        const whole = wholeEvents.replaceAll("\n", lineEnd);
+        for (const framing of Object.keys(framings) as Framing[]) {
+            for (const [cutName, lines] of Object.entries(cuts)) {
+                it(`should break off a stream of ${endName} that ends with ${framing} ${cutName}`, async () => {
+                    reply = framings[framing]([whole, cutEvent(lines, lineEnd)]);
+                    const id = deployment.newId();
+                    expect(await turn(id)).toEqual("broken off");
+                    expect(await isKept(id)).toEqual(false);
+                });
+            }
+
+            it(`should pass on and keep a whole stream of ${endName} that ends with ${framing}`, async () => {
+                const last = lastEvent.replaceAll("\n", lineEnd);
+                reply = framings[framing]([whole, last.slice(0, -1), last.slice(-1)]);
+                const id = deployment.newId();
+                expect(await turn(id)).toEqual(`200 ${whole}${last}`);
+                expect(await isKept(id)).toEqual(true);
+            });
+        }
+    }
+
+    it("should break off a stream of CR LF that ends with its connection before the last LF", async () => {
+        reply = framings["its connection"]([`${wholeEvents}${lastEvent}`.replaceAll("\n", "\r\n").slice(0, -1)]);
+        expect(await turn(deployment.newId())).toEqual("broken off");
+    });
+
+    it("should take comments for no part of an event", async () => {
+        const id = deployment.newId();
+        reply = framings["its connection"]([": begin\n\n", wholeEvents, ": end\n"]);
+        expect(await turn(id)).toEqual(`200 : begin\n\n${wholeEvents}: end\n`);
+        expect(await isKept(id)).toEqual(true);
+    });
+
+    it("should not take a stream of comments that ends with its connection for whole", async () => {
+        reply = framings["its connection"]([": begin\n\n"]);
+        expect(await turn(deployment.newId())).toEqual("broken off");
+    });
+});
