Collect the last event of a stream whose lines end in CR alone

Cause: the parser of events waits after a CR for the LF that may follow, so it saw the end of an event only with the next one.

Ends of lines are written as LF before the parser sees them, at once, so that it has nothing to wait for. A byte order mark is left out also if it comes in pieces.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -23,4 +23,5 @@
 export * from "./programs/programHistory.js";
 export * from "./programs/programState.js";
 export * from "./settings.js";
+export * from "./upstreams/engineClient.js";
 export * from "./workerPool.js";
--- a/packages/daemon/src/upstreams/engineClient.ts
+++ b/packages/daemon/src/upstreams/engineClient.ts
@@ -1,4 +1,5 @@
 /** Client of a model engine: OpenAI-compatible completions, load reports, cache events and admin orders. */
+import { LineEndNormalizer } from "@marigolddrift/common";
 import type { Message, Progress } from "@marigolddrift/common";
 import { createParser } from "eventsource-parser";
 import { request } from "undici";
@@ -217,9 +218,10 @@
         },
     });
     const decoder = new TextDecoder();
+    const lineEnds = new LineEndNormalizer();
     for await (const chunk of body) {
         onProgress();
-        parser.feed(decoder.decode(chunk, { stream: true }));
+        parser.feed(lineEnds.feed(decoder.decode(chunk, { stream: true })));
         yield* parsedEvents.splice(0);
         if (done) {
             yield { kind: "finish", reason: reason || "stop", usage };
--- a/packages/gateway/src/upstreams/eventBoundary.ts
+++ b/packages/gateway/src/upstreams/eventBoundary.ts
@@ -1,15 +1,14 @@
 /** Tells whether an event stream has stopped between two events or inside one. */
-import { LineEndNormalizer } from "@marigolddrift/common";
 
 /** What has arrived of a line: nothing, a comment (which is no part of an event), or a field. */
 type Line = "empty" | "comment" | "field";
 
 /**
- * Follows the lines of an event stream: a blank line ends an event, and each end of a line may be LF, CR LF or CR alone.
+ * Follows the lines of an event stream, each of which ends with LF: a blank line ends an event.
  *
  * @example
  * const boundary = new EventBoundary();
- * boundary.feed("id: 1\r\ndata: one\r\n");
+ * boundary.feed("id: 1\ndata: one\n");
  * boundary.isInsideEvent === true;
  */
 export class EventBoundary {
@@ -17,20 +16,19 @@
     hasEvent = false;
     private line: Line = "empty";
     private hasFields = false;
-    private readonly lineEnds = new LineEndNormalizer();
 
     /** Whether the stream has stopped inside an event, so that it has been broken off, whatever its framing says. */
     get isInsideEvent(): boolean {
         return this.hasFields || this.line === "field";
     }
 
-    /** Whether the stream has stopped within a line or its end. If only its framing says that it is whole, this doesn't matter. */
+    /** Whether the stream has stopped within a line, which may be a comment. */
     get isInsideLine(): boolean {
-        return this.line !== "empty" || this.lineEnds.isInsideLineEnd;
+        return this.line !== "empty";
     }
 
     feed(text: string): void {
-        const parts = this.lineEnds.feed(text).split("\n");
+        const parts = text.split("\n");
         const unfinished = parts.pop()!;
         for (const part of parts) {
             this.extendLine(part);
--- a/packages/gateway/src/upstreams/eventCollector.ts
+++ b/packages/gateway/src/upstreams/eventCollector.ts
@@ -1,4 +1,5 @@
 /** Counts the events of an event stream and collects their data, while the stream itself is forwarded unchanged. */
+import { LineEndNormalizer } from "@marigolddrift/common";
 import { createParser } from "eventsource-parser";
 
 import { EventBoundary } from "./eventBoundary.js";
@@ -6,9 +7,15 @@
 /** Maps each byte to one character and back, so that the data is preserved byte for byte. */
 const byteEncoding = "latin1";
 
+/** Bytes that may precede the first line. */
+const byteOrderMark = "\u00ef\u00bb\u00bf";
+
 /** Parses an event stream. */
 export class EventCollector {
     events = 0;
+    /** The first bytes, until it is known whether they are a byte order mark. */
+    private beginning: string | undefined = "";
+    private readonly lineEnds = new LineEndNormalizer();
     private readonly boundary = new EventBoundary();
     private readonly data: string[] = [];
     private readonly parser = createParser({
@@ -26,11 +33,13 @@
      */
     isWhole(endedWithConnection: boolean): boolean {
         const { hasEvent, isInsideEvent, isInsideLine } = this.boundary;
-        return !isInsideEvent && (!endedWithConnection || (hasEvent && !isInsideLine));
+        return !isInsideEvent &&
+            (!endedWithConnection || (hasEvent && !isInsideLine && !this.lineEnds.isInsideLineEnd));
     }
 
     feed(chunk: Buffer): void {
-        const text = chunk.toString(byteEncoding);
+        // The parser waits after a CR for the LF that may follow, which would keep it from seeing the end of an event.
+        const text = this.lineEnds.feed(this.withoutMark(chunk.toString(byteEncoding)));
         this.boundary.feed(text);
         this.parser.feed(text);
     }
@@ -39,4 +48,17 @@
     output(): Buffer {
         return Buffer.from(this.data.map(text => `${text}\n`).join(""), byteEncoding);
     }
+
+    private withoutMark(text: string): string {
+        if (this.beginning === undefined) {
+            return text;
+        }
+        this.beginning += text;
+        const { beginning } = this;
+        if (beginning !== byteOrderMark && byteOrderMark.startsWith(beginning)) {
+            return "";
+        }
+        this.beginning = undefined;
+        return beginning.startsWith(byteOrderMark) ? beginning.slice(byteOrderMark.length) : beginning;
+    }
 }
--- a/tests/platform/rawServer.ts
+++ b/tests/platform/rawServer.ts
@@ -26,7 +26,7 @@
     private readonly sockets = new Set<Socket>();
     private readonly server = createServer({ allowHalfOpen: true, noDelay: true }, socket => this.onConnection(socket));
 
-    constructor(private readonly reply: (id: string, head: string) => RawReply) {}
+    constructor(private readonly reply: (id: string, head: string, body: string) => RawReply) {}
 
     async start(): Promise<void> {
         this.server.listen(0, "127.0.0.1");
@@ -67,9 +67,10 @@
             const length = Number(/content-length: (\d+)/i.exec(received)?.[1] ?? 0);
             if (headEnd >= 0 && received.length >= headEnd + requestEnd.length + length) {
                 const head = received.slice(0, headEnd);
+                const body = received.slice(headEnd + requestEnd.length);
                 received = "";
                 this.heads.push(head);
-                this.answer(socket, this.reply(/request-id: (\S+)/i.exec(head)?.[1] ?? "", head));
+                this.answer(socket, this.reply(/request-id: (\S+)/i.exec(head)?.[1] ?? "", head, body));
             }
         });
     }
--- a/tests/upstreams/eventBoundary.test.ts
+++ b/tests/upstreams/eventBoundary.test.ts
@@ -68,6 +68,22 @@
         expect(cut.filter(isWhole)).toEqual([]);
     });
 
+    // Guards against an event that was counted and kept only once the next one came, or never if it was the last one.
+    it("should not be waited for to collect an event whose lines end in CR alone", () => {
+        for (const pieceLength of pieceLengths) {
+            const events = collect("id: 1\rdata: a\r\r", pieceLength);
+            expect([pieceLength, events.events, events.output().toString()]).toEqual([pieceLength, 1, "a\n"]);
+        }
+    });
+
+    // Guards against a first event that was lost where the byte order mark before it came in pieces.
+    it("should leave the first event after a byte order mark whole", () => {
+        for (const pieceLength of pieceLengths) {
+            const events = collect("\u00ef\u00bb\u00bfdata: a\n\n", pieceLength);
+            expect([pieceLength, events.output().toString()]).toEqual([pieceLength, "a\n"]);
+        }
+    });
+
     it("should leave no CR, and no line more or less than there are", () => {
         for (const [name, stream] of Object.entries(streams)) {
             for (const length of pieceLengths) {
--- a/tests/upstreams/streamEnds.test.ts
+++ b/tests/upstreams/streamEnds.test.ts
@@ -38,7 +38,9 @@
 describe("streams that end with or without a whole event", () => {
     let deployment: Deployment;
     let reply = "";
-    const server = new RawServer(id => {
+    const bodies: string[] = [];
+    const server = new RawServer((id, _head, body) => {
+        bodies.push(body);
         const head = `HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nRequest-Id: ${id}\r\n`;
         return { bytes: `${head}Response-Signature: ${signature}\r\n${reply}`, end: "close", endDelayMs: 5 };
     });
@@ -90,6 +92,16 @@
                 expect(await isKept(id)).toEqual(true);
             });
         }
+
+        // Guards against a kept turn that lacks the last event of a stream whose lines end in CR alone.
+        it(`should keep all events of a stream of ${endName}`, async () => {
+            reply = framings.chunks([whole, lastEvent.replaceAll("\n", lineEnd)]);
+            const id = deployment.newId();
+            await turn(id);
+            bodies.length = 0;
+            await turn(`${id}-next`, id);
+            expect(bodies).toEqual(["input;piece 1\npiece 2\npiece 3\ninput;"]);
+        });
     }
 
     it("should break off a stream of CR LF that ends with its connection before the last LF", async () => {
