Pass an error without framing on without chunks, also in place of a stream

Callers of streams got an error that its worker broke off as a complete answer (MIXED): its text ended with the connection, and was passed on in chunks with the closing chunk.

Cause: all answers on a route of streams were passed on in chunks; a stream tells by its events whether it is whole, an error doesn't.

Evidence: "should pass an error that ends with its connection on without a length or chunks" failed before ("chunked"), and passes.

The error ends with the caller's connection now, as on routes without streams, so that nothing says that it is whole.

--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -53,13 +53,13 @@
     /** Sends the buffered response. */
     send(answer: UnsentAnswer): void {
         const { res } = answer;
-        const { status, headers } = this.head!;
-        const hasBody = status !== 204 && status !== 304;
-        if (hasBody && this.head!.endsWithConnection) {
+        const { status, headers, endsWithConnection } = this.head!;
+        if (hasBody(status) && endsWithConnection) {
             writeUnframedHead(res, this.head!);
         }
         else {
-            res.writeHead(status, [...headers, ...(hasBody ? ["Content-Length", String(this.receivedBytes)] : [])]);
+            const length = hasBody(status) ? ["Content-Length", String(this.receivedBytes)] : [];
+            res.writeHead(status, [...headers, ...length]);
         }
         // Not joined, which would need the memory of the whole a second time.
         res.cork();
@@ -71,7 +71,8 @@
 
 /**
  * Forwards a stream as it arrives, in chunks, so that its caller can tell when it is broken off, also if the upstream's stream
- * ends with its connection. `end` must be called once the stream is known to be complete.
+ * ends with its connection. An error that does so is passed on without chunks, since nobody can tell whether it is whole. `end` must
+ * be called once the stream is known to be complete.
  */
 export class StreamedResponse implements ResponseSink {
     onLimit: ResponseSink["onLimit"] = () => {};
@@ -173,14 +174,21 @@
 
     private writeHead(): void {
         if (!this.res.headersSent && !this.res.destroyed) {
+            const { status, headers, endsWithConnection } = this.head!;
             if (this.isSuccess) {
                 this.onBegun();
             }
-            this.res.writeHead(this.head!.status, [...this.head!.headers]);
+            else if (endsWithConnection && hasBody(status)) {
+                writeUnframedHead(this.res, this.head!);
+                return;
+            }
+            this.res.writeHead(status, [...headers]);
         }
     }
 }
 
+const hasBody = (status: number): boolean => status !== 204 && status !== 304;
+
 /**
  * Begins a response that ends with its connection, as the reply did: a length or chunks would tell the caller that it is
  * whole, but a connection that ends in order does not.
--- a/tests/upstreams/streamEnds.test.ts
+++ b/tests/upstreams/streamEnds.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "earl";
+import { request } from "node:http";
 import { after, before, describe, it } from "node:test";
 
 import { Deployment, waitUntil } from "../platform/deployment.js";
@@ -38,10 +39,11 @@
 describe("streams that end with or without a whole event", () => {
     let deployment: Deployment;
     let reply = "";
+    let status = "200 OK";
     const bodies: string[] = [];
     const server = new RawServer((id, _head, body) => {
         bodies.push(body);
-        const head = `HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nRequest-Id: ${id}\r\n`;
+        const head = `HTTP/1.1 ${status}\r\nContent-Type: Text/Event-Stream; charset=utf-8\r\nRequest-Id: ${id}\r\n`;
         return { bytes: `${head}Response-Signature: ${signature}\r\n${reply}`, end: "close", endDelayMs: 5 };
     });
 
@@ -120,4 +122,39 @@
         reply = framings["its connection"]([": begin\n\n"]);
         expect(await turn(deployment.newId())).toEqual("broken off");
     });
+
+    // Guards against an error that broke off, passed on in chunks that say that it is whole.
+    it("should pass an error that ends with its connection on without a length or chunks", async () => {
+        status = "500 Failed";
+        reply = framings["its connection"](["the worker could"]);
+        const headers = await answerHeaders(deployment.gateways[0]!.port, deployment.newId());
+        status = "200 OK";
+        expect([headers["transfer-encoding"], headers["content-length"], headers.connection]).toEqual([
+            undefined,
+            undefined,
+            "close",
+        ]);
+    });
 });
+
+/** Sends a call that begins a stream, and resolves to the headers of its answer once that has ended. */
+const answerHeaders = (port: number, id: string): Promise<NodeJS.Dict<string | string[]>> =>
+    new Promise((resolve, reject) => {
+        const headers = {
+            "Host": "carts.example",
+            "Request-Id": id,
+            "Deadline-Ms": "2500",
+            "Model": "m",
+            "Token-Usage": "4,5",
+        };
+        const req = request(
+            { host: "127.0.0.1", port, method: "POST", path: "/talk/1", headers, agent: false },
+            res => {
+                res.on("error", reject);
+                res.on("end", () => resolve(res.headers));
+                res.resume();
+            },
+        );
+        req.on("error", reject);
+        req.end("hello");
+    });
