Declare a second build only once all instances have recorded their streams

Callers of a frozen front could not go on elsewhere (LOST): if a worker of a new version came before they had taken their streams up, all take-ups were refused for good with 503 build_unknown, while new streams began.

Cause: the first instance that saw a second build declared it within 0.3 s, but while one build serves each instance alone knows its streams. An instance that was frozen or had ended by then left no record of them, and without one a stream is rightly refused once two builds are declared.

Until then a single build can have begun any stream, so that take-ups go on as they did; what is refused and what is known is as before, and nothing is guessed. Nothing is sent while one build serves. Records that a holder did not take are sent again, and a stream that goes on because one build can have begun it is remembered by its first id.

--- a/packages/gateway/src/builds/buildHolders.ts
+++ b/packages/gateway/src/builds/buildHolders.ts
@@ -27,10 +27,14 @@
         return this.peers.version;
     }
 
+    /** Number of machines that get each record. */
+    get copies(): number {
+        return this.tables().reduce((sum, { machines }) => sum + Math.min(machines.size, this.perRegion), 0);
+    }
+
     /** The machines that get the record of a stream. */
     of(streamId: string): PeerClient[] {
-        const regions = this.tables();
-        return this.select(streamId, Math.ceil(minHolders / Math.max(1, regions.length)));
+        return this.select(streamId, this.perRegion);
     }
 
     /** The machines that are asked for it. */
@@ -38,6 +42,10 @@
         return this.select(streamId, askedPerRegion);
     }
 
+    private get perRegion(): number {
+        return Math.ceil(minHolders / Math.max(1, this.tables().length));
+    }
+
     private select(streamId: string, perRegion: number): PeerClient[] {
         return this.tables().flatMap(({ table, machines }) =>
             table.rank(streamId).slice(0, perRegion).map(name => machines.get(name)!)
--- a/packages/gateway/src/builds/buildMaintenance.ts
+++ b/packages/gateway/src/builds/buildMaintenance.ts
@@ -7,6 +7,7 @@
 import type { Peers } from "../peers/peers.js";
 import type { Upstreams } from "../upstreams/upstreams.js";
 import type { BuildDeclarations } from "./buildDeclarations.js";
+import type { BuildPreparation } from "./buildPreparation.js";
 import type { BuildView } from "./buildView.js";
 import { maxDeclarationAgeMs } from "./serviceBuilds.js";
 import type { StreamBuilds } from "./streamBuilds.js";
@@ -17,6 +18,17 @@
 /** Longest delay of a declaration that no call waits for: all instances see a new build at the same time. */
 const maxDeclareDelayMs = 300;
 
+/** Duty of declaring a further build, and instances of a region that carry it one after the other. */
+const declarationDuty = "build declaration";
+const maxDeclarers = 8;
+
+/** Time after which the next instance carries on if a build is still not declared: the one before may have frozen. */
+const takeoverMs = 1_000;
+
+/** Bounds of the pause, which is about the time that a build has waited, before an instance looks again if another has declared it. */
+const minLookDelayMs = 500;
+const maxLookDelayMs = 2_000;
+
 /** Timeout of a declaration that no call waits for, and pause after one that failed. */
 const maxAdvanceMs = 2_000;
 const advanceRetryMs = 250;
@@ -28,7 +40,7 @@
 const refreshIntervalMs = 60_000;
 
 /** Share of the upstreams that must have a declared build for another build to wait. */
-const minDeclaredShare = 0.5;
+const minDeclaredShare = 0.25;
 
 /** Duty of removing the builds whose streams have all ended. */
 const removalDuty = "build removal";
@@ -38,6 +50,7 @@
     readonly declarations: BuildDeclarations;
     readonly view: BuildView;
     readonly streams: Pick<StreamBuilds, "onBuildsChanged">;
+    readonly preparation: BuildPreparation;
     readonly upstreams: Pick<Upstreams, "usable">;
     readonly peers: Pick<Peers, "isReachable">;
     readonly duties: Pick<Duties, "carriers">;
@@ -53,7 +66,6 @@
     private readonly refreshAt = new Map<string, number>();
     private readonly timers = new Set<NodeJS.Timeout>();
     private readonly checkTimer = setInterval(() => void this.check(), checkIntervalMs).unref();
-    private readonly startedAt = performance.now();
     private isClosed = false;
 
     constructor(private readonly options: BuildMaintenanceOptions) {}
@@ -71,15 +83,18 @@
 
     /** Declares the builds of a service in advance, so that no call waits for that. */
     private follow(service: string): void {
-        if (this.isDeclared(service, this.options.view.see(service))) {
-            this.options.streams.onBuildsChanged(service);
+        const isDeclared = this.isDeclared(service, this.options.view.see(service));
+        this.options.streams.onBuildsChanged(service);
+        if (isDeclared) {
+            this.options.preparation.onDeclared(service);
             return;
         }
         if (this.declaring.has(service)) {
             return;
         }
         this.declaring.add(service);
-        this.after(this.options.random() * maxDeclareDelayMs, () => void this.declareInAdvance(service));
+        const delayMs = this.declarerRank() === 0 ? 0 : this.options.random() * maxDeclareDelayMs;
+        this.after(delayMs, () => void this.declareInAdvance(service));
     }
 
     private isDeclared(service: string, builds: readonly string[]): boolean {
@@ -88,18 +103,18 @@
     }
 
     private async declareInAdvance(service: string): Promise<void> {
-        const { declarations, streams, view } = this.options;
-        const progress = new Progress(maxAdvanceMs);
+        const { declarations, preparation, streams, view } = this.options;
         try {
-            await declarations.read(service, progress);
+            await withProgress(progress => declarations.read(service, progress));
             const builds = view.see(service);
-            const delayMs = this.isDeclared(service, builds) ? 0 : this.declarationDelayMs(service);
+            const delayMs = this.isDeclared(service, builds) ? 0 : await this.declarationDelayMs(service, builds);
             if (delayMs > 0) {
                 this.after(delayMs, () => void this.declareInAdvance(service));
                 return;
             }
-            await declarations.declare(service, builds, progress);
+            await withProgress(progress => declarations.declare(service, builds, progress));
             this.declaring.delete(service);
+            preparation.onDeclared(service);
             streams.onBuildsChanged(service);
         }
         catch (err) {
@@ -109,21 +124,32 @@
                 this.follow(service);
             });
         }
-        finally {
-            progress.dispose();
-        }
     }
 
     /**
-     * Streams from before the start of this instance have no records if one build was declared then. While they may be taken up, no other
-     * build is declared, unless few upstreams of the declared ones are left.
+     * Streams of a single declared build have no records, unless all instances have been asked for them. Until then no other build is
+     * declared, unless few upstreams of the declared one are left.
      */
-    private declarationDelayMs(service: string): number {
-        const { upstreams, view } = this.options;
+    private async declarationDelayMs(service: string, builds: readonly string[]): Promise<number> {
+        const { declarations, preparation, upstreams, view, random } = this.options;
+        const pendingMs = preparation.pendingMs(service);
         const usable = upstreams.usable(service);
         const declared = usable.filter(({ entry }) => view.mayBegin(entry));
-        const delayMs = this.startedAt + view.maxTimeoutMs - performance.now();
-        return declared.length >= usable.length * minDeclaredShare ? Math.max(0, delayMs) : 0;
+        if (declarations.of(service).declared.size !== 1 || declared.length < usable.length * minDeclaredShare) {
+            return 0;
+        }
+        if (pendingMs < this.declarerRank() * takeoverMs) {
+            const delayMs = Math.min(Math.max(pendingMs, minLookDelayMs), maxLookDelayMs);
+            return delayMs * (0.5 + random());
+        }
+        return await preparation.delayMs(service, builds);
+    }
+
+    /** Place of this instance among those of its region that declare further builds, one after the other. */
+    private declarerRank(): number {
+        const { duties, localInstance } = this.options;
+        const rank = duties.carriers(declarationDuty, maxDeclarers, () => true).indexOf(localInstance.address());
+        return rank < 0 ? maxDeclarers : rank;
     }
 
     /** Sends records again that a machine has lost, reads the declarations again, and removes old builds. */
@@ -153,16 +179,12 @@
         if (dueAt === undefined || now < dueAt) {
             return;
         }
-        const progress = new Progress(maxAdvanceMs);
         try {
-            await this.options.declarations.read(service, progress);
+            await withProgress(progress => this.options.declarations.read(service, progress));
         }
         catch (err) {
             this.options.log.info("builds not read", { service, error: asError(err).message });
         }
-        finally {
-            progress.dispose();
-        }
     }
 
     /**
@@ -202,3 +224,14 @@
         this.timers.add(timer);
     }
 }
+
+/** Makes store calls that no call waits for. */
+const withProgress = async (run: (progress: Progress) => Promise<unknown>): Promise<void> => {
+    const progress = new Progress(maxAdvanceMs);
+    try {
+        await run(progress);
+    }
+    finally {
+        progress.dispose();
+    }
+};
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -4,7 +4,7 @@
 import { createHash } from "node:crypto";
 
 import type { Duties } from "../fleet/duties.js";
-import type { LocalInstance } from "../peers/peerMessages.js";
+import type { BuildReadiness, LocalInstance, PeerRequest } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import type { Route, RouteTable, RouteTarget } from "../routes.js";
 import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
@@ -13,6 +13,7 @@
 import type { DeclarationStore } from "./buildDeclarations.js";
 import { BuildHolders } from "./buildHolders.js";
 import { BuildMaintenance } from "./buildMaintenance.js";
+import { BuildPreparation } from "./buildPreparation.js";
 import { buildsOf, BuildView } from "./buildView.js";
 import { StreamBuilds } from "./streamBuilds.js";
 
@@ -40,7 +41,7 @@
 export interface BuildsOptions {
     readonly store: DeclarationStore;
     readonly upstreams: Pick<Upstreams, "ofService" | "usable" | "get">;
-    readonly peers: Pick<Peers, "version" | "journals" | "isReachable">;
+    readonly peers: Pick<Peers, "version" | "fronts" | "journals" | "isReachable">;
     readonly duties: Pick<Duties, "carriers">;
     readonly localInstance: LocalInstance;
     routes(): RouteTable | undefined;
@@ -53,6 +54,7 @@
     private readonly declarations: BuildDeclarations;
     private readonly view: BuildView;
     private readonly streams: StreamBuilds;
+    private readonly preparation: BuildPreparation;
     private readonly maintenance: BuildMaintenance;
 
     constructor(private readonly options: BuildsOptions) {
@@ -65,7 +67,10 @@
             isMixed: service => view.isMixed(service),
             log: options.log,
         });
-        this.maintenance = new BuildMaintenance({ ...options, declarations, view, streams: this.streams });
+        const { streams } = this;
+        this.preparation = new BuildPreparation({ ...options, view, streams });
+        const { preparation } = this;
+        this.maintenance = new BuildMaintenance({ ...options, declarations, view, streams, preparation });
     }
 
     /** Streams that this instance remembers. */
@@ -127,6 +132,11 @@
         this.streams.onBegun(streamKey(streamId), service, isCertain ? build : undefined, targets.length > 1);
     }
 
+    /** Records the streams of this instance for a peer that is about to declare builds. */
+    async prepareForPeer(request: Extract<PeerRequest, { kind: "prepareBuilds"; }>): Promise<BuildReadiness> {
+        return await this.preparation.prepareForPeer(request.service, request.builds);
+    }
+
     /** Called when upstreams have come. */
     onUpstreamsAdded(): void {
         this.maintenance.onChanged();
@@ -166,6 +176,10 @@
             const detail = "Several builds or services serve, and no record says which one began the stream.";
             throw unknownBuild(detail, found?.isConclusive ?? true);
         }
+        // The stream may be taken up once more, after another build has been declared.
+        if (streamId !== undefined) {
+            this.streams.onBegun(streamKey(streamId), service, only);
+        }
         return { service, build: only, knownBy: "only build", ageMs: undefined };
     }
 
--- a/packages/gateway/src/builds/streamBuilds.ts
+++ b/packages/gateway/src/builds/streamBuilds.ts
@@ -31,7 +31,7 @@
 
 /** Dependencies of {@link StreamBuilds}. */
 export interface StreamBuildsOptions {
-    readonly holders: Pick<BuildHolders, "of" | "asked" | "version">;
+    readonly holders: Pick<BuildHolders, "of" | "asked" | "copies" | "version">;
     /** Time for which a stream can be taken up after its first event. */
     lifetimeMs(): number;
     /** Whether more than one build may have begun streams of the service. */
@@ -51,6 +51,10 @@
     private readonly unsent = new Map<string, Set<string>>();
     private readonly recordedServices = new Set<string>();
     private recordedVersion = -1;
+    /** Messages to holders that have not ended yet. */
+    private readonly sending = new Map<Promise<void>, PeerClient>();
+    /** Holders that did not take a message in all its tries, and so lack records. */
+    private readonly lacking = new Set<PeerClient>();
     private timer: NodeJS.Timeout | undefined;
     private failureLoggedAt = -Infinity;
 
@@ -80,16 +84,34 @@
         }
     }
 
-    /** Sends the records of the streams that began before another build came. To be called when builds have changed. */
+    /** Sends the records of the streams that began before another build came. To be called when builds have changed, and at intervals. */
     onBuildsChanged(service: string): void {
         if (this.options.isMixed(service)) {
             this.recordAll(service);
+            this.sendLacking();
         }
         else {
             this.recordedServices.delete(service);
         }
     }
 
+    /**
+     * Sends the records of all streams of a service that have begun, if more than one build may have begun them.
+     *
+     * @returns Whether at least one holder of each record has taken it.
+     */
+    async recordNow(service: string): Promise<boolean> {
+        this.onBuildsChanged(service);
+        clearTimeout(this.timer);
+        this.send();
+        const sending = new Map(this.sending);
+        sending.forEach((_, message) => void message.then(() => sending.delete(message)));
+        while (sending.size > 0 && !this.areRecorded(sending)) {
+            await Promise.race(sending.keys());
+        }
+        return this.areRecorded(sending);
+    }
+
     /** Finds out which build began a stream. */
     async find(streamId: string, progress: Progress): Promise<LookupResult> {
         const record = this.local.get(streamId);
@@ -110,12 +132,18 @@
         clearTimeout(this.timer);
     }
 
+    /** Whether so few holders lack records that another one has each of them. */
+    private areRecorded(sending: ReadonlyMap<unknown, PeerClient>): boolean {
+        return this.size === 0 || new Set([...this.lacking, ...sending.values()]).size < this.options.holders.copies;
+    }
+
     /** Records all streams again when the machines have changed: one that has started again has lost its records. */
     private recordAll(service: string): void {
         const { version } = this.options.holders;
         if (this.recordedVersion !== version) {
             this.recordedVersion = version;
             this.recordedServices.clear();
+            this.lacking.clear();
         }
         if (this.recordedServices.has(service)) {
             return;
@@ -144,7 +172,24 @@
             }
         }
         this.unsent.clear();
-        messages.forEach((groups, machine) => void this.sendTo(machine, groups));
+        messages.forEach((groups, machine) => this.sendTo(machine, groups));
+    }
+
+    /** Sends all records again to the holders that lack some. */
+    private sendLacking(): void {
+        for (const machine of this.lacking) {
+            this.lacking.delete(machine);
+            this.sendTo(machine, [...this.recordedServices].flatMap(service => this.groupsOf(service, machine)));
+        }
+    }
+
+    /** The records of a service that a machine holds. */
+    private groupsOf(service: string, machine: PeerClient): StreamGroup[] {
+        return [...this.local.idsByBuild(service)].map(([build, ids]) => ({
+            service,
+            build,
+            streams: ids.filter(id => this.options.holders.of(id).includes(machine)),
+        }));
     }
 
     private byHolder(streamIds: Iterable<string>): Map<PeerClient, string[]> {
@@ -159,17 +204,28 @@
         return byHolder;
     }
 
-    private async sendTo(machine: PeerClient, groups: readonly StreamGroup[]): Promise<void> {
+    private sendTo(machine: PeerClient, groups: readonly StreamGroup[]): void {
+        const message = this.trySend(machine, groups).then(isTaken => {
+            this.sending.delete(message);
+            if (!isTaken) {
+                this.lacking.add(machine);
+            }
+        });
+        this.sending.set(message, machine);
+    }
+
+    private async trySend(machine: PeerClient, groups: readonly StreamGroup[]): Promise<boolean> {
         for (let tries = 0; tries < maxSends; tries++) {
             try {
                 await machine.notify({ kind: "recordStreams", groups }, sendTimeoutMs);
-                return;
+                return true;
             }
             catch (err) {
                 this.logFailure("streams not recorded", machine, err);
             }
             await new Promise(resolve => setTimeout(resolve, resendDelayMs).unref());
         }
+        return false;
     }
 
     private async ask(
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -259,7 +259,17 @@
     }
 
     private createPeerHandler(): RequestHandler {
-        const { drainController, budgets, regionBudgets, loadExchange, facts, permits, quotas, journalArchive } = this;
+        const {
+            drainController,
+            budgets,
+            regionBudgets,
+            loadExchange,
+            facts,
+            permits,
+            quotas,
+            journalArchive,
+            builds,
+        } = this;
         const { store } = this.options;
         return createFrontHandler({
             drainController,
@@ -270,6 +280,7 @@
             permits,
             quotas,
             journalArchive,
+            builds,
             store,
             canServe: () => this.canServe,
             followed: prefix => this.followedStore.followed(prefix),
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -167,6 +167,7 @@
             case "shareFacts":
             case "takePermits":
             case "takeQuota":
+            case "prepareBuilds":
             case "standing":
             case "returnBudget":
             case "reserveTokens":
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -4,6 +4,7 @@
 
 import type { Budgets } from "../budgets/budgets.js";
 import type { RegionBudgets } from "../budgets/regionBudgets.js";
+import type { Builds } from "../builds/builds.js";
 import type { DrainController } from "../drainController.js";
 import type { FactExchange } from "../facts/factExchange.js";
 import type { JournalArchive } from "../journal/journalArchive.js";
@@ -27,6 +28,7 @@
     /** Undefined if no quotas are enforced. */
     readonly quotas: Pick<Quotas, "onRequest"> | undefined;
     readonly journalArchive: Pick<JournalArchive, "loadForPeer">;
+    readonly builds: Pick<Builds, "prepareForPeer">;
     /** The platform's store, reached directly. */
     readonly store: VersionedStore;
     /** Whether callers can connect, and the instance knows what it needs to serve them. */
@@ -66,6 +68,8 @@
             return await of.permits.onRequest(request, progress);
         case "takeQuota":
             return of.quotas?.onRequest(request);
+        case "prepareBuilds":
+            return await of.builds.prepareForPeer(request);
         case "loadTurn": {
             const turn = await of.journalArchive.loadForPeer(request, progress);
             return turn && packTurn(turn);
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -87,6 +87,8 @@
     | { readonly kind: "loadTurn"; readonly id: string; readonly program: string; }
     /** Asks the peer to return its unspent tokens of a program's budget. */
     | { readonly kind: "returnBudget"; readonly program: string; }
+    /** Says that builds have come that are not declared yet, and asks the peer to record its streams of the service. */
+    | { readonly kind: "prepareBuilds"; readonly service: string; readonly builds: readonly string[]; }
     /** Asks whether the peer takes calls. */
     | { readonly kind: "standing"; }
     /** Reserves tokens of a program's budget for a turn of the sender. */
@@ -203,6 +205,14 @@
     readonly lent?: readonly (readonly [count: number, retryInMs: number])[];
 }
 
+/** What an instance has done for builds that are to be declared. */
+export interface BuildReadiness {
+    /** Whether all of its streams that have begun have records, and those that begin later will. */
+    readonly isRecorded: boolean;
+    /** Time since its start: streams that its machine began before may have no records. */
+    readonly upMs: number;
+}
+
 /** Whether an instance takes calls. */
 export interface Standing {
     readonly takesCalls: boolean;
@@ -230,6 +240,8 @@
     reserveTokens: "reserved" | "spent" | "storeAway" | "elsewhere";
     settleTokens: boolean;
     /** Undefined from instances that do not know the request. */
+    prepareBuilds: BuildReadiness | undefined;
+    /** Undefined from instances that do not know the request. */
     standing: Standing | undefined;
     /**
      * False if the server currently accepts no turns; `uncounted` if it has the turn, but its disk may be lost in addition
--- a/tests/gateway/builds.test.ts
+++ b/tests/gateway/builds.test.ts
@@ -224,7 +224,7 @@
             } as unknown as PeerClient;
             let isMixed = false;
             const streams = new StreamBuilds({
-                holders: { version: 1, of: () => [machine], asked: () => [machine] },
+                holders: { version: 1, copies: 1, of: () => [machine], asked: () => [machine] },
                 lifetimeMs: () => lifetimeMs,
                 isMixed: () => isMixed,
                 log: silentLogger,
--- a/tests/gateway/buildsAtChanges.test.ts
+++ b/tests/gateway/buildsAtChanges.test.ts
@@ -41,7 +41,7 @@
                 get: (id: string) => this.upstreams.get(id),
             },
             // No holder is reached: each side of a split loses the machines of the other.
-            peers: { version: 1, journals: [], isReachable: () => false },
+            peers: { version: 1, fronts: [], journals: [], isReachable: () => false },
             duties: { carriers: () => [carrier] },
             localInstance: { address: () => name },
             routes: () => ({ config: { routes: [route], services: [{ name: "brain" }] } }),
--- a/tests/platform/versionedFleet.ts
+++ b/tests/platform/versionedFleet.ts
@@ -1,6 +1,6 @@
 /** Fronts, workers of several versions and callers that take streams up, in one process. */
-import { silentLogger } from "@marigolddrift/common";
-import { JournalServer } from "@marigolddrift/gateway";
+import { Progress, silentLogger } from "@marigolddrift/common";
+import { BuildDeclarations, JournalServer } from "@marigolddrift/gateway";
 import { PlatformStore, WorkerStandin } from "@marigolddrift/platform";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -90,6 +90,13 @@
         );
     }
 
+    /** The versions of a service that may begin streams, as the store says now. */
+    async declaredVersions(service = "brain"): Promise<string[]> {
+        const store = new PlatformStore(this.deployment.store.address);
+        const { declared } = await new BuildDeclarations(store, silentLogger).read(service, new Progress(1_000));
+        return [...declared].sort();
+    }
+
     async close(): Promise<void> {
         this.workers.forEach(worker => worker.close());
         this.killFronts();
