Take only statuses from 200 to 599 for the end of a reply

Callers got replies with a status that is none of HTTP's as answers (MIXED): 600 to 999 were passed on with their body, and counted as a refusal with Not-Executed. One of 000 became 502 only since the HTTP client took it for an interim reply and failed on its body.

Cause: nothing said which statuses may end a reply.

The status is checked with the head. A reply with any other one breaks the attempt off, and its connection is closed. An interim status is waited for as before, unless the head has a length or chunks, which only a final one may have.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./filterChain.js";
 export * from "./history.js";
 export * from "./httpAnswers.js";
+export * from "./httpStatus.js";
 export * from "./iniFile.js";
 export * from "./lineEndNormalizer.js";
 export * from "./lineLogger.js";
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -24,4 +24,5 @@
 export * from "./programs/programState.js";
 export * from "./settings.js";
 export * from "./upstreams/engineClient.js";
+export { ServiceClient } from "./upstreams/serviceClient.js";
 export * from "./workerPool.js";
--- a/packages/daemon/src/upstreams/serviceClient.ts
+++ b/packages/daemon/src/upstreams/serviceClient.ts
@@ -1,10 +1,11 @@
 /** Client of tools and other HTTP services. */
+import { isFinalStatus } from "@marigolddrift/common";
 import type { Progress } from "@marigolddrift/common";
 import { request } from "undici";
 import type { Agent } from "undici";
 
 import type { ServiceRequest } from "../calls.js";
-import { toUpstreamError } from "./upstreamError.js";
+import { toUpstreamError, UpstreamError } from "./upstreamError.js";
 
 const maxReplyBytes = 8 * 1024 * 1024;
 
@@ -40,6 +41,10 @@
             if (res.headers["x-upstream-leaving"] === "true") {
                 this.onLeaving(upstream);
             }
+            if (!isFinalStatus(res.statusCode)) {
+                res.body.on("error", () => {}).destroy();
+                throw new UpstreamError("mayHaveRun", upstream, `a reply with status ${res.statusCode}, which is none`);
+            }
             const body = await readLimited(res.body);
             return { status: res.statusCode, contentType: String(res.headers["content-type"] ?? ""), body };
         }
--- a/packages/gateway/src/upstreams/classifyReply.ts
+++ b/packages/gateway/src/upstreams/classifyReply.ts
@@ -1,4 +1,6 @@
 /** Classifies an upstream's reply by its status and headers. */
+import { isFinalStatus } from "@marigolddrift/common";
+
 import type { ReplyHead } from "../protocol.js";
 
 export type ReplyKind =
@@ -7,8 +9,8 @@
     /** The upstream did not run the call. */
     | "notRun"
     /**
-     * The reply belongs to another call, is incomplete (a success without call id or signature), or may not be
-     * forwarded: the call may have run.
+     * The reply belongs to another call, is incomplete (a success without call id or signature), has a status that is none, or may not
+     * be forwarded: the call may have run.
      */
     | "unusable";
 
@@ -20,7 +22,7 @@
  * classifyReply(head, "9c41d07be2a35f68") === "answer";
  */
 export const classifyReply = (head: ReplyHead, callId: string): ReplyKind => {
-    if (head.callId !== undefined && head.callId !== callId) {
+    if (!isFinalStatus(head.status) || (head.callId !== undefined && head.callId !== callId)) {
         return "unusable";
     }
     if (head.notRun) {
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -1,4 +1,5 @@
 /** Keep-alive connections to an upstream, and the calls on them. */
+import { isInterimStatus } from "@marigolddrift/common";
 import type { Socket } from "node:net";
 import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
@@ -190,7 +191,12 @@
             this.abort(new Error("the head of a reply broke off, and another reply followed"));
             return;
         }
-        if (status < 200) {
+        const isInterim = isInterimStatus(status);
+        if (isInterim && !endsWithConnection(headers)) {
+            this.abort(new Error(`a reply with status ${status}, which ends none, has a length or chunks`));
+            return;
+        }
+        if (isInterim) {
             return;
         }
         this.endsWithConnection = endsWithConnection(headers);
