End the test of odd statuses also where it fails

The process of the test file hung on the code before the fix, since its server stayed open after the failed assertion.

--- a/tests/upstreams/oddStatuses.test.ts
+++ b/tests/upstreams/oddStatuses.test.ts
@@ -137,10 +137,15 @@
                 workspace: "w",
             };
             const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-            await expect(client.call(address, req as never, progress)).toBeRejectedWith(`status ${status}`);
-            progress.dispose();
-            await agent.destroy();
-            server.close();
+            try {
+                await expect(client.call(address, req as never, progress)).toBeRejectedWith(`status ${status}`);
+            }
+            finally {
+                progress.dispose();
+                await agent.destroy();
+                server.close();
+                server.closeAllConnections();
+            }
         });
     }
 });
