Ask callers to come back if the list of upstreams is late

Callers that took streams up at an instance which had just gone on after a freeze were refused for good with 503 build_gone, while upstreams of the build served (LOST): a worker of a new version had joined during the freeze.

Cause: the build of the record was looked for in the list from before the freeze, and its absence taken for its end.

The test "should be asked for again if no entry has named it here, and be gone if one has" fails on the code before: build_gone each time.

A build that no entry has ever named here, though a record says that it began a stream, is taken for one whose entry is late: no_upstream, with Retry-After. What a peer says of a build doesn't count as an entry.

--- a/packages/gateway/src/builds/buildPreparation.ts
+++ b/packages/gateway/src/builds/buildPreparation.ts
@@ -30,7 +30,7 @@
 
 /** Dependencies of {@link BuildPreparation}. */
 export interface BuildPreparationOptions {
-    readonly view: Pick<BuildView, "maxTimeoutMs" | "onSeen">;
+    readonly view: Pick<BuildView, "maxTimeoutMs" | "onAnnounced">;
     readonly streams: Pick<StreamBuilds, "recordNow">;
     readonly peers: Pick<Peers, "fronts">;
     readonly log: Logger;
@@ -90,7 +90,7 @@
 
     /** Records the streams of this instance for one that is about to declare builds, and those that begin later, too. */
     async prepareForPeer(service: string, builds: readonly string[]): Promise<BuildReadiness> {
-        this.options.view.onSeen(service, builds);
+        this.options.view.onAnnounced(service, builds);
         const isRecorded = await this.options.streams.recordNow(service);
         return { isRecorded, upMs: performance.now() - this.startedAt };
     }
--- a/packages/gateway/src/builds/buildView.ts
+++ b/packages/gateway/src/builds/buildView.ts
@@ -63,6 +63,11 @@
         this.sources.declarations.of(service).see(builds, this.lifetimeMs * awayShare);
     }
 
+    /** Notes that a peer has seen builds. */
+    onAnnounced(service: string, builds: readonly string[]): void {
+        this.sources.declarations.of(service).announce(builds);
+    }
+
     private resumableRoutes() {
         return this.sources.routes()?.config.routes.filter(isResumable) ?? [];
     }
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -114,7 +114,7 @@
     async findBuild(route: Route, streamId: string | undefined, progress: Progress): Promise<KnownBuild> {
         const known = await this.lookUp(route, streamId, progress);
         if (!this.options.upstreams.usable(known.service).some(({ entry }) => entry.build === known.build)) {
-            if (this.options.upstreams.ofService(known.service).some(upstream => mayReturn(upstream, known.build))) {
+            if (this.mayComeBack(known)) {
                 const detail = `No upstream of build "${known.build}" can be used at the moment.`;
                 throw new ProblemError("no_upstream", "notRun", detail, { retryAfterSeconds });
             }
@@ -123,6 +123,15 @@
         return known;
     }
 
+    /**
+     * Whether an upstream of the build may be in use in a moment. The entries that are known here are late if they have never named a build
+     * that began a stream elsewhere, as after a freeze of this instance.
+     */
+    private mayComeBack({ service, build }: KnownBuild): boolean {
+        const isLate = !this.declarations.of(service).hasBeenListed(build);
+        return isLate || this.options.upstreams.ofService(service).some(upstream => mayReturn(upstream, build));
+    }
+
     /** Called when the first event of a stream is passed on. */
     onStreamBegun(streamId: string, { targets }: Route, upstream: Upstream): void {
         const { id, service, build } = upstream.entry;
--- a/packages/gateway/src/builds/serviceBuilds.ts
+++ b/packages/gateway/src/builds/serviceBuilds.ts
@@ -31,8 +31,10 @@
     private appliedAt = -Infinity;
     /** Declared builds that have been away for so long that others may have removed them from the declaration. */
     private readonly outdated = new Set<string>();
-    /** Monotonic time at which the entry of an upstream last named a build. */
+    /** Monotonic time at which the entry of an upstream, or a peer, last named a build. */
     private readonly lastSeenAt = new Map<string, number>();
+    /** Builds that the entries of upstreams have named here. */
+    private readonly listed = new Set<string>();
     private readonly followedSince = performance.now();
 
     /** Builds that may have begun streams that can still be taken up, as last read from the store or written to it. */
@@ -107,9 +109,21 @@
                 this.outdated.add(build);
             }
             this.lastSeenAt.set(build, now);
+            this.listed.add(build);
         }
     }
 
+    /** Called with builds that a peer has seen. */
+    announce(builds: readonly string[]): void {
+        const now = performance.now();
+        builds.forEach(build => this.lastSeenAt.set(build, now));
+    }
+
+    /** Whether an entry has named the build since this instance follows them; if not, the entries that are known here may be late. */
+    hasBeenListed(build: string): boolean {
+        return this.listed.has(build);
+    }
+
     /** Time since the build was last named, or since the entries have been followed if it never was. */
     unseenMs(build: string): number {
         return performance.now() - (this.lastSeenAt.get(build) ?? this.followedSince);
--- a/tests/gateway/buildsAtChanges.test.ts
+++ b/tests/gateway/buildsAtChanges.test.ts
@@ -23,6 +23,7 @@
     isCutOff = false;
     /** Builds whose upstreams receive no calls now, as after a failed connection. */
     readonly unused = new Set<string>();
+    readonly journals: object[] = [];
     readonly all: Builds;
 
     /** @param carrier The instance that carries all duties. */
@@ -41,7 +42,7 @@
                 get: (id: string) => this.upstreams.get(id),
             },
             // No holder is reached: each side of a split loses the machines of the other.
-            peers: { version: 1, fronts: [], journals: [], isReachable: () => false },
+            peers: { version: 1, fronts: [], journals: this.journals, isReachable: () => false },
             duties: { carriers: () => [carrier] },
             localInstance: { address: () => name },
             routes: () => ({ config: { routes: [route], services: [{ name: "brain" }] } }),
@@ -70,6 +71,18 @@
     }
 };
 
+/** Resolves to the code of the refusal, and whether it says when to come back. */
+const refusal = async (instance: Instance, id: string): Promise<[string, boolean] | undefined> => {
+    try {
+        await instance.all.findBuild(route as never, id, new Progress(2_000));
+        return undefined;
+    }
+    catch (err) {
+        const { code, retryAfterSeconds } = err as { code: string; retryAfterSeconds?: number; };
+        return [code, retryAfterSeconds !== undefined];
+    }
+};
+
 const declare = async ({ all }: Instance): Promise<string> => {
     try {
         await all.declareForCall("brain", new Progress(2_000));
@@ -80,6 +93,41 @@
     }
 };
 
+// Guards against a final refusal by a list of upstreams that is late, as after a freeze, while three workers of the build serve (LOST).
+describe("the build of a record that no upstream has", () => {
+    it("should be asked for again if no entry has named it here, and be gone if one has", async () => {
+        await withClock(async clock => {
+            const instance = new Instance(new FakeStore(), "a");
+            const found = { service: "brain", build: "v2", ageMs: 700 };
+            instance.journals.push({
+                name: "disk",
+                address: { region: "north" },
+                ask: async () => found,
+                notify: async () => true,
+            });
+            instance.builds = ["v1"];
+            instance.all.onUpstreamsAdded();
+            await clock.tickAsync(10_000);
+            const late = await refusal(instance, "s-1");
+            // A peer that declares the build tells of it before the entry has been read here.
+            await instance.all.prepareForPeer({ kind: "prepareBuilds", service: "brain", builds: ["v1", "v2"] });
+            const announced = await refusal(instance, "s-1");
+            instance.builds = ["v1", "v2"];
+            instance.all.onUpstreamsAdded();
+            const goesOn = await find(instance, "s-1");
+            instance.builds = ["v1"];
+            const gone = await refusal(instance, "s-1");
+            instance.all.close();
+            expect([late, announced, goesOn, gone]).toEqual([
+                ["no_upstream", true],
+                ["no_upstream", true],
+                "v2",
+                ["build_gone", false],
+            ]);
+        });
+    });
+});
+
 describe("declared builds", () => {
     // Guards against a removal of a build that an instance out of touch with the store still lets begin streams (ORDER).
     it("should not name another build for a stream that an instance began that has been cut off from the store", async () => {
