Place no more calls at an upstream than there are connections to it

Calls reached an upstream 2.87 s after the ack that it leaves (DRAIN), and their callers got no answer: they had waited for a connection inside the HTTP client, where nobody looked at the upstream again before they were sent.

Cause: up to 1.5 calls a slot are placed at an upstream (24), but an instance opens fewer connections to it (21).

An upstream whose connections are all in use gets no further calls, which wait where they can go elsewhere. The client also asks once more, when it has a connection for a call, whether the upstream leaves or has been replaced; a call that is refused then has not been sent.

--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -51,7 +51,7 @@
         const { worker } = lease;
         const upstream = this.options.upstreams.get(worker);
         if (upstream === undefined) {
-            return changedUpstream(worker, "left", true);
+            return changedUpstream(worker, "the upstream has just left", true);
         }
         const change = changeOf(upstream, ctx);
         if (change !== undefined) {
@@ -68,7 +68,8 @@
             observation.onFirstByte();
             lane.onFirstByte();
         };
-        const attempt = { call, callId: ctx.id, protocol, sink: response, memory };
+        const refuseToSend = (): string | undefined => changeOf(upstream, ctx);
+        const attempt = { call, callId: ctx.id, protocol, sink: response, memory, refuseToSend };
         const result = await attemptCall(upstream, attempt, lane.progress);
         const tokens = response instanceof StreamedResponse ? streamedTokens(ctx, response) : undefined;
         observation.onEnd({ result, status: response.status, tokens });
@@ -134,9 +135,9 @@
 const changeOf = (upstream: Upstream, ctx: CallContext): string | undefined => {
     // The process that the call was placed at may have been replaced meanwhile, under its id and with another build.
     if (ctx.candidates?.accepts(upstream.entry) === false) {
-        return "been replaced";
+        return "the upstream has just been replaced";
     }
-    return upstream.isLeaving ? "said that it is leaving" : undefined;
+    return upstream.isLeaving || upstream.entry.draining ? "the upstream has just said that it is leaving" : undefined;
 };
 
 /** Returns why a stream that is taken up may not go on with a reply: its process may be another one than the call was placed at. */
@@ -145,9 +146,9 @@
         `the upstream has been replaced by one of build "${present.entry.build}"` :
         undefined;
 
-const changedUpstream = (worker: string, change: string, unreachable: boolean): AttemptOutcome => ({
+const changedUpstream = (worker: string, detail: string, unreachable: boolean): AttemptOutcome => ({
     worker,
-    result: { kind: "notRun", detail: `the upstream has just ${change}`, endedBy: "upstream", unreachable },
+    result: { kind: "notRun", detail, endedBy: "upstream", unreachable },
     response: undefined,
 });
 
--- a/packages/gateway/src/regionalViews.ts
+++ b/packages/gateway/src/regionalViews.ts
@@ -15,11 +15,10 @@
     of(usable: readonly Upstream[], req: QueuedCall): WorkerView[] {
         const { limits, topology } = this.sources;
         const sameRegion = usable.filter(({ entry }) => topology.regionOf(entry.zone) === topology.region);
-        const hasFreeSlot = sameRegion.some(upstream =>
-            upstream.inFlight < upstream.entry.slots && !limits.isClosed(upstream)
-        );
+        const isOpen = (upstream: Upstream): boolean => !upstream.isOutOfConnections && !limits.isClosed(upstream);
+        const hasFreeSlot = sameRegion.some(upstream => upstream.inFlight < upstream.entry.slots && isOpen(upstream));
         const candidates = hasFreeSlot ? sameRegion : usable;
-        const open = candidates.filter(upstream => !limits.isClosed(upstream));
+        const open = candidates.filter(isOpen);
         return open.length > 0 ?
             open.map(upstream => this.createView(upstream, req)) :
             candidates.map(upstream => ({ ...this.createView(upstream, req), cachedTokens: 0, maxInFlight: 0 }));
--- a/packages/gateway/src/upstreamViews.ts
+++ b/packages/gateway/src/upstreamViews.ts
@@ -54,9 +54,9 @@
 export class UpstreamViews implements ViewBuilder {
     constructor(private readonly sources: ViewSources) {}
 
-    /** Returns the views of the upstreams that are considered for a call; if all are out of permits, closed ones. */
+    /** Returns the views of the upstreams that are considered for a call; if all are out of permits or connections, closed ones. */
     of(usable: readonly Upstream[], req: QueuedCall): WorkerView[] {
-        const open = usable.filter(upstream => !this.sources.limits.isClosed(upstream));
+        const open = usable.filter(upstream => !upstream.isOutOfConnections && !this.sources.limits.isClosed(upstream));
         if (open.length === 0) {
             return usable.map(upstream => this.createClosedView(upstream, req));
         }
@@ -121,7 +121,7 @@
         return isClearlyBusier(preferred, others, req.shape) ? others : [preferred];
     }
 
-    /** An upstream that is out of permits; its cached prompts are left out, so that no call is bound to wait for it. */
+    /** An upstream that is out of permits or connections; its cached prompts are left out, so that no call is bound to wait for it. */
     private createClosedView(upstream: Upstream, req: QueuedCall): WorkerView {
         return { ...this.createView(upstream, req, 1), cachedTokens: 0, maxInFlight: 0 };
     }
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -60,6 +60,8 @@
     readonly protocol: CallProtocol;
     readonly sink: ResponseSink;
     readonly memory: ReplyMemory;
+    /** Returns why the upstream may no longer get the call; asked just before it is sent. */
+    refuseToSend(): string | undefined;
 }
 
 /** Sends a call to an upstream and writes the reply to a sink. */
@@ -100,6 +102,15 @@
         this.held = attempt.memory.hold(() => this.breakOff());
     }
 
+    onStart(): Error | undefined {
+        const refusal = this.attempt.refuseToSend();
+        if (refusal === undefined) {
+            return undefined;
+        }
+        this.onEndedHere();
+        return new Error(refusal);
+    }
+
     onHead(status: number, rawHeaders: string[]): boolean {
         const { callId, protocol, sink } = this.attempt;
         const head = protocol.parseReply(status, rawHeaders);
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -24,6 +24,12 @@
 
 /** Receives the parts of a reply as they arrive. */
 export interface ReplyListener {
+    /**
+     * Called when a connection is free for the call, just before it is sent.
+     *
+     * @returns Why it may no longer be sent; undefined if it may.
+     */
+    onStart(): Error | undefined;
     /** Returns false to abort the reply. */
     onHead(status: number, rawHeaders: string[]): boolean;
     /** Returns false to abort the reply. */
@@ -96,9 +102,10 @@
     private readonly pool: Pool;
     private readonly socketEnding: SocketEnding = { now: undefined };
 
-    constructor(readonly address: string, connections: number) {
+    /** @param maxConnections Number of connections; further calls wait for one of them, whatever becomes of the upstream. */
+    constructor(readonly address: string, readonly maxConnections: number) {
         this.pool = new Pool(`http://${address}`, {
-            connections,
+            connections: maxConnections,
             pipelining: 1,
             connect: trackSocketEnds(this.socketEnding, () => this.onUnreachable()),
             headersTimeout: 0,
@@ -172,6 +179,7 @@
     }
 
     onRequestStart(controller: HttpDispatcher.DispatchController): void {
+        this.abortReason ??= this.listener.onStart();
         if (this.abortReason !== undefined) {
             controller.abort(this.abortReason);
             return;
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -63,6 +63,11 @@
         return !this.entry.draining && !this.isLeaving && this.missingSince === undefined && now >= this.ejectedUntil;
     }
 
+    /** Whether another call would wait for a connection, and not be seen by whoever places calls. */
+    get isOutOfConnections(): boolean {
+        return this.inFlight >= this.connections.maxConnections;
+    }
+
     /** Adds the duration of a call to the moving average. */
     recordDuration(ms: number): void {
         this.meanCallMs = this.meanCallMs === undefined ?
--- a/tests/upstreams/closedWhileIdle.test.ts
+++ b/tests/upstreams/closedWhileIdle.test.ts
@@ -31,6 +31,7 @@
 const call = (connections: UpstreamConnections): Promise<string> =>
     new Promise(resolve => {
         connections.send({ method: "POST", path: "/", headers: [], body: Buffer.from("once") }, {
+            onStart: () => undefined,
             onHead: () => true,
             onData: () => true,
             onEnd: () => resolve("whole"),
--- a/tests/upstreams/resetConnections.test.ts
+++ b/tests/upstreams/resetConnections.test.ts
@@ -48,6 +48,7 @@
                 resolve(result);
             };
             connections.send({ method: "GET", path: `/${how}`, headers: [], body: undefined }, {
+                onStart: () => undefined,
                 onHead: () => true,
                 onData: () => true,
                 onEnd: () => finish("whole"),
--- a/tests/upstreams/unreachable.test.ts
+++ b/tests/upstreams/unreachable.test.ts
@@ -24,6 +24,7 @@
         connections.onUnreachable = () => unreachable += 1;
         const errors: [string, boolean][] = [];
         const listener = {
+            onStart: () => undefined,
             onHead: () => true,
             onData: () => true,
             onEnd: () => {},
