--- a/packages/gateway/src/builds/streamBuilds.ts
+++ b/packages/gateway/src/builds/streamBuilds.ts
@@ -7,22 +7,15 @@
 import type { Logger, Progress } from "@marigolddrift/common";
 
 import type { PeerClient } from "../peers/peerClient.js";
-import type { FoundBuild, StreamGroup } from "../peers/peerMessages.js";
+import type { FoundBuild } from "../peers/peerMessages.js";
 import type { BuildHolders } from "./buildHolders.js";
 import { BuildRecords } from "./buildRecords.js";
 import type { BuildRecord } from "./buildRecords.js";
+import { RecordSender } from "./recordSender.js";
 
-/** Time for which records are collected into one message for each holder. */
-const sendDelayMs = 10;
-
-/** Timeout of a message to a holder, and of a question. */
-const sendTimeoutMs = 1_000;
+/** Timeout of a question to a holder. */
 const askTimeoutMs = 300;
 
-/** Times that records are sent to a machine that does not take them, and pause between. */
-const maxSends = 3;
-const resendDelayMs = 250;
-
 /** Streams that an instance remembers: 30 s of 600 a second, some 3 MB. */
 const maxLocalRecords = 18_000;
 
@@ -48,18 +41,12 @@
 /** The streams of one instance. */
 export class StreamBuilds {
     private readonly local: BuildRecords;
-    private readonly unsent = new Map<string, Set<string>>();
-    private readonly recordedServices = new Set<string>();
-    private recordedVersion = -1;
-    /** Messages to holders that have not ended yet. */
-    private readonly sending = new Map<Promise<void>, PeerClient>();
-    /** Holders that did not take a message in all its tries, and so lack records. */
-    private readonly lacking = new Set<PeerClient>();
-    private timer: NodeJS.Timeout | undefined;
+    private readonly sender: RecordSender;
     private failureLoggedAt = -Infinity;
 
     constructor(private readonly options: StreamBuildsOptions) {
         this.local = new BuildRecords(() => options.lifetimeMs(), maxLocalRecords);
+        this.sender = new RecordSender({ ...options, local: this.local });
     }
 
     /** Number of streams that are remembered. */
@@ -76,22 +63,22 @@
     onBegun(streamId: string, service: string, build: string | undefined, hasSeveralServices = false): void {
         this.local.add(streamId, service, build);
         if (this.options.isMixed(service)) {
-            this.recordAll(service);
-            this.queue(streamId, service, build);
+            this.sender.recordAll(service);
+            this.sender.queue(streamId, service, build);
         }
         else if (hasSeveralServices) {
-            this.queue(streamId, service, build);
+            this.sender.queue(streamId, service, build);
         }
     }
 
     /** Sends the records of the streams that began before another build came. To be called when builds have changed, and at intervals. */
     onBuildsChanged(service: string): void {
         if (this.options.isMixed(service)) {
-            this.recordAll(service);
-            this.sendLacking();
+            this.sender.recordAll(service);
+            this.sender.sendLacking();
         }
         else {
-            this.recordedServices.delete(service);
+            this.sender.onSingleBuild(service);
         }
     }
 
@@ -102,14 +89,7 @@
      */
     async recordNow(service: string): Promise<boolean> {
         this.onBuildsChanged(service);
-        clearTimeout(this.timer);
-        this.send();
-        const sending = new Map(this.sending);
-        sending.forEach((_, message) => void message.then(() => sending.delete(message)));
-        while (sending.size > 0 && !this.areRecorded(sending)) {
-            await Promise.race(sending.keys());
-        }
-        return this.areRecorded(sending);
+        return await this.sender.flush();
     }
 
     /** Finds out which build began a stream. */
@@ -129,103 +109,7 @@
     }
 
     close(): void {
-        clearTimeout(this.timer);
-    }
-
-    /** Whether so few holders lack records that another one has each of them. */
-    private areRecorded(sending: ReadonlyMap<unknown, PeerClient>): boolean {
-        return this.size === 0 || new Set([...this.lacking, ...sending.values()]).size < this.options.holders.copies;
-    }
-
-    /** Records all streams again when the machines have changed: one that has started again has lost its records. */
-    private recordAll(service: string): void {
-        const { version } = this.options.holders;
-        if (this.recordedVersion !== version) {
-            this.recordedVersion = version;
-            this.recordedServices.clear();
-            this.lacking.clear();
-        }
-        if (this.recordedServices.has(service)) {
-            return;
-        }
-        this.recordedServices.add(service);
-        for (const [build, ids] of this.local.idsByBuild(service)) {
-            ids.forEach(id => this.queue(id, service, build));
-        }
-    }
-
-    private queue(streamId: string, service: string, build: string | undefined): void {
-        const group = JSON.stringify({ service, build });
-        const ids = this.unsent.get(group) ?? new Set<string>();
-        this.unsent.set(group, ids);
-        ids.add(streamId);
-        this.timer ??= setTimeout(() => this.send(), sendDelayMs);
-    }
-
-    private send(): void {
-        this.timer = undefined;
-        const messages = new Map<PeerClient, StreamGroup[]>();
-        for (const [group, ids] of this.unsent) {
-            const { service, build } = JSON.parse(group) as Pick<StreamGroup, "service" | "build">;
-            for (const [machine, streams] of this.byHolder(ids)) {
-                messages.set(machine, [...(messages.get(machine) ?? []), { service, build, streams }]);
-            }
-        }
-        this.unsent.clear();
-        messages.forEach((groups, machine) => this.sendTo(machine, groups));
-    }
-
-    /** Sends all records again to the holders that lack some. */
-    private sendLacking(): void {
-        for (const machine of this.lacking) {
-            this.lacking.delete(machine);
-            this.sendTo(machine, [...this.recordedServices].flatMap(service => this.groupsOf(service, machine)));
-        }
-    }
-
-    /** The records of a service that a machine holds. */
-    private groupsOf(service: string, machine: PeerClient): StreamGroup[] {
-        return [...this.local.idsByBuild(service)].map(([build, ids]) => ({
-            service,
-            build,
-            streams: ids.filter(id => this.options.holders.of(id).includes(machine)),
-        }));
-    }
-
-    private byHolder(streamIds: Iterable<string>): Map<PeerClient, string[]> {
-        const byHolder = new Map<PeerClient, string[]>();
-        for (const id of streamIds) {
-            for (const machine of this.options.holders.of(id)) {
-                const ids = byHolder.get(machine) ?? [];
-                byHolder.set(machine, ids);
-                ids.push(id);
-            }
-        }
-        return byHolder;
-    }
-
-    private sendTo(machine: PeerClient, groups: readonly StreamGroup[]): void {
-        const message = this.trySend(machine, groups).then(isTaken => {
-            this.sending.delete(message);
-            if (!isTaken) {
-                this.lacking.add(machine);
-            }
-        });
-        this.sending.set(message, machine);
-    }
-
-    private async trySend(machine: PeerClient, groups: readonly StreamGroup[]): Promise<boolean> {
-        for (let tries = 0; tries < maxSends; tries++) {
-            try {
-                await machine.notify({ kind: "recordStreams", groups }, sendTimeoutMs);
-                return true;
-            }
-            catch (err) {
-                this.logFailure("streams not recorded", machine, err);
-            }
-            await new Promise(resolve => setTimeout(resolve, resendDelayMs).unref());
-        }
-        return false;
+        this.sender.close();
     }
 
     private async ask(
