--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -164,6 +164,16 @@
         }
     }
 
+    /** Makes the upstreams with the given entries the only ones, and waits until the first gateway knows that. */
+    async replaceUpstreams(entries: Readonly<Record<string, unknown>>): Promise<void> {
+        const { upstreams } = this.gateways[0]!;
+        const former = ["i-brain", "i-ops"].filter(id => !(id in entries));
+        former.forEach(id => this.store.remove(`servers/${id}`));
+        Object.entries(entries).forEach(([id, entry]) => this.store.put(`servers/${id}`, entry));
+        await waitUntil(() => Object.keys(entries).every(id => upstreams.get(id) !== undefined));
+        await waitUntil(() => former.every(id => upstreams.get(id)?.isAvailable(performance.now()) !== true));
+    }
+
     /** Closes one gateway's connections to the store and refuses new ones. */
     disconnectFromStore(index: number): void {
         this.storeProxies[index]!.block();
--- a/tests/upstreams/brokenHeads.test.ts
+++ b/tests/upstreams/brokenHeads.test.ts
@@ -109,13 +109,7 @@
     before(async () => {
         deployment = await Deployment.start(1);
         await server.start();
-        deployment.store.remove("servers/i-ops");
-        deployment.store.remove("servers/i-brain");
-        deployment.store.put("servers/i-raw-ops", server.entry("ops"));
-        deployment.store.put("servers/i-raw-brain", server.entry("brain"));
-        const { upstreams } = deployment.gateways[0]!;
-        await waitUntil(() => ["i-raw-ops", "i-raw-brain"].every(id => upstreams.get(id) !== undefined));
-        await waitUntil(() => upstreams.get("i-ops")?.isAvailable(performance.now()) !== true);
+        await deployment.replaceUpstreams({ "i-raw-ops": server.entry("ops"), "i-raw-brain": server.entry("brain") });
     });
     after(() => {
         server.close();
--- a/tests/upstreams/oddStatuses.test.ts
+++ b/tests/upstreams/oddStatuses.test.ts
@@ -7,7 +7,7 @@
 import { after, before, describe, it } from "node:test";
 import { Agent } from "undici";
 
-import { Deployment, waitUntil } from "../platform/deployment.js";
+import { Deployment } from "../platform/deployment.js";
 import { RawServer } from "../platform/rawServer.js";
 
 const signature = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -44,13 +44,7 @@
     before(async () => {
         deployment = await Deployment.start(1);
         await server.start();
-        deployment.store.remove("servers/i-ops");
-        deployment.store.remove("servers/i-brain");
-        deployment.store.put("servers/i-raw-ops", server.entry("ops"));
-        deployment.store.put("servers/i-raw-brain", server.entry("brain"));
-        const { upstreams } = deployment.gateways[0]!;
-        await waitUntil(() => ["i-raw-ops", "i-raw-brain"].every(id => upstreams.get(id) !== undefined));
-        await waitUntil(() => upstreams.get("i-ops")?.isAvailable(performance.now()) !== true);
+        await deployment.replaceUpstreams({ "i-raw-ops": server.entry("ops"), "i-raw-brain": server.entry("brain") });
     });
     after(() => {
         server.close();
--- a/tests/upstreams/streamEnds.test.ts
+++ b/tests/upstreams/streamEnds.test.ts
@@ -2,7 +2,7 @@
 import { request } from "node:http";
 import { after, before, describe, it } from "node:test";
 
-import { Deployment, waitUntil } from "../platform/deployment.js";
+import { Deployment } from "../platform/deployment.js";
 import { RawServer } from "../platform/rawServer.js";
 
 const signature = "3e1b.07.5a2.600.0.c9f2a4d1";
@@ -50,11 +50,7 @@
     before(async () => {
         deployment = await Deployment.start(1);
         await server.start();
-        deployment.store.remove("servers/i-brain");
-        deployment.store.put("servers/i-raw-brain", server.entry("brain"));
-        const { upstreams } = deployment.gateways[0]!;
-        await waitUntil(() => upstreams.get("i-raw-brain") !== undefined);
-        await waitUntil(() => upstreams.get("i-brain")?.isAvailable(performance.now()) !== true);
+        await deployment.replaceUpstreams({ "i-raw-brain": server.entry("brain") });
     });
     after(() => {
         server.close();
--- a/tests/upstreams/waitingCalls.test.ts
+++ b/tests/upstreams/waitingCalls.test.ts
@@ -55,12 +55,8 @@
         before(async () => {
             deployment = await Deployment.start(1);
             await server.start();
-            deployment.store.remove("servers/i-ops");
             // 64 slots, of which one instance may use 12 connections.
-            deployment.store.put("servers/i-raw-ops", server.entry("ops"));
-            const { upstreams } = deployment.gateways[0]!;
-            await waitUntil(() => upstreams.get("i-raw-ops") !== undefined);
-            await waitUntil(() => upstreams.get("i-ops")?.isAvailable(performance.now()) !== true);
+            await deployment.replaceUpstreams({ "i-raw-ops": server.entry("ops") });
         });
         after(() => {
             server.close();
