Count the time that a declared build was away also if a peer names it

Found while the change was read once more: the message that prepares a declaration counted all builds that it names as seen, so that a declared one that had been away was not read anew before it began streams (docs/design/stream-builds.md, rule 7). The new test of ServiceBuilds fails without the filter.

--- a/packages/gateway/src/builds/serviceBuilds.ts
+++ b/packages/gateway/src/builds/serviceBuilds.ts
@@ -113,10 +113,10 @@
         }
     }
 
-    /** Called with builds that a peer has seen. */
+    /** Called with builds that a peer has seen. Declared ones are left as they are: how long they have been away here counts. */
     announce(builds: readonly string[]): void {
         const now = performance.now();
-        builds.forEach(build => this.lastSeenAt.set(build, now));
+        builds.filter(build => !this.declaredBuilds.has(build)).forEach(build => this.lastSeenAt.set(build, now));
     }
 
     /** Whether an entry has named the build since this instance follows them; if not, the entries that are known here may be late. */
--- a/tests/gateway/builds.test.ts
+++ b/tests/gateway/builds.test.ts
@@ -129,6 +129,19 @@
             expect(builds.isDeclared("v1")).toEqual(true);
         }));
 
+    // Guards against a build that begins streams by an old declaration because a peer, which may be late, has named it (ORDER).
+    it("should be read anew after they were away, although a peer has named them", () =>
+        withClock(async clock => {
+            const builds = new ServiceBuilds();
+            builds.apply(["v1", "v2"], 1);
+            builds.see(["v1", "v2"], lifetimeMs / 2);
+            clock.tick(lifetimeMs);
+            builds.announce(["v1", "v3"]);
+            builds.see(["v1", "v2", "v3"], lifetimeMs / 2);
+            expect([builds.isOutdated("v1"), builds.isCurrent("v1")]).toEqual([true, false]);
+            expect(builds.recent(lifetimeMs).has("v3")).toEqual(true);
+        }));
+
     // Guards against the time of a read that is counted from its end: the store may have answered long before (ORDER).
     it("should count the age of the declaration from the beginning of its read", () =>
         withClock(async clock => {
