--- a/packages/common/src/httpStatus.ts
+++ b/packages/common/src/httpStatus.ts
@@ -10,7 +10,7 @@
 export const isInterimStatus = (status: number): boolean => status >= 100 && status < 200;
 
 /**
- * Whether a reply may end with a status. Three digits may stand in a status line that are no status of HTTP's; nobody knows what they say.
+ * Whether a reply may end with a status. The three digits of a status line may be none of HTTP's statuses, and then have no meaning.
  *
  * @example
  * isFinalStatus(0) === false;
--- a/packages/common/src/lineEndNormalizer.ts
+++ b/packages/common/src/lineEndNormalizer.ts
@@ -3,8 +3,8 @@
 const lineEnd = /\r\n?/g;
 
 /**
- * Writes each end of a line (LF, CR LF or CR alone) as LF, also if a CR LF is split between two pieces. A CR is written as LF at once,
- * since nobody knows whether an LF will follow.
+ * Writes each end of a line (LF, CR LF or CR alone) as LF, also if a CR LF is split between two pieces. A CR is written as LF at once:
+ * it may be the last byte for now, whether or not an LF follows.
  *
  * @see https://html.spec.whatwg.org/multipage/server-sent-events.html#parsing-an-event-stream
  * @example
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -71,7 +71,7 @@
 
 /**
  * Forwards a stream as it arrives, in chunks, so that its caller can tell when it is broken off, also if the upstream's stream
- * ends with its connection. An error that does so is passed on without chunks, since nobody can tell whether it is whole. `end` must
+ * ends with its connection. An error that does so is passed on without chunks, since nothing in it tells whether it is whole. `end` must
  * be called once the stream is known to be complete.
  */
 export class StreamedResponse implements ResponseSink {
