Don't reuse a connection of the soak whose first request is still unanswered

They were the soak's own: a request that is sent before the stop signal had no answer after 3 s, its connection was used for the next one all the same, and the answer that came then was taken for that one's. In the log of front-3, early-front-3-89076-1 was answered after it had been given up, in order, before late-front-3-94260-20, which got its text; each further answer was off by one, and a body that was still being sent was mixed with the next request.

Such a connection is closed now, as one is whose later request has no whole answer. No check has changed.

--- a/bench/soak/lateCallers.ts
+++ b/bench/soak/lateCallers.ts
@@ -49,7 +49,12 @@
         }
         await delay(openMs);
         const used = this.sockets.filter(() => this.random() < usedShare);
-        await Promise.all(used.map(socket => this.call(socket, false)));
+        await Promise.all(used.map(async socket => {
+            // An answer that is still to come would be taken for that of the next request.
+            if (!await this.call(socket, false)) {
+                socket.destroy();
+            }
+        }));
     }
 
     /** Sends requests until the front must be gone. Resolves once all are answered or closed. */
