Build the variant of the soak in which records are not sent again

The variant now takes out the sending itself, since records are also sent without the timer's help before a build is declared.

--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -199,8 +199,8 @@
         name: "only the instance that began a stream knows its build",
         seed: 125,
         mixesVersions: true,
-        file: `${gateway}/builds/streamBuilds.ts`,
-        find: "this.timer ??= setTimeout(() => this.send(), sendDelayMs);",
+        file: `${gateway}/builds/recordSender.ts`,
+        find: "messages.forEach((groups, machine) => this.sendTo(machine, groups));",
         replace: "",
     },
 ];
