--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -184,7 +184,7 @@
         for (const name of names) {
             while (!await this.isReady(name)) {
                 if (performance.now() > endsAt) {
-                    throw new Error(`${name} is not ready`);
+                    throw new Error(`${name} is not ready; its log ends with ${this.log(name).slice(-500)}`);
                 }
                 await sleep(50);
             }
