--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -18,11 +18,24 @@
 
 const scene = new Scene({
     bounds,
-    contracts: ["base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform", "tenants", "quota"],
+    contracts: [
+        "base",
+        "drain",
+        "config",
+        "cost",
+        "recover",
+        "agent",
+        "stream",
+        "engine",
+        "platform",
+        "tenants",
+        "quota",
+    ],
 });
 
 const handle = async (request, socket, worker) => {
     worker.ran.push({ id: request.id, at: performance.now() });
+    scene.record.add(`${worker.id} runs ${request.id}`);
     await sleep(workMs);
     socket.write(answerBytes(200, { "Request-Id": request.id, "Response-Signature": signature }, "fine"));
 };
@@ -93,7 +106,10 @@
                     site,
                     headers: { "Deadline-Ms": "1200", "Api-Key": "key-north" },
                     timeoutMs: 3_000,
-                }).then(({ status }) => answers.set(`${name} ${status}`, (answers.get(`${name} ${status}`) ?? 0) + 1));
+                }).then(({ id, status }) => {
+                    scene.record.add(`${name} answers ${id} with ${status}`);
+                    answers.set(`${name} ${status}`, (answers.get(`${name} ${status}`) ?? 0) + 1);
+                });
                 running.add(sent);
                 void sent.finally(() => running.delete(sent));
             }
@@ -132,7 +148,9 @@
     for (let second = 0; second * 1_000 < times.at(-1) - times[0]; second++) {
         const from = times[0] + second * 1_000;
         const count = times.filter(at => at >= from && at < from + 1_000).length;
-        scene.record.add(`${((from - scene.record.startedAt) / 1_000).toFixed(1)} s and the second after: ${count} requests ran`);
+        scene.record.add(
+            `${((from - scene.record.startedAt) / 1_000).toFixed(1)} s and the second after: ${count} requests ran`,
+        );
     }
     answers.forEach((count, key) => scene.record.add(`${key}: ${count}`));
     const { quotaWindowS, quotaOver, quotaSlack } = bounds;
