Review: the loss of a zone that may be lost takes answered turns with it

With zones = 1 one zone is lost with its disks right after 30 turns were answered: those whose two copies stood there reach no worker any more.

--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -65,7 +65,7 @@
 
     settingsOf({ name, role, zone, region, ip }, firstStart) {
         const [front, ready, ...inner] = this.ports;
-        const { bounds = {}, limits = {}, tolerate = 1, contracts } = this.settings;
+        const { bounds = {}, limits = {}, tolerate = 1, tolerateZones = 0, contracts } = this.settings;
         const allBounds = {
             contactMs: 4000,
             ackMs: 5000,
@@ -110,7 +110,7 @@
             "linkMbps = 1000.0",
             "[tolerate]",
             `machines = ${tolerate}`,
-            "zones = 0",
+            `zones = ${tolerateZones}`,
             "regions = 0",
             "[bounds]",
             ...Object.entries(allBounds).map(([key, value]) => `${key} = ${value}`),
