Never send a refused call again on the connection that has carried its refusal

At a single upstream the order ran twice (TWICE).

Cause: a call that all upstreams had refused returns to one of them with its id, over whatever connection the pool chooses. A faulty upstream sends a second, late copy of the refusal there, which bears the id of the second send, and replies are told apart by nothing else.

A refusal without an id is none any more. decisions.test.ts asked for the opposite: upstreams echo the id (PROTOCOL.md, Workers), and bytes that belong to no call can't promise that this one has not run; the page names one refusal without an id, to a request without one, which callers can't send through here. The test asks for the stricter reading now.

--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -69,7 +69,7 @@
             lane.onFirstByte();
         };
         const refuseToSend = (): string | undefined => changeOf(upstream, ctx);
-        const attempt = { call, callId: ctx.id, protocol, sink: response, memory, refuseToSend };
+        const attempt = { call, protocol, sink: response, memory, refuseToSend };
         const result = await attemptCall(upstream, attempt, lane.progress);
         const tokens = response instanceof StreamedResponse ? streamedTokens(ctx, response) : undefined;
         observation.onEnd({ result, status: response.status, tokens });
@@ -93,7 +93,7 @@
         });
         const body = outgoingBody(ctx);
         const hasBody = body.length > 0 || ctx.req.headers["content-length"] !== undefined;
-        return { method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
+        return { id: ctx.id, method: ctx.req.method!, path: ctx.req.url!, headers, body: hasBody ? body : undefined };
     }
 
     /** Passes on what the response tells of its upstream and its stream while it arrives. */
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -16,7 +16,7 @@
     readonly inputMemory: Pick<InputMemory, "heldBytes" | "pausedInputs">;
     readonly replyMemory: Pick<ReplyMemory, "heldBytes">;
     readonly dispatcher: { readonly waitingCalls: number; };
-    readonly upstreams: Pick<Upstreams, "size">;
+    readonly upstreams: Pick<Upstreams, "size" | "reopenedConnections">;
     readonly blocker: Pick<CallBlocker, "blocked">;
     readonly builds: Pick<Builds, "rememberedStreams">;
     /** Undefined if no quotas are enforced. */
@@ -36,6 +36,11 @@
     metrics.addGauge("caller_connections", "Open connections from callers", () => of.entry.connections);
     metrics.addGauge("calls_waiting", "Calls that wait for an upstream", () => of.dispatcher.waitingCalls);
     metrics.addGauge("upstreams", "Known upstreams", () => of.upstreams.size);
+    metrics.addGauge(
+        "connections_reopened",
+        "Connections to upstreams that were opened anew because a call was refused on them",
+        () => of.upstreams.reopenedConnections,
+    );
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
     metrics.addGauge("streams_remembered", "Streams whose build is known", () => of.builds.rememberedStreams);
     if (of.quotas !== undefined) {
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -56,7 +56,6 @@
 /** A call to send, and what its reply needs. */
 export interface Attempt {
     readonly call: OutgoingCall;
-    readonly callId: string;
     readonly protocol: CallProtocol;
     readonly sink: ResponseSink;
     readonly memory: ReplyMemory;
@@ -77,7 +76,7 @@
             progress.signal.removeEventListener("abort", onAbort);
             resolve(result);
         };
-        const listener = new AttemptListener(attempt, finish, abort);
+        const listener = new AttemptListener(attempt, finish, abort, () => active.call?.markRefused());
         attempt.sink.onFull = isFull => isFull ? active.call?.pause() : active.call?.resume();
         active.call = upstream.connections.send(attempt.call, listener);
         progress.signal.addEventListener("abort", onAbort, { once: true });
@@ -98,6 +97,7 @@
         private readonly attempt: Attempt,
         private readonly finish: (result: AttemptResult) => void,
         private readonly abort: (reason: Error) => void,
+        private readonly markRefused: () => void,
     ) {
         this.held = attempt.memory.hold(() => this.breakOff());
     }
@@ -112,7 +112,7 @@
     }
 
     onHead(status: number, rawHeaders: string[]): boolean {
-        const { callId, protocol, sink } = this.attempt;
+        const { call: { id: callId }, protocol, sink } = this.attempt;
         const head = protocol.parseReply(status, rawHeaders);
         const replyKind = classifyReply(head, callId);
         // Refusals of a call that did not reach the upstream itself may lack the limit that it names.
@@ -120,7 +120,7 @@
         if (head.callId === callId && tellsLimit) {
             sink.onLimit(head.requestsPerSecond);
         }
-        const isOfUpstream = status !== misdirectedStatus && (head.callId === callId || replyKind === "notRun");
+        const isOfUpstream = status !== misdirectedStatus && head.callId === callId;
         if (head.isLeaving && isOfUpstream) {
             sink.onLeaving();
         }
@@ -181,6 +181,7 @@
 
     /** A refusal counts from its head on; its body is read only so that the connection can be used again. */
     private onRefused(status: number): void {
+        this.markRefused();
         this.result = {
             kind: "notRun",
             detail: `the upstream refused with ${status}`,
--- a/packages/gateway/src/upstreams/classifyReply.ts
+++ b/packages/gateway/src/upstreams/classifyReply.ts
@@ -9,8 +9,8 @@
     /** The upstream did not run the call. */
     | "notRun"
     /**
-     * The reply belongs to another call, is incomplete (a success without call id or signature), has a status that is none, or may not
-     * be forwarded: the call may have run.
+     * The reply belongs to another call, is incomplete (a success without call id or signature, a refusal without call id), has a
+     * status that is none, or may not be forwarded: the call may have run.
      */
     | "unusable";
 
@@ -29,7 +29,8 @@
         return "unusable";
     }
     if (head.notRun) {
-        return "notRun";
+        // Bytes that belong to no call can't promise that this one has not run.
+        return head.callId === callId ? "notRun" : "unusable";
     }
     const isSuccess = head.status >= 200 && head.status < 300;
     if (head.promisesNotRun || (isSuccess && !(head.signed && head.callId === callId))) {
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -6,6 +6,8 @@
 
 import { endsWithConnection, isRunTogether } from "./framing.js";
 import { PieceJoiner } from "./pieceJoiner.js";
+import { UpstreamConnection } from "./upstreamConnection.js";
+import type { CarriedRequest, ConnectionOptions } from "./upstreamConnection.js";
 
 /** Timeout for establishing a connection. */
 const connectTimeoutMs = 400;
@@ -15,6 +17,8 @@
 
 /** A call as it is sent to an upstream. */
 export interface OutgoingCall {
+    /** Id by which the upstream's replies name the call. */
+    readonly id: string;
     readonly method: string;
     readonly path: string;
     /** Alternating names and values. */
@@ -47,6 +51,8 @@
 /** A call in progress. */
 export interface RunningCall {
     abort(reason: Error): void;
+    /** Notes that the upstream has refused the call, which its connection does not carry again. */
+    markRefused(): void;
     /** Stops reading the reply. */
     pause(): void;
     resume(): void;
@@ -99,6 +105,8 @@
 export class UpstreamConnections {
     /** Called when a connection cannot be opened, also if the call that needed it has been given up meanwhile. */
     onUnreachable: () => void = () => {};
+    /** Called when a connection is opened anew because of the calls that were refused on it. */
+    onReopened: () => void = () => {};
     private readonly pool: Pool;
     private readonly socketEnding: SocketEnding = { now: undefined };
 
@@ -112,18 +120,25 @@
             bodyTimeout: 0,
             keepAliveTimeout: defaultKeepAliveMs,
             keepAliveTimeoutThreshold: 1_000,
+            factory: (origin, options) =>
+                new UpstreamConnection(origin, {
+                    ...options as Omit<ConnectionOptions, "onReopened">,
+                    onReopened: () => this.onReopened(),
+                }),
         });
     }
 
     send(call: OutgoingCall, listener: ReplyListener): RunningCall {
-        const handler = new ReplyHandler(listener, this.socketEnding);
-        const dispatch = (): void =>
-            void this.pool.dispatch({
-                method: call.method,
-                path: call.path,
-                headers: call.headers as string[],
-                body: call.body ?? null,
-            }, handler);
+        const handler = new ReplyHandler(call.id, listener, this.socketEnding);
+        const carried: CarriedRequest = {
+            callId: call.id,
+            onConnection: connection => handler.connection = connection,
+            method: call.method,
+            path: call.path,
+            headers: call.headers as string[],
+            body: call.body ?? null,
+        };
+        const dispatch = (): void => void this.pool.dispatch(carried, handler);
         if (this.hasIdleConnection) {
             afterPendingInput(dispatch);
         }
@@ -154,13 +169,19 @@
 
 /** Forwards the HTTP client's callbacks to a {@link ReplyListener}, and signals the end or an error only once. */
 class ReplyHandler implements HttpDispatcher.DispatchHandler, RunningCall {
+    /** Undefined until there is a connection for the call. */
+    connection: UpstreamConnection | undefined;
     private controller: HttpDispatcher.DispatchController | undefined;
     private abortReason: Error | undefined;
     private ended = false;
     private endsWithConnection = false;
     private readonly joiner = new PieceJoiner(piece => this.onPiece(piece));
 
-    constructor(private readonly listener: ReplyListener, private readonly socketEnding: Readonly<SocketEnding>) {}
+    constructor(
+        private readonly callId: string,
+        private readonly listener: ReplyListener,
+        private readonly socketEnding: Readonly<SocketEnding>,
+    ) {}
 
     abort(reason: Error): void {
         this.abortReason ??= reason;
@@ -170,6 +191,10 @@
         }
     }
 
+    markRefused(): void {
+        this.connection?.markRefused(this.callId);
+    }
+
     pause(): void {
         this.controller?.pause();
     }
--- a/packages/gateway/src/upstreams/upstreams.ts
+++ b/packages/gateway/src/upstreams/upstreams.ts
@@ -103,6 +103,8 @@
 
 /** All known upstreams by id, with a connection pool for each process. */
 export class Upstreams {
+    /** Connections that were opened anew so that a refused call could be sent again. */
+    reopenedConnections = 0;
     private readonly byId = new Map<string, Upstream>();
     /** Keys of processes that have said that they are leaving, since an entry may be removed and come back. */
     private readonly leavingKeys = new Set<string>();
@@ -220,7 +222,12 @@
     private tryConnect(entry: UpstreamEntry): UpstreamConnections | undefined {
         const maxConnections = this.routes()?.service(entry.service)?.maxConnections ?? entry.slots * 8;
         try {
-            return new UpstreamConnections(entry.address, Math.max(2, this.connectionLimit(maxConnections)));
+            const connections = new UpstreamConnections(
+                entry.address,
+                Math.max(2, this.connectionLimit(maxConnections)),
+            );
+            connections.onReopened = () => this.reopenedConnections += 1;
+            return connections;
         }
         catch (err) {
             this.log.warn("upstream not added", { upstream: entry.id, error: asError(err).message });
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -75,10 +75,9 @@
     });
 
     it("should mean that the call did not run only if the upstream states it explicitly", () => {
-        expect(classifyReply(reply({ status: 503, notRun: true, promisesNotRun: true, callId: undefined }), "c1"))
-            .toEqual(
-                "notRun",
-            );
+        const refusal = { status: 503, notRun: true, promisesNotRun: true };
+        expect(classifyReply(reply(refusal), "c1")).toEqual("notRun");
+        expect(classifyReply(reply({ ...refusal, callId: undefined }), "c1")).toEqual("unusable");
         expect(classifyReply(reply({ status: 503, promisesNotRun: true }), "c1")).toEqual("unusable");
     });
 });
--- a/tests/platform/rawServer.ts
+++ b/tests/platform/rawServer.ts
@@ -14,6 +14,8 @@
     readonly endDelayMs?: number;
     /** Sent some time after the reply, on the same connection. */
     readonly lateBytes?: string;
+    /** Sent on the same connection once the next request has arrived there, before the reply to it. */
+    readonly bytesBeforeNext?: string;
 }
 
 const requestEnd = "\r\n\r\n";
@@ -61,6 +63,7 @@
         socket.on("error", () => socket.destroy());
         socket.on("end", () => socket.end());
         let received = "";
+        let bytesBeforeNext = "";
         socket.on("data", (data: Buffer) => {
             received += data.toString("latin1");
             const headEnd = received.indexOf(requestEnd);
@@ -70,7 +73,10 @@
                 const body = received.slice(headEnd + requestEnd.length);
                 received = "";
                 this.heads.push(head);
-                this.answer(socket, this.reply(/request-id: (\S+)/i.exec(head)?.[1] ?? "", head, body));
+                socket.write(bytesBeforeNext, "latin1");
+                const reply = this.reply(/request-id: (\S+)/i.exec(head)?.[1] ?? "", head, body);
+                bytesBeforeNext = reply.bytesBeforeNext ?? "";
+                this.answer(socket, reply);
             }
         });
     }
--- a/tests/upstreams/closedWhileIdle.test.ts
+++ b/tests/upstreams/closedWhileIdle.test.ts
@@ -30,7 +30,7 @@
 
 const call = (connections: UpstreamConnections): Promise<string> =>
     new Promise(resolve => {
-        connections.send({ method: "POST", path: "/", headers: [], body: Buffer.from("once") }, {
+        connections.send({ id: "c1", method: "POST", path: "/", headers: [], body: Buffer.from("once") }, {
             onStart: () => undefined,
             onHead: () => true,
             onData: () => true,
--- a/tests/upstreams/resetConnections.test.ts
+++ b/tests/upstreams/resetConnections.test.ts
@@ -47,7 +47,7 @@
                 connections.close();
                 resolve(result);
             };
-            connections.send({ method: "GET", path: `/${how}`, headers: [], body: undefined }, {
+            connections.send({ id: "c1", method: "GET", path: `/${how}`, headers: [], body: undefined }, {
                 onStart: () => undefined,
                 onHead: () => true,
                 onData: () => true,
--- a/tests/upstreams/unreachable.test.ts
+++ b/tests/upstreams/unreachable.test.ts
@@ -30,7 +30,7 @@
             onEnd: () => {},
             onError: (err: Error, sent: boolean) => errors.push([err.message, sent]),
         };
-        const call = { method: "GET", path: "/", headers: [], body: undefined };
+        const call = { id: "c1", method: "GET", path: "/", headers: [], body: undefined };
         connections.send(call, listener).abort(new Error("the caller left"));
         await waitUntil(() => unreachable > 0);
         expect(errors).toEqual([["the caller left", false]]);
--- a/tests/upstreams/waitingCalls.test.ts
+++ b/tests/upstreams/waitingCalls.test.ts
@@ -21,7 +21,7 @@
         let refusal: Error | undefined;
         const results: string[] = [];
         const send = (): RunningCall =>
-            connections.send({ method: "GET", path: "/", headers: [], body: undefined }, {
+            connections.send({ id: "c1", method: "GET", path: "/", headers: [], body: undefined }, {
                 onStart: () => refusal,
                 onHead: () => true,
                 onData: () => true,
