Keep a turn whose stream is taken up with what its caller had before

Cause: a turn's output was what its own reply brought. For a stream that is taken up these are the events after Last-Event-Id, and nobody knew the others once the front that had passed them on was gone.

Each event of such a stream is recorded on machines with disks, in memory, before it is passed on. A take-up runs only if exactly one answer is known to what its caller has, up to the event that it names; it is refused as not run otherwise (503 beginning_unknown). That it goes on is recorded before it runs, since what the call before passed on beyond that event has not reached the caller. The model has three mutants.

--- a/packages/common/src/verdict.ts
+++ b/packages/common/src/verdict.ts
@@ -62,6 +62,7 @@
     ],
     prompt_too_large: [503, "Send a shorter prompt; no engine of the service has the memory for it."],
     no_upstream: [503, "Wait for Retry-After and send it again."],
+    beginning_unknown: [503, "Begin the stream anew, unless there is a Retry-After: what you have of it is not known."],
     build_unknown: [503, "Begin the stream anew, unless there is a Retry-After: which build began it is not known."],
     build_gone: [503, "Begin the stream anew: no upstream of the build that began it is left."],
     not_durable: [503, "The platform's store is away; wait for Retry-After and send it again."],
--- a/packages/gateway/src/builds/buildHolders.ts
+++ b/packages/gateway/src/builds/buildHolders.ts
@@ -1,6 +1,5 @@
 /** Which machines hold the records of streams: one of each region, so that a split leaves one on each side. */
-import { RendezvousTable } from "@marigolddrift/common";
-
+import { JournalRanking } from "../journal/journalRanking.js";
 import type { PeerClient } from "../peers/peerClient.js";
 import type { Peers } from "../peers/peers.js";
 
@@ -10,26 +9,22 @@
 /** Machines of a region that are asked: the lists of two instances may differ by one for some seconds. */
 const askedPerRegion = 2;
 
-interface RegionTable {
-    readonly table: RendezvousTable;
-    readonly machines: ReadonlyMap<string, PeerClient>;
-}
-
-/** Chooses holders by rendezvous hashing over the machines with a disk, which outlive a loss of all other instances. */
+/** Chooses holders among the machines with a disk, which outlive a loss of all other instances. */
 export class BuildHolders {
-    private tablesVersion = -1;
-    private regions: readonly RegionTable[] = [];
+    private readonly ranking: JournalRanking;
 
-    constructor(private readonly peers: Pick<Peers, "version" | "journals">) {}
+    constructor(peers: Pick<Peers, "version" | "journals">) {
+        this.ranking = new JournalRanking(peers);
+    }
 
     /** Changes when machines come, go or start again. */
     get version(): number {
-        return this.peers.version;
+        return this.ranking.version;
     }
 
     /** Number of machines that get each record. */
     get copies(): number {
-        return this.tables().reduce((sum, { machines }) => sum + Math.min(machines.size, this.perRegion), 0);
+        return this.ranking.regions().reduce((sum, { size }) => sum + Math.min(size, this.perRegion), 0);
     }
 
     /** The machines that get the record of a stream. */
@@ -43,29 +38,10 @@
     }
 
     private get perRegion(): number {
-        return Math.ceil(minHolders / Math.max(1, this.tables().length));
+        return Math.ceil(minHolders / Math.max(1, this.ranking.regions().length));
     }
 
     private select(streamId: string, perRegion: number): PeerClient[] {
-        return this.tables().flatMap(({ table, machines }) =>
-            table.rank(streamId).slice(0, perRegion).map(name => machines.get(name)!)
-        );
-    }
-
-    /** Prepared once per version of the member list. */
-    private tables(): readonly RegionTable[] {
-        const { version, journals } = this.peers;
-        if (this.tablesVersion !== version) {
-            this.tablesVersion = version;
-            const regions = [...new Set(journals.map(({ address }) => address.region))];
-            this.regions = regions.map(region => {
-                const machines = journals.filter(({ address }) => address.region === region);
-                return {
-                    table: new RendezvousTable(machines.map(({ name }) => name)),
-                    machines: new Map(machines.map(machine => [machine.name, machine])),
-                };
-            });
-        }
-        return this.regions;
+        return this.ranking.regions().flatMap(region => region.rank(streamId).slice(0, perRegion));
     }
 }
--- a/packages/gateway/src/builds/builds.ts
+++ b/packages/gateway/src/builds/builds.ts
@@ -1,12 +1,12 @@
 /** Keeps each stream at the build that began it. Puts together what the store, the machines with disks and this instance know. */
 import { asError, ProblemError } from "@marigolddrift/common";
 import type { Logger, Progress } from "@marigolddrift/common";
-import { createHash } from "node:crypto";
 
 import type { Duties } from "../fleet/duties.js";
 import type { BuildReadiness, LocalInstance, PeerRequest } from "../peers/peerMessages.js";
 import type { Peers } from "../peers/peers.js";
 import type { Route, RouteTable, RouteTarget } from "../routes.js";
+import { streamKey } from "../streamKey.js";
 import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { BuildDeclarations } from "./buildDeclarations.js";
@@ -20,12 +20,6 @@
 /** Time after which a caller may try again if it could not be found out which build began its stream. */
 const retryAfterSeconds = 0.3;
 
-/** Length of the digest by which a stream is known: callers choose the ids of calls, and their length. */
-const streamKeyLength = 22;
-
-const streamKey = (streamId: string): string =>
-    createHash("sha256").update(streamId).digest("base64url").slice(0, streamKeyLength);
-
 /** How the build of a stream is known. */
 export type KnownBy = "memory" | "record" | "only build";
 
@@ -73,6 +67,11 @@
         this.maintenance = new BuildMaintenance({ ...options, declarations, view, streams, preparation });
     }
 
+    /** Time for which a stream can be taken up after its first event. */
+    get lifetimeMs(): number {
+        return this.view.lifetimeMs;
+    }
+
     /** Streams that this instance remembers. */
     get rememberedStreams(): number {
         return this.streams.size;
--- a/packages/gateway/src/call.ts
+++ b/packages/gateway/src/call.ts
@@ -34,6 +34,8 @@
 export interface Resumption {
     /** Id of the call that brought the first event of the stream; undefined if the caller does not name it. */
     readonly callId: string | undefined;
+    /** Id of the last event that the caller has; undefined if it names none, and gets the stream from its first event on. */
+    readonly lastEventId: string | undefined;
 }
 
 /** The decoded headers of a caller's request. */
--- a/packages/gateway/src/filters/answerWriter.ts
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -1,15 +1,17 @@
 /** Ends the answer to a call whose upstream has replied completely; turns are saved before. */
 import { createTurn } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
+import { outputOf } from "../upstreams/eventCollector.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import { scopedName } from "../workspaces.js";
+import { keepsTurn } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import type { AttemptOutcome } from "./hedge.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
 
 /** Number of tokens of a stream that has arrived so far. */
 export const streamedTokens = (ctx: CallContext, response: StreamedResponse): number =>
-    response.events.events * (ctx.service.engine?.tokensPerEvent ?? 1);
+    response.events.count * (ctx.service.engine?.tokensPerEvent ?? 1);
 
 /** Writes complete answers to callers. */
 export class AnswerWriter {
@@ -50,9 +52,9 @@
 
     /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
     private async saveTurn(ctx: CallContext, response: StreamedResponse): Promise<void> {
-        const { route, conversation } = ctx;
+        const { route, conversation, beginning } = ctx;
         const { program } = ctx.head;
-        if (route.turnRetentionMs === 0 || program === undefined) {
+        if (!keepsTurn(ctx) || program === undefined) {
             return;
         }
         const startedAt = performance.now();
@@ -60,7 +62,7 @@
         const content = {
             id: scopedName(ctx.workspace, ctx.id),
             input: ctx.body,
-            output: response.events.output(),
+            output: outputOf([...beginning?.events ?? [], ...response.events.events]),
             keepMs,
         };
         const turn = createTurn(content, conversation, Date.now());
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -2,6 +2,7 @@
 import type { Progress } from "@marigolddrift/common";
 import type { IncomingMessage, ServerResponse } from "node:http";
 
+import type { Beginning } from "../beginnings/beginnings.js";
 import type { Reservation } from "../budgets/budgets.js";
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
@@ -94,6 +95,8 @@
     /** Counts what the caller has not read of the response. */
     readonly unsent: UnsentAnswer;
     conversation: Conversation | undefined;
+    /** What the caller of a turn has of the stream that the call takes up; undefined if the call begins its stream. */
+    beginning?: Beginning | undefined;
     reservation: Reservation | undefined;
     /** Undefined if the call counts towards no quota. */
     permit: CallPermit | undefined;
@@ -114,6 +117,10 @@
     "head" | "id" | "route" | "service" | "workspace" | "priority" | "progress" | "body" | "candidates"
 >;
 
+/** Whether the call is a turn that is kept once it has been answered whole. */
+export const keepsTurn = ({ route, head }: Pick<CallContext, "route" | "head">): boolean =>
+    route.turnRetentionMs > 0 && head.program !== undefined;
+
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
 export const outgoingBody = (ctx: CallContext): Buffer =>
     ctx.conversation === undefined ? ctx.body : Buffer.concat([ctx.conversation.history, ctx.body]);
--- a/packages/gateway/src/filters/callFilters.ts
+++ b/packages/gateway/src/filters/callFilters.ts
@@ -2,6 +2,7 @@
 import type { Filter, Logger } from "@marigolddrift/common";
 import type { Dispatcher } from "@marigolddrift/dispatch";
 
+import type { Beginnings } from "../beginnings/beginnings.js";
 import type { TokenReserver } from "../budgets/regionBudgets.js";
 import type { Builds } from "../builds/builds.js";
 import type { CallBlocker } from "../crashes/callBlocker.js";
@@ -17,6 +18,7 @@
 import type { TurnStore } from "../turns/turnStore.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { Upstreams } from "../upstreams/upstreams.js";
+import { BeginningFilter } from "./beginningFilter.js";
 import { BlockFilter } from "./blockFilter.js";
 import { BodyFilter } from "./bodyFilter.js";
 import { BudgetFilter } from "./budgetFilter.js";
@@ -36,6 +38,7 @@
     /** Undefined if no quotas are enforced. */
     readonly requestPermit: PermitSource | undefined;
     readonly builds: Builds;
+    readonly beginnings: Beginnings;
     /** Returns a service of the configuration in force. */
     serviceOf(name: string): Service | undefined;
     /** Services at which a stream of the call's path may have begun before the configuration changed. */
@@ -64,6 +67,7 @@
     new BlockFilter(options.blocker),
     new PromptSizeFilter(),
     new BuildFilter(options),
+    new BeginningFilter(options),
     ...(options.requestPermit === undefined ? [] : [new QuotaFilter(options.requestPermit)]),
     new HistoryFilter(options.turns),
     new BudgetFilter(options.budgets),
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -1,4 +1,5 @@
 /** Sinks that send the response to the caller, either buffered or as a stream. */
+import type { StreamEvent } from "@marigolddrift/policy";
 import type { ServerResponse } from "node:http";
 
 import type { UnsentAnswer } from "../entry/unsentAnswer.js";
@@ -85,10 +86,13 @@
     refuseToBegin: () => string | undefined = () => undefined;
     /** Called before the first data of a successful stream is passed on. */
     onBegun: () => void = () => {};
+    /** Called with the whole events of a successful stream before they are passed on. */
+    onEvents: (events: readonly StreamEvent[]) => void = () => {};
     /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
     isRaced = false;
     onFull: ResponseSink["onFull"] = () => {};
     readonly events = new EventCollector();
+    private reportedEvents = 0;
     private readonly unclaimed: Buffer[] = [];
     private isClaimed = false;
     /** Monotonic time at which the first data was forwarded. */
@@ -141,13 +145,14 @@
         this.events.feed(chunk);
         if (this.isRaced && !this.isClaimed) {
             this.unclaimed.push(chunk);
-            this.isClaimed = this.isSuccess && this.events.events > 0 && this.claim();
+            this.isClaimed = this.isSuccess && this.events.count > 0 && this.claim();
             if (this.isClaimed) {
                 this.writeUnclaimed();
             }
             return;
         }
         this.writeHead();
+        this.reportEvents();
         this.res.write(chunk);
         this.answer.update();
         if (!this.isFull && this.res.writableLength > maxUnsentBytes) {
@@ -169,9 +174,18 @@
 
     private writeUnclaimed(): void {
         this.writeHead();
+        this.reportEvents();
         this.unclaimed.splice(0).forEach(chunk => this.res.write(chunk));
     }
 
+    private reportEvents(): void {
+        const { events, count } = this.events;
+        if (this.isSuccess && count > this.reportedEvents) {
+            this.onEvents(events.slice(this.reportedEvents));
+            this.reportedEvents = count;
+        }
+    }
+
     private writeHead(): void {
         if (!this.res.headersSent && !this.res.destroyed) {
             const { status, headers, endsWithConnection } = this.head!;
--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -1,6 +1,8 @@
 /** Sends calls to upstreams, and reports what comes of each one to the components that observe upstreams. */
 import type { DispatchLease } from "@marigolddrift/dispatch";
 
+import type { BeginningRecorder } from "../beginnings/beginningRecorder.js";
+import type { Beginnings } from "../beginnings/beginnings.js";
 import type { Builds } from "../builds/builds.js";
 import type { CallBlocker } from "../crashes/callBlocker.js";
 import type { CrashDetector } from "../crashes/crashDetector.js";
@@ -17,7 +19,7 @@
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
 import { scopedName } from "../workspaces.js";
 import { streamedTokens } from "./answerWriter.js";
-import { outgoingBody } from "./callContext.js";
+import { keepsTurn, outgoingBody } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import type { AttemptOutcome, Lane } from "./hedge.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
@@ -33,6 +35,7 @@
     readonly replyMemory: ReplyMemory;
     readonly observer: UpstreamObserver;
     readonly builds: Pick<Builds, "onStreamBegun">;
+    readonly beginnings: Pick<Beginnings, "recorderOf">;
     readonly affinity: AffinityTable;
     readonly recordTraffic: (upstream: Upstream, exchange: Omit<Exchange, "link">) => void;
 }
@@ -104,6 +107,13 @@
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
             const streamId = scopedName(ctx.workspace, ctx.id);
             response.onBegun = () => builds.onStreamBegun(streamId, ctx.streamRoute ?? ctx.route, upstream);
+            if (keepsTurn(ctx)) {
+                let recorder: BeginningRecorder | undefined = ctx.beginning?.recorder;
+                response.onEvents = events => {
+                    recorder ??= this.options.beginnings.recorderOf(streamId);
+                    recorder.add(events);
+                };
+            }
             if (ctx.head.resumption !== undefined) {
                 response.refuseToBegin = () => replacementOf(upstream, upstreams.get(upstream.entry.id));
             }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,6 +4,8 @@
 import { nextCall, placeNear } from "@marigolddrift/policy";
 import type { VersionedStore } from "@marigolddrift/store";
 
+import { BeginningHolders } from "./beginnings/beginningHolders.js";
+import { Beginnings } from "./beginnings/beginnings.js";
 import { Budgets } from "./budgets/budgets.js";
 import { RegionBudgets } from "./budgets/regionBudgets.js";
 import { Builds } from "./builds/builds.js";
@@ -75,6 +77,7 @@
     private readonly facts: FactExchange;
     private readonly limits: UpstreamLimits;
     private readonly builds: Builds;
+    private readonly beginnings: Beginnings;
     private readonly permits: Permits;
     private readonly blocker: CallBlocker;
     private readonly permitGranter: PermitGranter;
@@ -164,6 +167,11 @@
         const policy = { place: placeNear, order: nextCall, queueOf, admission: true, random };
         this.dispatcher = new Dispatcher(pool, policy, log, this.metrics);
         this.builds = new Builds({ ...fleet, store: this.store, upstreams, routes: () => this.followedStore.table });
+        this.beginnings = new Beginnings({
+            holders: new BeginningHolders(peers, topology.region, options.toleratedLosses + 1),
+            lifetimeMs: () => this.builds.lifetimeMs,
+            log,
+        });
         this.followedStore = new FollowedStore({
             ...options,
             localInstance,
@@ -199,6 +207,7 @@
             upstreams: this.upstreams,
             blocker: this.blocker,
             builds: this.builds,
+            beginnings: this.beginnings,
             quotas: this.quotas,
             activeConfig: this.followedStore.activeConfig,
             stallMonitor: this.stallMonitor,
@@ -254,6 +263,7 @@
         this.storeArchive.close();
         this.budgets.close();
         this.builds.close();
+        this.beginnings.close();
         this.entry.close();
         this.upstreams.close();
     }
@@ -289,11 +299,13 @@
 
     private createEntry(pool: UpstreamPool, admission: LimitAdmission, random: () => number): EntryServer {
         const { protocol, log, hedgeShare = 0 } = this.options;
-        const { blocker, builds, dispatcher, fairness, limits, metrics, replyMemory, upstreams, turns } = this;
+        const { beginnings, blocker, builds, dispatcher, fairness, limits, metrics, replyMemory, upstreams, turns } =
+            this;
         return new EntryServer({
             filters: createCallFilters({
                 blocker,
                 builds,
+                beginnings,
                 serviceOf: name => this.followedStore.table?.service(name),
                 formerServices: (host, path) => this.followedStore.activeConfig.history.formerServices(host, path),
                 requestPermit: this.quotas?.requestPermit,
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -1,4 +1,5 @@
 /** Gauges of an instance that serves callers. */
+import type { Beginnings } from "./beginnings/beginnings.js";
 import type { Builds } from "./builds/builds.js";
 import type { CallBlocker } from "./crashes/callBlocker.js";
 import type { EntryServer } from "./entry/entryServer.js";
@@ -19,6 +20,7 @@
     readonly upstreams: Pick<Upstreams, "size" | "reopenedConnections">;
     readonly blocker: Pick<CallBlocker, "blocked">;
     readonly builds: Pick<Builds, "rememberedStreams">;
+    readonly beginnings: Pick<Beginnings, "rememberedBytes">;
     /** Undefined if no quotas are enforced. */
     readonly quotas: { readonly lenders: number; } | undefined;
     readonly activeConfig: Pick<ActiveConfig, "table">;
@@ -43,6 +45,11 @@
     );
     metrics.addGauge("calls_blocked", "Calls that ended three upstreams or more", () => of.blocker.blocked);
     metrics.addGauge("streams_remembered", "Streams whose build is known", () => of.builds.rememberedStreams);
+    metrics.addGauge(
+        "beginnings_remembered_bytes",
+        "Size of what is remembered of streams that may be taken up and are kept as turns",
+        () => of.beginnings.rememberedBytes,
+    );
     if (of.quotas !== undefined) {
         const { quotas } = of;
         metrics.addGauge("quota_lenders", "Instances that lend their share of quotas", () => quotas.lenders);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,7 @@
 /** Gateway for plain HTTP calls of agent programs. */
+export * from "./beginnings/beginningRecorder.js";
+export * from "./beginnings/beginningRecords.js";
+export * from "./beginnings/beginnings.js";
 export * from "./budgets/budgetRecord.js";
 export * from "./budgets/budgets.js";
 export * from "./budgets/regionBudgets.js";
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
+import { BeginningRecords } from "../beginnings/beginningRecords.js";
 import { BuildRecords } from "../builds/buildRecords.js";
 import type { JournalRequest, PeerAddress, PeerRequest } from "../peers/peerMessages.js";
 import { peerName } from "../peers/peerMessages.js";
@@ -34,6 +35,9 @@
 /** Number of streams that the server remembers at most, in some 16 MB. */
 const maxStreamRecords = 100_000;
 
+/** Memory for what fronts have passed on of streams. */
+const maxBeginningBytes = 16 * 1024 * 1024;
+
 /** Settings of a {@link JournalServer}. */
 export interface JournalServerOptions {
     readonly peerAddress: Omit<PeerAddress, "port" | "keepsTurns">;
@@ -67,6 +71,8 @@
     private readonly standing: DiskStanding;
     /** Which builds began the streams of fronts, kept in memory only: a stream without a record is refused. */
     private readonly streams = new BuildRecords(() => streamRecordLifetimeMs, maxStreamRecords);
+    /** What fronts have passed on of streams, kept in memory only: a stream whose beginning is not known is not taken up. */
+    private readonly beginnings = new BeginningRecords(maxBeginningBytes);
     private peerPort = 0;
     private closed = false;
 
@@ -156,6 +162,10 @@
                 return true;
             case "findStream":
                 return this.streams.get(request.id);
+            case "recordBeginning":
+                return this.beginnings.add(request.update);
+            case "findBeginnings":
+                return this.beginnings.partsOf(request.callId);
             case "get":
             case "range":
             case "changes":
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -88,6 +88,8 @@
         case "turnsFlushed":
         case "recordStreams":
         case "findStream":
+        case "recordBeginning":
+        case "findBeginnings":
             throw new Error("this instance keeps no turns");
     }
 };
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -1,8 +1,10 @@
 /** Requests and responses between instances. */
-import type { WorkerLoad } from "@marigolddrift/policy";
+import type { StreamPart, WorkerLoad } from "@marigolddrift/policy";
 import type { Compare, Put, StoreChange, StoredValue } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 
+import type { PartUpdate } from "../beginnings/beginningRecords.js";
+
 /** Store changes that a peer has read from the store, encoded for the wire. */
 export interface PackedChangeBatch {
     /** Encoded by {@link packChanges}; deflated if `isCompressed`. */
@@ -110,6 +112,10 @@
     | { readonly kind: "recordStreams"; readonly groups: readonly StreamGroup[]; }
     /** Asks which build began a stream. */
     | { readonly kind: "findStream"; readonly id: string; }
+    /** Records what a call passes on of a stream. */
+    | { readonly kind: "recordBeginning"; readonly update: PartUpdate; }
+    /** Asks what a call, and those that went on from it, have passed on. */
+    | { readonly kind: "findBeginnings"; readonly callId: string; }
     /** Notifies the server that another holder has flushed these turns to the store. */
     | { readonly kind: "turnsFlushed"; readonly ids: readonly string[]; };
 
@@ -251,6 +257,10 @@
     findTurn: FindTurnResponse;
     turnsFlushed: boolean;
     recordStreams: boolean;
+    /** False if the server lacks earlier events; undefined from servers that do not know the request. */
+    recordBeginning: boolean | undefined;
+    /** Undefined from servers that do not know the request. */
+    findBeginnings: readonly StreamPart[] | undefined;
     /** Undefined if the server has no record of the stream. */
     findStream: FoundBuild | undefined;
 }
--- a/packages/gateway/src/upstreams/eventCollector.ts
+++ b/packages/gateway/src/upstreams/eventCollector.ts
@@ -1,5 +1,6 @@
 /** Counts the events of an event stream and collects their data, while the stream itself is forwarded unchanged. */
 import { LineEndNormalizer } from "@marigolddrift/common";
+import type { StreamEvent } from "@marigolddrift/policy";
 import { createParser } from "eventsource-parser";
 
 import { EventBoundary } from "./eventBoundary.js";
@@ -12,18 +13,18 @@
 
 /** Parses an event stream. */
 export class EventCollector {
-    events = 0;
+    /** The whole events that have arrived. */
+    readonly events: StreamEvent[] = [];
     /** The first bytes, until it is known whether they are a byte order mark. */
     private beginning: string | undefined = "";
     private readonly lineEnds = new LineEndNormalizer();
     private readonly boundary = new EventBoundary();
-    private readonly data: string[] = [];
-    private readonly parser = createParser({
-        onEvent: event => {
-            this.events += 1;
-            this.data.push(event.data);
-        },
-    });
+    private readonly parser = createParser({ onEvent: ({ id, data }) => this.events.push({ id, data }) });
+
+    /** Number of whole events that have arrived. */
+    get count(): number {
+        return this.events.length;
+    }
 
     /**
      * Whether the stream that has arrived can be the whole one.
@@ -44,11 +45,6 @@
         this.parser.feed(text);
     }
 
-    /** Returns the data of all events, each followed by a line feed. */
-    output(): Buffer {
-        return Buffer.from(this.data.map(text => `${text}\n`).join(""), byteEncoding);
-    }
-
     private withoutMark(text: string): string {
         if (this.beginning === undefined) {
             return text;
@@ -62,3 +58,7 @@
         return beginning.startsWith(byteOrderMark) ? beginning.slice(byteOrderMark.length) : beginning;
     }
 }
+
+/** Returns the data of events, each followed by a line feed. */
+export const outputOf = (events: readonly StreamEvent[]): Buffer =>
+    Buffer.from(events.map(({ data }) => `${data}\n`).join(""), byteEncoding);
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -37,5 +37,6 @@
 export * from "./spareSlots.js";
 export * from "./spill.js";
 export * from "./staleLoad.js";
+export * from "./streamBeginnings.js";
 export * from "./upstreamHealth.js";
 export * from "./workspaceLoad.js";
--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -1,4 +1,5 @@
 /** Checks the invariants of the slot protocol and the bundle chain, or with --mutants that each mutant is detected. */
+import { beginningInvariants, beginningSteps, initialBeginningWorld } from "./beginningModel.js";
 import { bundleInvariants, bundleSteps, initialBundleWorld } from "./bundleModel.js";
 import { crashInvariants, crashSteps, initialCrashWorld } from "./crashModel.js";
 import { explore } from "./explorer.js";
@@ -9,6 +10,7 @@
 import type { Mutation } from "./mutants.js";
 import { protocolSteps } from "./protocolModel.js";
 import { initialQuotaWorlds, quotaInvariants, quotaSteps } from "./quotaModel.js";
+import { initialResendWorld, resendInvariants, resendSteps } from "./resendModel.js";
 import { scopes } from "./state.js";
 
 const maxStates = 1_000_000;
@@ -44,8 +46,18 @@
 const exploreCrashes = (mutation: Mutation): Exploration =>
     explore(initialCrashWorld, world => crashSteps(world, mutation), crashInvariants(mutation), maxStates);
 
+const exploreBeginnings = (mutation: Mutation): Exploration =>
+    explore(initialBeginningWorld, world => beginningSteps(world, mutation), beginningInvariants, maxStates);
+
+const exploreResends = (mutation: Mutation): Exploration =>
+    explore(initialResendWorld, world => resendSteps(world, mutation), resendInvariants, maxStates);
+
 const exploreWorld = (world: typeof mutants[string]["world"], mutation: Mutation): Exploration => {
     switch (world) {
+        case "beginnings":
+            return exploreBeginnings(mutation);
+        case "resends":
+            return exploreResends(mutation);
         case "bundles":
             return exploreBundles(mutation);
         case "crashes":
@@ -79,14 +91,23 @@
         limits: exploreLimits({}),
         crashes: exploreCrashes({}),
         quotas: exploreQuotas({}),
+        beginnings: exploreBeginnings({}),
+        resends: exploreResends({}),
     };
     for (const [name, result] of Object.entries(results)) {
         print(name, result);
         result.violation?.trace.forEach(step => console.log(`    ${step}`));
     }
-    [...invariants, ...bundleInvariants, ...limitInvariants, ...crashInvariants({}), ...quotaInvariants].forEach((
-        { name },
-    ) => console.log(`  checked: ${name}`));
+    const checked = [
+        ...invariants,
+        ...bundleInvariants,
+        ...limitInvariants,
+        ...crashInvariants({}),
+        ...quotaInvariants,
+        ...beginningInvariants,
+        ...resendInvariants,
+    ];
+    checked.forEach(({ name }) => console.log(`  checked: ${name}`));
     return Object.values(results).every(result => result.complete);
 };
 
--- a/spec/mutants.ts
+++ b/spec/mutants.ts
@@ -52,6 +52,14 @@
     readonly keepExpiredLeases?: boolean;
     /** An instance that is lent a share, for example after a restart, assumes that nothing of it was spent. */
     readonly startFull?: boolean;
+    /** A turn that is taken up is kept with the events of its last call only. */
+    readonly keepOwnEvents?: boolean;
+    /** The caller is believed to have all that was passed on, whatever its last event is. */
+    readonly trustPassedOn?: boolean;
+    /** That a stream is taken up is recorded only with the first event after it. */
+    readonly recordTakeUpLate?: boolean;
+    /** A refused call is sent again over the connection on which it was refused. */
+    readonly reuseRefusingConnection?: boolean;
 }
 
 /** Mutants by name, with the scope in which each must be detected. */
@@ -59,7 +67,16 @@
     Record<
         string,
         {
-            readonly world: "leases" | "deadlines" | "budget" | "bundles" | "limits" | "crashes" | "quotas";
+            readonly world:
+                | "leases"
+                | "deadlines"
+                | "budget"
+                | "bundles"
+                | "limits"
+                | "crashes"
+                | "quotas"
+                | "beginnings"
+                | "resends";
             readonly mutation: Mutation;
         }
     >
@@ -94,5 +111,12 @@
     "use a permit that has outlived its time": { world: "quotas", mutation: { useExpiredPermits: true } },
     "go on with lent shares while the limit is lowered": { world: "quotas", mutation: { keepExpiredLeases: true } },
     "start with a full bucket": { world: "quotas", mutation: { startFull: true } },
+    "keep a turn without its beginning": { world: "beginnings", mutation: { keepOwnEvents: true } },
+    "take what was passed on for what the caller has": { world: "beginnings", mutation: { trustPassedOn: true } },
+    "record late that a stream is taken up": { world: "beginnings", mutation: { recordTakeUpLate: true } },
+    "send a refused call again on the connection of its refusal": {
+        world: "resends",
+        mutation: { reuseRefusingConnection: true },
+    },
     "serve an older bundle than peers do": { world: "bundles", mutation: { ignorePeers: true } },
 };
--- a/tests/upstreams/eventBoundary.test.ts
+++ b/tests/upstreams/eventBoundary.test.ts
@@ -1,5 +1,5 @@
 import { LineEndNormalizer } from "@marigolddrift/common";
-import { EventCollector } from "@marigolddrift/gateway";
+import { EventCollector, outputOf } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -72,7 +72,7 @@
     it("should not be waited for to collect an event whose lines end in CR alone", () => {
         for (const pieceLength of pieceLengths) {
             const events = collect("id: 1\rdata: a\r\r", pieceLength);
-            expect([pieceLength, events.events, events.output().toString()]).toEqual([pieceLength, 1, "a\n"]);
+            expect([pieceLength, events.count, outputOf(events.events).toString()]).toEqual([pieceLength, 1, "a\n"]);
         }
     });
 
@@ -80,7 +80,7 @@
     it("should leave the first event after a byte order mark whole", () => {
         for (const pieceLength of pieceLengths) {
             const events = collect("\u00ef\u00bb\u00bfdata: a\n\n", pieceLength);
-            expect([pieceLength, events.output().toString()]).toEqual([pieceLength, "a\n"]);
+            expect([pieceLength, outputOf(events.events).toString()]).toEqual([pieceLength, "a\n"]);
         }
     });
 
