Lend a share of the quotas only once all others count with the instance

Cause: an instance lent its share when it concluded that all others know it, from the entry of a former process, which doesn't say since when it stands there, or from ten seconds, in which the others usually read the list. Shares of instances that don't count with each other add up to more than one where they are lent to different instances.

In the models, lending before all have confirmed, believing a former process, passing over a member whose entry is unchanged and concluding by an old list each break the rule.

A new instance asks all that it finds in the current list; they count with it from then on, also if they can't read the list, and confirm once what they lent before has ended. Its entry keeps that for later processes. A member that lends nothing and doesn't respond is passed over once it can't be recognized without finding the new one; one that lends and is gone is removed after an hour, in which it must have stopped by itself. Limits that upstreams name wait for the same answers where quotas are enforced. Nothing is paid where they aren't.

--- a/packages/gateway/src/builds/buildDeclarations.ts
+++ b/packages/gateway/src/builds/buildDeclarations.ts
@@ -9,9 +9,9 @@
 import type { VersionedStore } from "@marigolddrift/store";
 import { z } from "zod";
 
+import { currentMoment } from "../elapsed.js";
+import type { Moment } from "../elapsed.js";
 import { storeKey } from "../state/storeKey.js";
-import { currentMoment } from "./elapsed.js";
-import type { Moment } from "./elapsed.js";
 import { ServiceBuilds } from "./serviceBuilds.js";
 import { SharedRead } from "./sharedRead.js";
 
--- a/packages/gateway/src/builds/serviceBuilds.ts
+++ b/packages/gateway/src/builds/serviceBuilds.ts
@@ -1,6 +1,6 @@
 /** What an instance knows of the builds of one service. */
-import { currentMoment, elapsedMs } from "./elapsed.js";
-import type { Moment } from "./elapsed.js";
+import { currentMoment, elapsedMs } from "../elapsed.js";
+import type { Moment } from "../elapsed.js";
 
 /**
  * Time for which an instance lets streams begin after it has last read the declaration or written it. A build is retired in the
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,7 +24,6 @@
 import { addGauges } from "./gatewayGauges.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewayOptions } from "./gatewayOptions.js";
-import { JournalArchive } from "./journal/journalArchive.js";
 import { LimitAdmission } from "./limits/limitAdmission.js";
 import { PermitGranter } from "./limits/permitGranter.js";
 import { Permits } from "./limits/permits.js";
@@ -42,25 +41,20 @@
 import { Quotas } from "./quotas/quotas.js";
 import type { RoutingConfig } from "./routes.js";
 import { StallMonitor } from "./stallMonitor.js";
-import { BatchWriter } from "./state/batchWriter.js";
 import { FollowedStore } from "./state/followedStore.js";
 import type { Exchange } from "./trafficMeter.js";
-import { StoreArchive } from "./turns/storeArchive.js";
-import { TurnStore } from "./turns/turnStore.js";
+import { TurnStorage } from "./turns/turnStorage.js";
+import type { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
 import { ReplyMemory } from "./upstreams/replyMemory.js";
 import { connectionsPerInstance, Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
 
-/** Time for which writes are collected into a batch. */
-const batchDelayMs = 3;
-
 /** An instance that serves callers. */
 export class Gateway {
     readonly metrics = new GatewayMetrics();
     readonly upstreams: Upstreams;
-    readonly turns: TurnStore;
     readonly budgets: Budgets;
     readonly entry: EntryServer;
     readonly replyMemory: ReplyMemory;
@@ -72,7 +66,7 @@
     private readonly drainController: DrainController;
     readonly regionBudgets: RegionBudgets;
     readonly succession: Succession;
-    private readonly writer: BatchWriter;
+    private readonly turnStorage: TurnStorage;
     private readonly loadExchange: LoadExchange;
     private readonly facts: FactExchange;
     private readonly limits: UpstreamLimits;
@@ -83,8 +77,6 @@
     private readonly permitGranter: PermitGranter;
     /** Undefined if no quotas are enforced. */
     private readonly quotas: Quotas | undefined;
-    private readonly storeArchive: StoreArchive;
-    private readonly journalArchive: JournalArchive;
     private readonly localInstance: LocalInstance;
     private readonly followedStore: FollowedStore;
     private readonly dispatcher: Dispatcher<QueuedCall>;
@@ -143,7 +135,7 @@
             log,
             () => this.fairness.localLoad(),
         );
-        this.permitGranter = new PermitGranter(random);
+        this.permitGranter = new PermitGranter(random, () => peers.isSettled);
         this.permits = new Permits(this.localInstance, this.duties, this.peers, this.permitGranter, this.metrics, log);
         const factClock = new FactClock();
         this.limits = new UpstreamLimits(factClock, this.permits, options.regionOf, log);
@@ -153,11 +145,8 @@
         const { upstreams, limits } = this;
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
         const pool = new UpstreamPool(topology, upstreams, peerLoadOf, limits, random, log, observesUpstreams);
-        this.writer = new BatchWriter(this.store, batchDelayMs, log);
-        this.storeArchive = new StoreArchive(this.store, this.writer, log);
-        this.journalArchive = new JournalArchive(this.peers, this.storeArchive, options, log);
-        this.turns = new TurnStore(this.journalArchive, log);
-        this.budgets = new Budgets(options.instance, this.writer, this.store, this.peers, log);
+        this.turnStorage = new TurnStorage(this.store, this.peers, options, log);
+        this.budgets = new Budgets(options.instance, this.turnStorage.writer, this.store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         this.fairness = new Fairness(() => this.followedStore.table?.workspaces, {
             loadOfPeers: () => this.loadExchange.workspacesOfPeers,
@@ -216,6 +205,10 @@
         });
     }
 
+    get turns(): TurnStore {
+        return this.turnStorage.turns;
+    }
+
     /** Whether the instance is ready to serve callers. */
     get isReady(): boolean {
         return this.drainController.schedule === undefined && this.canServe;
@@ -260,7 +253,7 @@
         this.blocker.close();
         this.peers.stop();
         this.peerServer.close();
-        this.storeArchive.close();
+        this.turnStorage.close();
         this.budgets.close();
         this.builds.close();
         this.beginnings.close();
@@ -277,7 +270,7 @@
             facts,
             permits,
             quotas,
-            journalArchive,
+            peers,
             builds,
         } = this;
         const { store } = this.options;
@@ -289,7 +282,8 @@
             facts,
             permits,
             quotas,
-            journalArchive,
+            peers,
+            journalArchive: this.turnStorage.journalArchive,
             builds,
             store,
             canServe: () => this.canServe,
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -80,7 +80,8 @@
         const { log, peerAddress } = options;
         const store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         const localAddress = (): PeerAddress => ({ ...peerAddress, port: this.peerPort, keepsTurns: true });
-        this.peers = new Peers(options.machine, localAddress, store, log, options.recordTraffic);
+        const { recordTraffic } = options;
+        this.peers = new Peers(options.machine, localAddress, store, log, { recordTraffic });
         this.server = new PeerServer(
             () => this.peers.key,
             (request, progress) => this.handleRequest(request, progress),
@@ -179,6 +180,7 @@
             case "takeQuota":
             case "prepareBuilds":
             case "standing":
+            case "recognize":
             case "returnBudget":
             case "reserveTokens":
             case "settleTokens":
--- a/packages/gateway/src/limits/permitGranter.ts
+++ b/packages/gateway/src/limits/permitGranter.ts
@@ -7,9 +7,6 @@
 /** Time for which an instance that asked for permits counts among those that share the limit. */
 const sharerTtlMs = 2_000;
 
-/** Time after a start until the other instances have found this one in the member list. */
-const settlingMs = 10_000;
-
 /** Interval at which state that is no longer needed is dropped. */
 const cleanupIntervalMs = 5_000;
 
@@ -25,10 +22,10 @@
 /** One instance's side of the limits that it grants permits for. */
 export class PermitGranter {
     private readonly upstreams = new Map<string, GrantedUpstream>();
-    private readonly settledAt = performance.now() + settlingMs;
     private readonly timer = setInterval(() => this.dropIdle(performance.now()), cleanupIntervalMs).unref();
 
-    constructor(private readonly random: () => number) {}
+    /** @param isSettled Whether the other instances count with this one, so that no other takes itself for the first choice. */
+    constructor(private readonly random: () => number, private readonly isSettled: () => boolean) {}
 
     /**
      * Grants up to `count` permits to an instance.
@@ -40,7 +37,7 @@
         const state = this.upstreams.get(upstream) ?? { bucket: undefined, askedAt: new Map<string, number>() };
         this.upstreams.set(upstream, state);
         state.askedAt.set(instance, now);
-        const rate = grantingRate(perSecond, isFirst && now >= this.settledAt);
+        const rate = grantingRate(perSecond, isFirst && this.isSettled());
         const { bucket, granted, retryInMs } = takePermits(state.bucket, rate, count, now);
         state.bucket = bucket;
         const sharers = [...state.askedAt.values()].filter(at => now - at < sharerTtlMs).length;
--- a/packages/gateway/src/peers/frontRequests.ts
+++ b/packages/gateway/src/peers/frontRequests.ts
@@ -13,7 +13,9 @@
 import type { WatchedPrefix } from "../state/watchedPrefix.js";
 import { packTurn } from "../turns/turnRecord.js";
 import type { LoadExchange } from "../upstreams/loadExchange.js";
+import { peerName } from "./peerMessages.js";
 import type { JournalRequest, PeerRequest } from "./peerMessages.js";
+import type { Peers } from "./peers.js";
 import type { RequestHandler } from "./peerServer.js";
 import { handleStoreRequest } from "./storeRequests.js";
 
@@ -26,7 +28,8 @@
     readonly facts: Pick<FactExchange, "onRequest">;
     readonly permits: Pick<Permits, "onRequest">;
     /** Undefined if no quotas are enforced. */
-    readonly quotas: Pick<Quotas, "onRequest"> | undefined;
+    readonly quotas: Pick<Quotas, "onRequest" | "countsWith"> | undefined;
+    readonly peers: Pick<Peers, "add">;
     readonly journalArchive: Pick<JournalArchive, "loadForPeer">;
     readonly builds: Pick<Builds, "prepareForPeer">;
     /** The platform's store, reached directly. */
@@ -54,6 +57,9 @@
     switch (request.kind) {
         case "standing":
             return of.drainController.standing(of.canServe());
+        case "recognize":
+            of.peers.add(request.machine, request.address);
+            return of.quotas?.countsWith(peerName(request.address)) ?? true;
         case "returnBudget":
             return await of.budgets.returnUnspent(request.program, progress);
         case "followed": {
--- a/packages/gateway/src/peers/gatewayPeers.ts
+++ b/packages/gateway/src/peers/gatewayPeers.ts
@@ -3,8 +3,12 @@
 
 import type { Duties } from "../fleet/duties.js";
 import type { GatewayOptions } from "../gatewayOptions.js";
+import { peerName } from "./peerMessages.js";
 import { Peers } from "./peers.js";
 
+/** Duty of removing members that are gone for good. */
+const removalDuty = "member removal";
+
 /** What is known only once the gateway is put together or has started. */
 export interface GatewayPeersSources {
     readonly store: VersionedStore;
@@ -26,6 +30,13 @@
             duties().likelyCarriers([layout.configKey, layout.upstreamsPrefix]),
             duties().partners(),
         ] as const;
-    const detectsRestart = options.quotas !== undefined;
-    return new Peers(machine, localAddress, store, log, recordTraffic, neededFronts, undefined, detectsRestart);
+    const isRemover = (): boolean => {
+        const localName = peerName(localAddress());
+        const isEligible = (name: string): boolean => name === localName || peers.isReachable(name);
+        const [first] = duties().carriers(removalDuty, 1, isEligible);
+        return first === localName;
+    };
+    const recognition = options.quotas && { isRemover };
+    const peers = new Peers(machine, localAddress, store, log, { recordTraffic, neededFronts, recognition });
+    return peers;
 };
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -164,6 +164,13 @@
         this.socket?.terminate();
     }
 
+    /** Closes the connection unless a request waits for its response; the next request opens it again. */
+    closeIfIdle(): void {
+        if (this.pending.size === 0) {
+            this.close();
+        }
+    }
+
     /**
      * Handles a request without a response. The connection may be dead without a reset, so it is closed and the next
      * request opens a new one. A peer that has sent another frame since the request is only slow, and a connection that
--- a/packages/gateway/src/peers/peerMessages.ts
+++ b/packages/gateway/src/peers/peerMessages.ts
@@ -91,6 +91,11 @@
     | { readonly kind: "returnBudget"; readonly program: string; }
     /** Says that builds have come that are not declared yet, and asks the peer to record its streams of the service. */
     | { readonly kind: "prepareBuilds"; readonly service: string; readonly builds: readonly string[]; }
+    /**
+     * Says that the sender is registered, and asks whether the peer counts with it for all shares that are lent. The peer does so from now
+     * on, also if it can't read the list of members.
+     */
+    | { readonly kind: "recognize"; readonly machine: string; readonly address: PeerAddress; }
     /** Asks whether the peer takes calls. */
     | { readonly kind: "standing"; }
     /** Reserves tokens of a program's budget for a turn of the sender. */
@@ -248,6 +253,8 @@
     /** Undefined from instances that do not know the request. */
     prepareBuilds: BuildReadiness | undefined;
     /** Undefined from instances that do not know the request. */
+    recognize: boolean | undefined;
+    /** Undefined from instances that do not know the request. */
     standing: Standing | undefined;
     /**
      * False if the server currently accepts no turns; `uncounted` if it has the turn, but its disk may be lost in addition
--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -4,7 +4,9 @@
 import type { StoredValue, VersionedStore } from "@marigolddrift/store";
 
 import type { TrafficRecorder } from "../trafficMeter.js";
-import { MemberList, parseMember } from "./memberList.js";
+import { memberKey, MemberList, parseMember } from "./memberList.js";
+import { MemberRemoval } from "./memberRemoval.js";
+import { OwnListing } from "./ownListing.js";
 import { PeerClient } from "./peerClient.js";
 import { peerName } from "./peerMessages.js";
 import type { PeerAddress } from "./peerMessages.js";
@@ -22,11 +24,24 @@
 /** Minimum time between reads of the member list for peers that are not known. */
 const newPeerRefreshMs = 1_000;
 
-/** Time after the first registration until the other instances have found this one in the member list. */
+/** Time after the first registration until the other instances usually have found this one in the member list. */
 const settlingMs = 10_000;
 
 const callTimeoutMs = 1_000;
 
+/** Optional parts of {@link Peers}. */
+export interface PeersOptions {
+    readonly recordTraffic?: TrafficRecorder | undefined;
+    /** Returns the names of the front instances that are connected in advance: urgent ones, then the others. */
+    readonly neededFronts?: () => readonly [readonly string[], readonly string[]];
+    readonly random?: () => number;
+    /** Set if the instance lends shares, for which all others must count with it. */
+    readonly recognition?: {
+        /** Whether this instance is the one of its region that removes members that are gone. */
+        readonly isRemover: () => boolean;
+    } | undefined;
+}
+
 /** Registers this instance, and maintains connections to its peers. */
 export class Peers {
     /** Incremented when members are added, replaced or removed. */
@@ -39,24 +54,41 @@
         version: () => this.version,
         listNeeded: () => this.listNeeded(),
     });
+    private readonly removal: MemberRemoval | undefined;
+    /** Undefined if this instance lends no shares. */
+    private readonly ownListing: OwnListing | undefined;
     private stopped = false;
     private refreshedAt = -Infinity;
+    /** Monotonic time of the first read of the list. */
     private membersReadAt: number | undefined;
     private refreshTimer: NodeJS.Timeout | undefined;
 
     constructor(
-        machine: string,
+        private readonly machine: string,
         private readonly localAddress: () => PeerAddress,
         store: VersionedStore,
         private readonly log: Logger,
-        private readonly recordTraffic: TrafficRecorder = () => {},
-        /** Returns the names of the front instances that are connected in advance: urgent ones, then the others. */
-        private readonly neededFronts: () => readonly [readonly string[], readonly string[]] = () => [[], []],
-        private readonly random: () => number = Math.random,
-        /** Whether to find out if another process of this machine was registered before. */
-        detectsRestart = false,
+        private readonly options: PeersOptions = {},
     ) {
-        this.members = new MemberList(machine, localAddress, store, log, detectsRestart);
+        const { recognition } = options;
+        this.members = new MemberList(machine, localAddress, store, log, recognition !== undefined);
+        this.removal = recognition && new MemberRemoval({
+            members: this.members,
+            fronts: () => this.frontsOfRegion(),
+            isResponsible: recognition.isRemover,
+            log,
+        });
+        this.ownListing = recognition && new OwnListing({
+            machine,
+            localAddress,
+            members: this.members,
+            fronts: () => this.fronts,
+            readCurrent: progress => this.readCurrent(progress),
+            readRecent: progress => this.readRecent(progress),
+            isNeeded: peer => this.listNeeded().includes(peer),
+            random: () => this.random(),
+            log,
+        });
     }
 
     /** Whether this instance has been added to the member list. */
@@ -65,12 +97,12 @@
     }
 
     /**
-     * Whether the member list is known to include all instances that may count on this one. After a restart they know the machine;
-     * otherwise they learn of it with their next refresh.
+     * Whether all instances that may count on this one do so. One that lends shares must have heard it from them, and must still be in the
+     * list; for others, it is enough that they usually have read the list by now.
      */
     get isSettled(): boolean {
         const readAt = this.membersReadAt;
-        return readAt !== undefined && (this.members.hasRestarted || performance.now() - readAt >= settlingMs);
+        return this.ownListing?.isCountedByAll ?? (readAt !== undefined && performance.now() - readAt >= settlingMs);
     }
 
     /** Shared key, which proves that a peer can read the same store. */
@@ -86,6 +118,8 @@
     stop(): void {
         this.stopped = true;
         clearTimeout(this.refreshTimer);
+        this.ownListing?.close();
+        this.removal?.close();
         this.preconnector.stop();
         this.clients.forEach(client => client.close());
     }
@@ -147,9 +181,12 @@
 
     /** Reads the current member list: adds all registered peers and removes those that are no longer registered. */
     async reload(progress: Progress): Promise<void> {
-        const values = await this.members.read(progress);
-        this.applyMembers(values);
-        this.removeUnlisted(new Set(values.map(({ key }) => key)));
+        await this.readCurrent(progress);
+    }
+
+    /** Adds an instance that has registered itself, and says so before this one has read the list again. */
+    add(machine: string, address: PeerAddress): void {
+        this.applyMember(memberKey(machine), address);
     }
 
     /** Removes this instance from the member list. */
@@ -179,7 +216,7 @@
         try {
             await this.members.loadKey(progress);
             await progress.race(this.members.register(progress));
-            this.applyMembers(await this.members.read(progress, { mayBeStale: true }));
+            await (this.ownListing?.read(progress) ?? this.readRecent(progress));
             this.membersReadAt ??= performance.now();
         }
         catch (err) {
@@ -196,10 +233,34 @@
         }
     }
 
+    private random(): number {
+        return (this.options.random ?? Math.random)();
+    }
+
+    /** The other front instances of this region, by the keys of their entries. */
+    private frontsOfRegion(): Map<string, PeerClient> {
+        const { region } = this.localAddress();
+        const isFront = ({ address }: PeerClient): boolean => !address.keepsTurns && address.region === region;
+        return new Map([...this.clients].filter(([, client]) => isFront(client)));
+    }
+
+    private async readRecent(progress: Progress): Promise<readonly StoredValue[]> {
+        const values = await this.members.read(progress, { mayBeStale: true });
+        this.applyMembers(values);
+        return values;
+    }
+
+    private async readCurrent(progress: Progress): Promise<readonly StoredValue[]> {
+        const values = await this.members.read(progress);
+        this.applyMembers(values);
+        this.removeUnlisted(new Set(values.map(({ key }) => key)));
+        return values;
+    }
+
     /** Peers that are connected in advance, most urgent first. */
     private listNeeded(): PeerClient[] {
         const { region } = this.localAddress();
-        const [urgent, others] = this.neededFronts();
+        const [urgent, others] = this.options.neededFronts?.() ?? [[], []];
         const find = (names: readonly string[]): PeerClient[] =>
             names.map(name => this.getByName(name)).filter(client => client !== undefined);
         // Turns wait for the journal servers of the region; those of other regions are rarely asked.
@@ -240,22 +301,27 @@
 
     private createClient(address: PeerAddress): PeerClient {
         const link = address.region === this.localAddress().region ? "region" : "otherRegion";
-        return new PeerClient(address, () => this.key, exchange => this.recordTraffic({ ...exchange, link }));
+        return new PeerClient(address, () => this.key, exchange => this.options.recordTraffic?.({ ...exchange, link }));
     }
 
     private applyMembers(values: readonly StoredValue[]): void {
-        // A list that is not recent may have the process that ran at this address before.
-        const localName = peerName(this.localAddress());
         for (const { key, value } of values) {
             const address = parseMember(value);
-            const known = this.clients.get(key);
             if (address === undefined) {
                 this.log.warn("peer entry ignored", { key, reason: "invalid address" });
             }
-            else if (peerName(address) !== localName && known?.address.instance !== address.instance) {
-                this.replaceClient(key, known, this.createClient(address));
-                this.log.info("peer found", { peer: address.instance, zone: address.zone });
+            else {
+                this.applyMember(key, address);
             }
         }
     }
+
+    /** A list that is not recent may have the process that ran at this address before. */
+    private applyMember(key: string, address: PeerAddress): void {
+        const known = this.clients.get(key);
+        if (peerName(address) !== peerName(this.localAddress()) && known?.address.instance !== address.instance) {
+            this.replaceClient(key, known, this.createClient(address));
+            this.log.info("peer found", { peer: address.instance, zone: address.zone });
+        }
+    }
 }
--- a/packages/gateway/src/quotas/quotas.ts
+++ b/packages/gateway/src/quotas/quotas.ts
@@ -112,6 +112,11 @@
         return this.granter.handle(request);
     }
 
+    /** Whether an instance is counted in all shares that this one has lent and that may still be spent. */
+    countsWith(name: string): boolean {
+        return this.lender.countsWith(name, performance.now());
+    }
+
     /** Number of instances that lend their share to this one. */
     get lenders(): number {
         return this.granter.lenders;
--- a/packages/gateway/src/quotas/shareLender.ts
+++ b/packages/gateway/src/quotas/shareLender.ts
@@ -30,6 +30,8 @@
     private readonly lent = new Array<LentShare | undefined>(quotaSlots).fill(undefined);
     private readonly choices = new Map<string, Choice>();
     private members: Members | undefined;
+    /** Monotonic time until which shares may be spent that were lent before the latest member was added. */
+    private formerSharesUntil = -Infinity;
 
     /**
      * @param isEligible Whether a peer may be asked now.
@@ -99,6 +101,11 @@
         return slots;
     }
 
+    /** Whether a member is counted in all shares that are lent and may still be spent. */
+    countsWith(name: string, now: number): boolean {
+        return this.currentMembers().all.names.includes(name) && now >= this.formerSharesUntil;
+    }
+
     /** Whether this instance is one of those that may hold a whole permit with a small share. */
     mayHoldWhole(workspace: string, terms: QuotaTerms, share: number, slack: number): boolean {
         const holders = wholePermitHolders(terms, share, slack);
@@ -145,12 +152,22 @@
                     ]],
                 ),
             );
+            const all = new RendezvousTable([...names.values()].flat());
+            this.noteAdded(all.names);
             this.members = {
                 version,
-                all: new RendezvousTable([...names.values()].flat()),
+                all,
                 byRegion: new Map([...names].map(([region, members]) => [region, members.length])),
             };
         }
         return this.members;
     }
+
+    /** Shares that were lent before a member was added are larger than those that are lent from now on. */
+    private noteAdded(names: readonly string[]): void {
+        const known = new Set(this.members?.all.names);
+        if (names.some(name => !known.has(name))) {
+            this.formerSharesUntil = Math.max(...this.lent.map(lent => lent?.until ?? -Infinity));
+        }
+    }
 }
--- a/spec/explore.ts
+++ b/spec/explore.ts
@@ -10,6 +10,7 @@
 import type { Mutation } from "./mutants.js";
 import { protocolSteps } from "./protocolModel.js";
 import { initialQuotaWorlds, quotaInvariants, quotaSteps } from "./quotaModel.js";
+import { initialRecognitionWorld, recognitionInvariants, recognitionSteps } from "./recognitionModel.js";
 import { initialResendWorld, resendInvariants, resendSteps } from "./resendModel.js";
 import { scopes } from "./state.js";
 
@@ -52,10 +53,20 @@
 const exploreResends = (mutation: Mutation): Exploration =>
     explore(initialResendWorld, world => resendSteps(world, mutation), resendInvariants, maxStates);
 
+const exploreRecognition = (mutation: Mutation): Exploration =>
+    explore(
+        initialRecognitionWorld,
+        world => recognitionSteps(world, mutation),
+        recognitionInvariants,
+        maxStates,
+    );
+
 const exploreWorld = (world: typeof mutants[string]["world"], mutation: Mutation): Exploration => {
     switch (world) {
         case "beginnings":
             return exploreBeginnings(mutation);
+        case "recognition":
+            return exploreRecognition(mutation);
         case "resends":
             return exploreResends(mutation);
         case "bundles":
@@ -93,6 +104,7 @@
         quotas: exploreQuotas({}),
         beginnings: exploreBeginnings({}),
         resends: exploreResends({}),
+        recognition: exploreRecognition({}),
     };
     for (const [name, result] of Object.entries(results)) {
         print(name, result);
@@ -106,6 +118,7 @@
         ...quotaInvariants,
         ...beginningInvariants,
         ...resendInvariants,
+        ...recognitionInvariants,
     ];
     checked.forEach(({ name }) => console.log(`  checked: ${name}`));
     return Object.values(results).every(result => result.complete);
--- a/spec/mutants.ts
+++ b/spec/mutants.ts
@@ -52,6 +52,14 @@
     readonly keepExpiredLeases?: boolean;
     /** An instance that is lent a share, for example after a restart, assumes that nothing of it was spent. */
     readonly startFull?: boolean;
+    /** An instance lends its share before the others count with it. */
+    readonly lendUnrecognized?: boolean;
+    /** A process takes itself as known to all others because its machine is listed. */
+    readonly trustFormerEntry?: boolean;
+    /** A silent member that is not recognized is passed over although its entry has not changed. */
+    readonly passOverUnchanged?: boolean;
+    /** An instance is recognized by a list that it read before its entry was changed. */
+    readonly concludeByOldList?: boolean;
     /** A turn that is taken up is kept with the events of its last call only. */
     readonly keepOwnEvents?: boolean;
     /** The caller is believed to have all that was passed on, whatever its last event is. */
@@ -76,7 +84,8 @@
                 | "crashes"
                 | "quotas"
                 | "beginnings"
-                | "resends";
+                | "resends"
+                | "recognition";
             readonly mutation: Mutation;
         }
     >
@@ -111,6 +120,13 @@
     "use a permit that has outlived its time": { world: "quotas", mutation: { useExpiredPermits: true } },
     "go on with lent shares while the limit is lowered": { world: "quotas", mutation: { keepExpiredLeases: true } },
     "start with a full bucket": { world: "quotas", mutation: { startFull: true } },
+    "lend a share before all others count with it": { world: "quotas", mutation: { lendUnrecognized: true } },
+    "take a listed machine for one that all others know": { world: "quotas", mutation: { trustFormerEntry: true } },
+    "pass over a silent member that may be recognized unseen": {
+        world: "recognition",
+        mutation: { passOverUnchanged: true },
+    },
+    "be recognized by a list from before": { world: "recognition", mutation: { concludeByOldList: true } },
     "keep a turn without its beginning": { world: "beginnings", mutation: { keepOwnEvents: true } },
     "take what was passed on for what the caller has": { world: "beginnings", mutation: { trustPassedOn: true } },
     "record late that a stream is taken up": { world: "beginnings", mutation: { recordTakeUpLate: true } },
--- a/spec/quotaModel.ts
+++ b/spec/quotaModel.ts
@@ -1,6 +1,7 @@
 /**
- * Model of the quota of one workspace over three instances that lend their shares: instances lose and regain contact, restart, and hold
- * permits back; the limit is lowered. Leases, shares and buckets are those of the production code.
+ * Model of the quota of one workspace over instances that lend their shares: instances lose and regain contact, restart, and hold
+ * permits back; the limit is lowered. In a second model, an instance is added of which the other one learns by contact only, as it can't read
+ * the list of members. Leases, shares and buckets are those of the production code.
  */
 import {
     createQuotaBucket,
@@ -25,6 +26,18 @@
 type InstanceName = typeof instances[number];
 
 interface InstanceState {
+    /** Whether it has been added to the list of members. */
+    readonly isPresent: boolean;
+    /** The instances among which it divides the quota, including itself. */
+    readonly known: readonly InstanceName[];
+    /** Instances that count with it. */
+    readonly confirmedBy: readonly InstanceName[];
+    /** Whether all others that lend shares count with it, as far as it knows. */
+    readonly isRecognized: boolean;
+    /** Whether its entry in the list says so, which outlives its process. */
+    readonly isListedAsRecognized: boolean;
+    /** Time until which shares may be spent that it lent before it knew of the latest instance. */
+    readonly formerSharesUntil: number;
     readonly terms: QuotaTerms;
     /** Whether it knows of the lowered limit. */
     readonly isInformed: boolean;
@@ -93,17 +106,23 @@
 const lastOffer = (now: number): ShareOffer => offerShare(1, leaseMs, now);
 
 /** All shares are lent to `a`, whose bucket is full. */
-export const initialQuotaWorlds: readonly QuotaWorld[] = [steady, bursty].map(terms => ({
+const initialWorld = (terms: QuotaTerms, present: readonly InstanceName[]): QuotaWorld => ({
     time: 0,
     terms,
     instances: Object.fromEntries(instances.map(name => [name, {
+        isPresent: present.includes(name),
+        known: present,
+        confirmedBy: [],
+        isRecognized: present.includes(name),
+        isListedAsRecognized: present.includes(name),
+        formerSharesUntil: 0,
         terms,
         isInformed: false,
         issuer: 1,
         lent: lendShare(undefined, "a", 0, leaseMs),
         offer: { granter: "a", offer: lastOffer(0), receivedAt: 0 },
         leases: name === "a" ?
-            Object.fromEntries(instances.map(lender => [lender, leaseOf(lastOffer(0), 1, instances.length, 1, 0)!])) :
+            Object.fromEntries(present.map(lender => [lender, leaseOf(lastOffer(0), 1, present.length, 1, 0)!])) :
             {},
         share: name === "a" ? 1 : 0,
         bucket: { ...createQuotaBucket(0), level: name === "a" ? terms.burst : 0 },
@@ -114,12 +133,43 @@
     loweredAt: undefined,
     sent: [],
     remainingChanges: 3,
-}));
+});
+
+export const initialQuotaWorlds: readonly QuotaWorld[] = [
+    ...[steady, bursty].map(terms => initialWorld(terms, instances)),
+    initialWorld(steady, ["a"]),
+];
 
 const linkOf = (one: InstanceName, other: InstanceName): string => [one, other].sort().join("-");
 
 type MutableInstances = Record<InstanceName, InstanceState>;
 
+const presentIn = (all: Instances): InstanceName[] => instances.filter(name => all[name].isPresent);
+
+/** An instance that is not recognized yet asks another one, which counts with it from then on. */
+const askToBeCounted = (all: MutableInstances, name: InstanceName, other: InstanceName, now: number): void => {
+    const asked = all[other];
+    if (!asked.known.includes(name)) {
+        const formerSharesUntil = asked.lent?.until ?? 0;
+        all[other] = { ...asked, known: [...asked.known, name], formerSharesUntil };
+    }
+    if (now >= all[other].formerSharesUntil) {
+        all[name] = { ...all[name], confirmedBy: [...new Set([...all[name].confirmedBy, other])] };
+    }
+};
+
+/** Asks all others that can be reached, until all that are known have confirmed. */
+const seekRecognition = (all: MutableInstances, name: InstanceName, world: QuotaWorld, now: number): void => {
+    if (all[name].isRecognized) {
+        return;
+    }
+    const others = all[name].known.filter(other => other !== name);
+    const reached = others.filter(other => !world.cuts.includes(linkOf(name, other)));
+    reached.forEach(other => askToBeCounted(all, name, other, now));
+    const isRecognized = others.every(other => all[name].confirmedBy.includes(other));
+    all[name] = { ...all[name], isRecognized, isListedAsRecognized: isRecognized };
+};
+
 /** Ends expired leases and brings level and share up to date. */
 const settle = (state: InstanceState, now: number, mutation: Mutation): InstanceState => {
     const entries = Object.entries(state.leases).filter(([, { until }]) =>
@@ -140,10 +190,11 @@
     now: number,
     mutation: Mutation,
 ): number => {
-    const { lent, offer } = all[name];
-    if (offer?.granter === granter && (mayLend(lent, granter, now) || mutation.lendTwice === true)) {
+    const { lent, offer, isRecognized, known } = all[name];
+    const maySpendShare = isRecognized || mutation.lendUnrecognized === true;
+    if (maySpendShare && offer?.granter === granter && (mayLend(lent, granter, now) || mutation.lendTwice === true)) {
         all[name] = { ...all[name], lent: lendShare(lent, granter, offer.receivedAt, leaseMs) };
-        const lease = leaseOf(offer.offer, all[granter].issuer, instances.length, 1, now);
+        const lease = leaseOf(offer.offer, all[granter].issuer, known.length, 1, now);
         const leases = { ...all[granter].leases, ...(lease === undefined ? {} : { [name]: lease }) };
         all[granter] = settle({ ...all[granter], leases }, now, mutation);
     }
@@ -169,16 +220,24 @@
 const tick = (world: QuotaWorld, mutation: Mutation): QuotaWorld => {
     const now = (world.time + 1) * tickMs;
     const all: MutableInstances = { ...world.instances };
-    instances.forEach(name => all[name] = settle(all[name], now, mutation));
+    const present = presentIn(all);
+    present.forEach(name => all[name] = settle(all[name], now, mutation));
+    present.forEach(name => seekRecognition(all, name, world, now));
     let sent = 0;
-    for (const name of instances) {
-        const granter = instances.find(other => other === name || !world.cuts.includes(linkOf(name, other)))!;
+    for (const name of present) {
+        const isReached = (other: InstanceName): boolean => !world.cuts.includes(linkOf(name, other));
+        const granter = instances.find(other =>
+            other === name || (all[name].known.includes(other) && isReached(other))
+        )!;
         const granted = exchange(all, name, granter, now, mutation);
         sent += send(all, name, granted, now, mutation);
     }
     return { ...world, time: world.time + 1, instances: all, sent: [...world.sent, sent].slice(-windowTicks) };
 };
 
+/** Whether all instances have been there from the start. */
+const isWhole = ({ instances: { b } }: QuotaWorld): boolean => b.isPresent;
+
 const change = (world: QuotaWorld, next: Partial<QuotaWorld>): QuotaWorld => ({
     ...world,
     ...next,
@@ -190,12 +249,16 @@
     [name]: { ...world.instances[name], ...state },
 });
 
-/** A process that starts does not know what the one before had spent or lent. */
-const restart = (world: QuotaWorld, name: InstanceName): QuotaWorld => {
+/** A process that starts does not know what the one before had spent or lent; it reads who is listed, and what its own entry says. */
+const restart = (world: QuotaWorld, name: InstanceName, mutation: Mutation): QuotaWorld => {
     const now = world.time * tickMs;
-    const { issuer } = world.instances[name];
+    const { issuer, isListedAsRecognized } = world.instances[name];
     return change(world, {
         instances: update(world, name, {
+            known: presentIn(world.instances),
+            confirmedBy: [],
+            isRecognized: isListedAsRecognized || mutation.trustFormerEntry === true,
+            formerSharesUntil: 0,
             issuer: issuer + 1,
             lent: { granter: "its former process", until: now + leaseMs },
             offer: undefined,
@@ -208,9 +271,22 @@
     });
 };
 
+/** An instance registers itself, and reads who is listed. */
+const addStep = (world: QuotaWorld): Step<QuotaWorld>[] => {
+    const added: InstanceName = "c";
+    if (presentIn(world.instances).length > 1) {
+        return [];
+    }
+    const known: InstanceName[] = [...presentIn(world.instances), added];
+    const next = change(world, { instances: update(world, added, { isPresent: true, known }) });
+    return [{ name: `${added} is added`, next }];
+};
+
+const pairs: readonly (readonly [InstanceName, InstanceName])[] = [["a", "b"], ["a", "c"], ["b", "c"]];
+
 const linkSteps = (world: QuotaWorld): Step<QuotaWorld>[] =>
-    [["a", "b"], ["a", "c"], ["b", "c"]].map(([one, other]) => {
-        const link = linkOf(one as InstanceName, other as InstanceName);
+    pairs.filter(pair => isWhole(world) || !pair.includes("b")).map(([one, other]) => {
+        const link = linkOf(one, other);
         const isCut = world.cuts.includes(link);
         const cuts = isCut ? world.cuts.filter(cut => cut !== link) : [...world.cuts, link].sort();
         return {
@@ -221,7 +297,7 @@
 
 /** The lowered limit reaches all that are in contact with the others; `a` learns of it with its next contact. */
 const lowerStep = (world: QuotaWorld): Step<QuotaWorld>[] => {
-    if (world.loweredAt !== undefined) {
+    if (world.loweredAt !== undefined || !isWhole(world)) {
         return [];
     }
     const isCutOff = (name: InstanceName): boolean => world.cuts.filter(cut => cut.includes(name)).length === 2;
@@ -236,15 +312,16 @@
     if (world.remainingChanges === 0 || world.time > lastChange || world.time % changeTicks !== 0) {
         return time;
     }
-    const restarts = instances.map(name => ({ name: `${name} restarts`, next: restart(world, name) }));
-    const holds = instances.map(name => {
+    const present = presentIn(world.instances);
+    const restarts = present.map(name => ({ name: `${name} restarts`, next: restart(world, name, mutation) }));
+    const holds = present.map(name => {
         const isHolding = !world.instances[name].isHolding;
         return {
             name: `${name} ${isHolding ? "holds its calls back" : "sends the calls that it held back"}`,
             next: change(world, { instances: update(world, name, { isHolding }) }),
         };
     });
-    return [...time, ...restarts, ...holds, ...linkSteps(world), ...lowerStep(world)];
+    return [...time, ...restarts, ...holds, ...linkSteps(world), ...lowerStep(world), ...addStep(world)];
 };
 
 const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
--- a/tests/gateway/peers.test.ts
+++ b/tests/gateway/peers.test.ts
@@ -44,8 +44,7 @@
             () => address,
             store,
             silentLogger,
-            () => {},
-            () => [duties.likelyCarriers(["config"]), duties.partners()],
+            { neededFronts: () => [duties.likelyCarriers(["config"]), duties.partners()] },
         );
         const duties = new Duties(localInstance, peers);
         peers.start();
--- a/tests/gateway/permits.test.ts
+++ b/tests/gateway/permits.test.ts
@@ -19,6 +19,9 @@
 /** Time that a request takes to a peer and back. */
 const roundTripMs = 4;
 
+/** Time after which the instances of a fake fleet are known to each other. */
+const settlingMs = 10_000;
+
 interface Member {
     readonly region: string;
     readonly permits: Permits;
@@ -85,7 +88,8 @@
     private add(name: string, region: string): void {
         let granted = 0.5;
         const random = (): number => granted = (granted * 16_807 + 0.123) % 1;
-        const granter = new PermitGranter(random);
+        const startedAt = performance.now();
+        const granter = new PermitGranter(random, () => performance.now() - startedAt >= settlingMs);
         const localInstance = { instance: name, region, address: () => name };
         const inRegion = (of: string): [string, Member][] =>
             [...this.members].filter(([other, member]) => other !== name && member.region === of);
