--- a/packages/gateway/src/beginnings/beginningRecorder.ts
+++ b/packages/gateway/src/beginnings/beginningRecorder.ts
@@ -51,12 +51,15 @@
         this.events = [...part.events];
     }
 
-    /** Records the beginning of a stream that is taken up; resolves to whether another machine has it. */
+    /** Records the beginning of a stream that is taken up; resolves to whether another machine has it, as soon as one has. */
     async begin(): Promise<boolean> {
         this.options.local.add(this.updateFrom(0));
-        const taken = this.chosen().map(holder => this.send(holder));
-        const results = await Promise.all(taken);
-        return results.includes(true);
+        const taken = this.chosen().map(async holder => {
+            if (!await this.send(holder)) {
+                throw new Error("not taken");
+            }
+        });
+        return await Promise.any(taken).then(() => true, () => false);
     }
 
     /** Records events. To be called before they are passed on. */
--- a/packages/gateway/src/peers/memberRemoval.ts
+++ b/packages/gateway/src/peers/memberRemoval.ts
@@ -116,8 +116,12 @@
 
 const responds = async (peer: PeerClient): Promise<boolean> => {
     const progress = new Progress(askTimeoutMs);
+    const wasConnected = peer.isConnected;
     try {
         await peer.ask({ kind: "standing" }, progress);
+        if (!wasConnected) {
+            peer.closeIfIdle();
+        }
         return true;
     }
     catch {
