Keep an instance that has said it is registered, whatever an older list lacks

An instance confirmed a new one, and forgot it when a read of the list that had begun before came back without it; until the next read it lent as if the new one, which lends by then, did not exist (QUOTA).

Cause: what the list lacks is removed, also if the instance was heard of while the list was read. Evidence: the new test of memberList.test.ts fails without the check and passes with it. An instance that was heard of since the read began stays; the next list decides.

--- a/packages/gateway/src/peers/peers.ts
+++ b/packages/gateway/src/peers/peers.ts
@@ -48,6 +48,8 @@
     version = 0;
     private readonly clients = new Map<string, PeerClient>();
     private readonly clientsByName = new Map<string, PeerClient>();
+    /** Monotonic times at which instances last said that they are registered, by the keys of their entries. */
+    private readonly heardAt = new Map<string, number>();
     private readonly firstRefreshesMs = [...firstRefreshesMs];
     private readonly members: MemberList;
     private readonly preconnector = new Preconnector({
@@ -186,7 +188,9 @@
 
     /** Adds an instance that has registered itself, and says so before this one has read the list again. */
     add(machine: string, address: PeerAddress): void {
-        this.applyMember(memberKey(machine), address);
+        const key = memberKey(machine);
+        this.applyMember(key, address);
+        this.heardAt.set(key, performance.now());
     }
 
     /** Removes this instance from the member list. */
@@ -251,9 +255,10 @@
     }
 
     private async readCurrent(progress: Progress): Promise<readonly StoredValue[]> {
+        const startedAt = performance.now();
         const values = await this.members.read(progress);
         this.applyMembers(values);
-        this.removeUnlisted(new Set(values.map(({ key }) => key)));
+        this.removeUnlisted(new Set(values.map(({ key }) => key)), startedAt);
         return values;
     }
 
@@ -269,11 +274,16 @@
         return [...new Set([...find(urgent), ...near, ...find(others), ...far])];
     }
 
-    /** Removes peers that are no longer registered, such as drained journal servers. */
-    private removeUnlisted(listed: ReadonlySet<string>): void {
+    /**
+     * Removes peers that are no longer registered, such as drained journal servers.
+     *
+     * @param readAt Monotonic time before the list was read: it may lack an instance that has said since that it is registered.
+     */
+    private removeUnlisted(listed: ReadonlySet<string>, readAt: number): void {
         for (const [key, client] of this.clients) {
-            if (!listed.has(key)) {
+            if (!listed.has(key) && (this.heardAt.get(key) ?? -Infinity) < readAt) {
                 this.clients.delete(key);
+                this.heardAt.delete(key);
                 this.forgetName(client);
                 this.version += 1;
                 client.close();
--- a/tests/gateway/memberList.test.ts
+++ b/tests/gateway/memberList.test.ts
@@ -36,6 +36,32 @@
         }));
 });
 
+// Guards against an instance that confirms another one and then forgets it, by a list that was read before that one was registered (QUOTA).
+describe("a list that was read before an instance said that it is registered", () => {
+    it("should not remove that instance", async () => {
+        const store = new FakeStore();
+        const address = (instance: string, port: number): PeerAddress => ({
+            instance,
+            host: "127.0.0.1",
+            port,
+            zone: "north-a",
+            region: "north",
+            keepsTurns: false,
+        });
+        const peers = new Peers("a", () => address("a-1", 1), new StorePath(store), silentLogger);
+        const progress = new Progress(1_000);
+        const reading = peers.reload(progress);
+        peers.add("c", address("c-1", 3));
+        await reading;
+        expect(peers.namesInRegion("north")).toEqual(["127.0.0.1:3"]);
+        await new Promise(resolve => setTimeout(resolve, 2));
+        await peers.reload(progress);
+        expect(peers.namesInRegion("north")).toEqual([]);
+        progress.dispose();
+        peers.stop();
+    });
+});
+
 describe("the entry of an instance", () => {
     const minuteMs = 60_000;
 
