--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -67,8 +67,8 @@
         name: "a turn's record leaves out the turns before it",
         seed: 107,
         file: `${gateway}/turns/turnRecord.ts`,
-        find: "Buffer.concat([...history, ...added])",
-        replace: "Buffer.concat(added)",
+        find: "compact(ChunkedBytes.of(earlier, input, output))",
+        replace: "compact(ChunkedBytes.of(input, output))",
     },
     {
         name: "tokens that turns use are not taken from the budget",
--- a/packages/common/src/verdict.ts
+++ b/packages/common/src/verdict.ts
@@ -60,6 +60,10 @@
         503,
         "Wait for Retry-After and send it again; callers send more than this instance has memory for.",
     ],
+    conversation_too_large: [
+        503,
+        "Open a new program; no instance has the memory for a longer conversation of this one.",
+    ],
     prompt_too_large: [503, "Send a shorter prompt; no engine of the service has the memory for it."],
     no_upstream: [503, "Wait for Retry-After and send it again."],
     beginning_unknown: [503, "Begin the stream anew, unless there is a Retry-After: what you have of it is not known."],
--- a/packages/gateway/src/crashes/fingerprint.ts
+++ b/packages/gateway/src/crashes/fingerprint.ts
@@ -2,6 +2,8 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 
+import type { ChunkedBytes } from "../memory/chunkedBytes.js";
+
 const fingerprintBytes = 12;
 
 /** Length of the shortest beginning of a body that has a fingerprint of its own; each further one is twice as long. */
@@ -29,7 +31,7 @@
  */
 export const fingerprintsOf = (
     req: Pick<IncomingMessage, "method" | "url" | "headers">,
-    body: Buffer,
+    body: ChunkedBytes,
     workspace?: string,
 ): Fingerprints => {
     const hash = createHash("sha256");
@@ -45,14 +47,16 @@
         hash.update(`${part?.length ?? -1}:${part ?? ""}`);
     }
     const digest = (): string => hash.copy().digest().subarray(0, fingerprintBytes).toString("base64url");
+    const add = (start: number, end: number): void =>
+        body.subarray(start, end).chunks.forEach(chunk => hash.update(chunk));
     const beginnings: string[] = [];
     let hashed = 0;
     for (let end = minBeginningBytes; end <= Math.min(body.length, maxBeginningBytes); end *= 2) {
-        hash.update(body.subarray(hashed, end));
+        add(hashed, end);
         hashed = end;
         beginnings.push(`${digest()}+${end}`);
     }
-    hash.update(body.subarray(hashed));
+    add(hashed, body.length);
     return { whole: digest(), beginnings };
 };
 
--- a/packages/gateway/src/entry/bodyReader.ts
+++ b/packages/gateway/src/entry/bodyReader.ts
@@ -2,6 +2,7 @@
 import { ProblemError } from "@marigolddrift/common";
 import type { IncomingMessage } from "node:http";
 
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
 import type { ChunkPacer, PacedBody } from "./chunkPacer.js";
 import type { HeldInput, InputMemory } from "./inputMemory.js";
 import { ReadGate } from "./readGate.js";
@@ -40,7 +41,7 @@
     private bytes = 0;
     private heldBytes: number;
     private error: Error | undefined;
-    private reading: Promise<Buffer> | undefined;
+    private reading: Promise<ChunkedBytes> | undefined;
     private stopReading: () => void = () => {};
     private isDiscarding = false;
     private arrivedBytes = 0;
@@ -58,6 +59,7 @@
         this.gate = ReadGate.of(req.socket);
         this.held = memory.hold({
             kind: "request",
+            expectedBytes: expectedBytesOf(req),
             setPaused: isPaused => this.gate.set(this, isPaused),
             refuse: () => {
                 this.fail(refusal());
@@ -74,7 +76,7 @@
      *
      * @throws ProblemError `body_too_large`, or `input_refused` if there is too little memory for the input of all callers.
      */
-    async read(): Promise<Buffer> {
+    async read(): Promise<ChunkedBytes> {
         this.start();
         const body = await this.reading!;
         if (this.error !== undefined) {
@@ -114,12 +116,12 @@
         };
     }
 
-    private collect(): Promise<Buffer> {
+    private collect(): Promise<ChunkedBytes> {
         const { req } = this;
         return new Promise((resolve, reject) => {
             const onEnd = (): void => {
                 this.pacer.remove(this.paced);
-                resolve(this.join());
+                resolve(this.takePieces());
             };
             this.stopReading = () => {
                 req.off("end", onEnd);
@@ -223,18 +225,11 @@
         this.held.resize(this.heldBytes);
     }
 
-    private join(): Buffer {
+    /** Not joined, which would need the memory of the whole a second time. */
+    private takePieces(): ChunkedBytes {
         this.closeSegment();
-        if (this.pieces.length === 1) {
-            return this.pieces[0]!;
-        }
-        // For a moment there are both the pieces and the whole.
-        const piecesBytes = this.heldBytes;
-        this.grow(this.bytes);
-        const body = this.error === undefined ? Buffer.concat(this.pieces, this.bytes) : Buffer.alloc(0);
+        const body = ChunkedBytes.of(...this.pieces);
         this.clear();
-        this.heldBytes = Math.min(piecesBytes, requestBytes + this.bytes);
-        this.held.resize(this.heldBytes);
         return body;
     }
 
@@ -264,6 +259,12 @@
     }
 }
 
+/** Undefined for a body in chunks. */
+const expectedBytesOf = ({ headers }: IncomingMessage): number | undefined => {
+    const length = headers["content-length"];
+    return length === undefined ? undefined : requestBytes + Number(length);
+};
+
 const refusal = (): ProblemError =>
     new ProblemError("input_refused", "notRun", "There is too little memory for the requests of all callers.", {
         retryAfterSeconds,
--- a/packages/gateway/src/entry/callContexts.ts
+++ b/packages/gateway/src/entry/callContexts.ts
@@ -5,6 +5,7 @@
 import { fingerprintsOf } from "../crashes/fingerprint.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { CallContext, CallTrace } from "../filters/callContext.js";
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
 import type { CallProtocol } from "../protocol.js";
 import { chooseTarget } from "../routes.js";
 import type { Route, RouteTable } from "../routes.js";
@@ -79,7 +80,7 @@
         priority: workspace?.priority ?? route.priority,
         arrivedAt,
         progress: startProgress(request, route, limitMs),
-        body: Buffer.alloc(0),
+        body: ChunkedBytes.empty,
         readBody: () => body.read(),
         unsent: new UnsentAnswer(res, sources.input.memory),
         conversation: undefined,
--- a/packages/gateway/src/entry/inputBounds.ts
+++ b/packages/gateway/src/entry/inputBounds.ts
@@ -3,13 +3,12 @@
 
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayOptions } from "../gatewayOptions.js";
-import { BufferCollector } from "./bufferCollector.js";
+import type { ProcessMemory } from "../memory/processMemory.js";
 import { ChunkPacer } from "./chunkPacer.js";
 import { InputMemory } from "./inputMemory.js";
 import { RefusalLog } from "./refusalLog.js";
 
-/** Bounds if the options have none: those of a process with 200 MB and 2,048 descriptors. */
-const defaultMaxBytes = 25 * 1024 * 1024;
+/** Number of connections if the options name none: that of a process with 2,048 descriptors. */
 const defaultMaxConnections = 1_228;
 
 /** What all connections from callers share. */
@@ -19,25 +18,26 @@
     /** Maximum number of open connections from callers. */
     readonly maxConnections: number;
     readonly refusals: RefusalLog;
-    readonly collector: BufferCollector;
 }
 
 /** Creates the bounds that the options name. */
 export const createInputBounds = (
-    { maxInputMemoryBytes, maxCallerConnections }: GatewayOptions,
+    { maxCallerConnections }: Pick<GatewayOptions, "maxCallerConnections">,
+    { shares, collector }: Pick<ProcessMemory, "shares" | "collector">,
     metrics: GatewayMetrics,
     log: Logger,
 ): InputBounds => {
     const refusals = new RefusalLog(metrics, log);
-    const collector = new BufferCollector();
     return {
-        memory: new InputMemory(maxInputMemoryBytes ?? defaultMaxBytes, input => {
-            refusals.add("memory", { ...input });
-            collector.onRefused(input.bytes);
+        memory: new InputMemory(shares.inputBytes, {
+            onAllocated: bytes => collector.onAllocated(bytes),
+            onRefused: input => {
+                refusals.add("memory", { ...input });
+                collector.onRefused(input.bytes);
+            },
         }),
         pacer: new ChunkPacer(body => refusals.add("small chunks", { ...body })),
         maxConnections: maxCallerConnections ?? defaultMaxConnections,
         refusals,
-        collector,
     };
 };
--- a/packages/gateway/src/entry/inputMemory.ts
+++ b/packages/gateway/src/entry/inputMemory.ts
@@ -15,6 +15,8 @@
 /** How an input is stopped or refused. */
 export interface InputControl {
     readonly kind: InputKind;
+    /** Size of the whole input, if that is known. */
+    readonly expectedBytes?: number | undefined;
     /** Stops or resumes reading. Missing if there is nothing to be read. */
     setPaused?(isPaused: boolean): void;
     /** Called at most once, when the input is refused; its memory no longer counts. */
@@ -40,6 +42,13 @@
     readonly totalBytes: number;
 }
 
+/** Observes what is counted. */
+export interface InputObserver {
+    /** Called with the size of memory that is about to be allocated. */
+    onAllocated?(bytes: number): void;
+    onRefused?(input: RefusedInput): void;
+}
+
 interface Holder {
     readonly control: InputControl;
     readonly since: number;
@@ -56,11 +65,13 @@
     private readonly paused = new Set<Holder>();
     private totalBytes = 0;
     private timer: NodeJS.Timeout | undefined;
+    /** The input that is read to its end although others are stopped. */
+    private finishing: Holder | undefined;
 
     /** @param maxBytes Size of all inputs together beyond which inputs are refused. */
     constructor(
         private readonly maxBytes: number,
-        private readonly onRefused: (input: RefusedInput) => void = () => {},
+        private readonly observer: InputObserver = {},
         private readonly now: () => number = () => performance.now(),
     ) {}
 
@@ -96,18 +107,47 @@
         if (!this.holders.has(holder)) {
             return;
         }
-        this.totalBytes += bytes - holder.bytes;
+        const added = bytes - holder.bytes;
+        if (added > 0) {
+            this.observer.onAllocated?.(added);
+        }
+        this.totalBytes += added;
         holder.bytes = bytes;
         this.refuseUntil(this.maxBytes);
         const isTooMuch = this.totalBytes > this.pauseBytes && bytes > unpausedBytes;
-        if (isTooMuch && holder.isRefusable && this.holders.has(holder)) {
+        if (isTooMuch && holder.isRefusable && this.holders.has(holder) && !this.mayFinish(holder)) {
             this.pause(holder);
         }
         this.resumeIfRoom();
     }
 
+    /** Whether an input is read to its end although others are stopped: one at a time, if there is room for the whole. */
+    private mayFinish(holder: Holder): boolean {
+        const { expectedBytes } = holder.control;
+        if (this.finishing === holder || this.finishing !== undefined || expectedBytes === undefined) {
+            return this.finishing === holder;
+        }
+        const fits = this.totalBytes + Math.max(0, expectedBytes - holder.bytes) <= this.maxBytes;
+        this.finishing = fits ? holder : undefined;
+        return fits;
+    }
+
+    /** To be called when an input has arrived, or is no longer held: another one may be read to its end. */
+    private onFinished(holder: Holder): void {
+        if (this.finishing !== holder) {
+            return;
+        }
+        this.finishing = undefined;
+        const next = [...this.paused].find(paused => this.mayFinish(paused));
+        if (next !== undefined) {
+            this.paused.delete(next);
+            next.control.setPaused?.(false);
+        }
+    }
+
     private keep(holder: Holder): void {
         holder.isRefusable = false;
+        this.onFinished(holder);
         if (this.paused.delete(holder)) {
             holder.control.setPaused?.(false);
         }
@@ -118,6 +158,7 @@
             return;
         }
         this.totalBytes -= holder.bytes;
+        this.onFinished(holder);
         if (this.paused.delete(holder)) {
             holder.control.setPaused?.(false);
         }
@@ -143,6 +184,7 @@
     private onPausedLong(): void {
         this.timer = undefined;
         if (this.paused.size > 0) {
+            this.refuseHopeless();
             this.refuseUntil(this.pauseBytes);
             this.resumeIfRoom();
         }
@@ -151,6 +193,17 @@
         }
     }
 
+    /** Refuses what would not fit beside the input of running calls, even if it were alone. */
+    private refuseHopeless(): void {
+        const running = [...this.holders].filter(({ isRefusable }) => !isRefusable);
+        const runningBytes = running.reduce((sum, { bytes }) => sum + bytes, 0);
+        for (const holder of [...this.paused]) {
+            if (runningBytes + (holder.control.expectedBytes ?? 0) > this.maxBytes) {
+                this.refuse(holder);
+            }
+        }
+    }
+
     private resumeIfRoom(): void {
         if (this.paused.size === 0 || this.totalBytes > this.pauseBytes) {
             return;
@@ -167,16 +220,21 @@
             if (largest === undefined) {
                 return;
             }
-            const { control: { kind }, bytes, since } = largest;
-            const refused = { kind, bytes, heldMs: Math.round(this.now() - since), totalBytes: this.totalBytes };
-            this.holders.delete(largest);
-            this.paused.delete(largest);
-            this.totalBytes -= bytes;
-            this.onRefused(refused);
-            largest.control.refuse();
+            this.refuse(largest);
         }
     }
 
+    private refuse(holder: Holder): void {
+        const { control: { kind }, bytes, since } = holder;
+        const refused = { kind, bytes, heldMs: Math.round(this.now() - since), totalBytes: this.totalBytes };
+        this.holders.delete(holder);
+        this.paused.delete(holder);
+        this.totalBytes -= bytes;
+        this.observer.onRefused?.(refused);
+        holder.control.refuse();
+        this.onFinished(holder);
+    }
+
     /** The refusable input with the largest product of its size and the time for which it has been held. */
     private findLargestHold(): Holder | undefined {
         const now = this.now();
--- a/packages/gateway/src/explain/explainer.ts
+++ b/packages/gateway/src/explain/explainer.ts
@@ -8,6 +8,7 @@
 import { checkPromptSize } from "../filters/promptSizeFilter.js";
 import type { LimitAdmission } from "../limits/limitAdmission.js";
 import type { UpstreamLimits } from "../limits/upstreamLimits.js";
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
 import { createQueuedCall } from "../placement.js";
 import type { QueuedCall, Topology, UpstreamPool } from "../placement.js";
 import type { Route, RouteTable, RouteTarget } from "../routes.js";
@@ -95,7 +96,7 @@
             workspace,
             priority: known.priority,
             progress: new Progress(limitMs),
-            body: Buffer.alloc(0),
+            body: ChunkedBytes.empty,
             candidates: undefined,
         };
     }
--- a/packages/gateway/src/filters/answerWriter.ts
+++ b/packages/gateway/src/filters/answerWriter.ts
@@ -1,12 +1,15 @@
 /** Ends the answer to a call whose upstream has replied completely; turns are saved before. */
-import { createTurn } from "../turns/turnRecord.js";
+import type { StreamEvent } from "@marigolddrift/policy";
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
+import { createTurn, needsHistory } from "../turns/turnRecord.js";
 import type { TurnStore } from "../turns/turnStore.js";
-import { outputOf } from "../upstreams/eventCollector.js";
+import { OutputCollector } from "../upstreams/outputCollector.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import { scopedName } from "../workspaces.js";
 import { keepsTurn } from "./callContext.js";
 import type { CallContext } from "./callContext.js";
 import type { AttemptOutcome } from "./hedge.js";
+import { loadConversationOf } from "./historyFilter.js";
 import { BufferedResponse, StreamedResponse } from "./responseSinks.js";
 
 /** Number of tokens of a stream that has arrived so far. */
@@ -52,7 +55,7 @@
 
     /** Saves the turn before the response ends, because the end tells the caller that the turn can be continued. */
     private async saveTurn(ctx: CallContext, response: StreamedResponse): Promise<void> {
-        const { route, conversation, beginning } = ctx;
+        const { route, beginning } = ctx;
         const { program } = ctx.head;
         if (!keepsTurn(ctx) || program === undefined) {
             return;
@@ -62,11 +65,30 @@
         const content = {
             id: scopedName(ctx.workspace, ctx.id),
             input: ctx.body,
-            output: outputOf([...beginning?.events ?? [], ...response.events.events]),
+            output: ChunkedBytes.of(outputOf(beginning?.events ?? []), response.output!.toBytes()),
             keepMs,
         };
-        const turn = createTurn(content, conversation, Date.now());
+        const now = Date.now();
+        await this.restoreHistory(ctx, now);
+        const turn = createTurn(content, ctx.conversation, now);
         await this.turns.save({ turn, program: scopedName(ctx.workspace, program.id), keepMs }, ctx.progress);
         ctx.trace.savedMs = Math.round(performance.now() - startedAt);
     }
+
+    /** Loads the history again if it is needed after all, as after a step of the clock. */
+    private async restoreHistory(ctx: CallContext, now: number): Promise<void> {
+        const { conversation, route } = ctx;
+        const isMissing = conversation?.isReleased === true &&
+            needsHistory(conversation.last, route.turnRetentionMs, now);
+        if (isMissing) {
+            ctx.conversation = await loadConversationOf(ctx, this.turns);
+        }
+    }
 }
+
+/** Returns the data of events that were passed on before. */
+const outputOf = (events: readonly StreamEvent[]): ChunkedBytes => {
+    const output = new OutputCollector();
+    events.forEach(({ data }) => output.add(data));
+    return output.toBytes();
+};
--- a/packages/gateway/src/filters/callContext.ts
+++ b/packages/gateway/src/filters/callContext.ts
@@ -7,10 +7,11 @@
 import type { CallHead } from "../call.js";
 import type { Fingerprints } from "../crashes/fingerprint.js";
 import type { UnsentAnswer } from "../entry/unsentAnswer.js";
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
 import type { ForwardedCaller } from "../protocol.js";
 import type { CallPermit } from "../quotas/callPermit.js";
 import type { Route, Service } from "../routes.js";
-import type { Conversation } from "../turns/turnRecord.js";
+import type { HeldConversation } from "../turns/heldConversation.js";
 import type { UpstreamEntry } from "../upstreams/upstreamEntry.js";
 import type { Workspace } from "../workspaces.js";
 
@@ -89,12 +90,12 @@
     readonly arrivedAt: number;
     /** Aborted at the caller's deadline or the route's timeout, or when the caller disconnects. */
     readonly progress: Progress;
-    body: Buffer;
+    body: ChunkedBytes;
     /** Reads the whole body, within the bounds on input. */
-    readBody(): Promise<Buffer>;
+    readBody(): Promise<ChunkedBytes>;
     /** Counts what the caller has not read of the response. */
     readonly unsent: UnsentAnswer;
-    conversation: Conversation | undefined;
+    conversation: HeldConversation | undefined;
     /** What the caller of a turn has of the stream that the call takes up; undefined if the call begins its stream. */
     beginning?: Beginning | undefined;
     reservation: Reservation | undefined;
@@ -122,5 +123,5 @@
     route.turnRetentionMs > 0 && head.program !== undefined;
 
 /** Returns the body for the upstream: the history of the conversation, followed by the body of this call. */
-export const outgoingBody = (ctx: CallContext): Buffer =>
-    ctx.conversation === undefined ? ctx.body : Buffer.concat([ctx.conversation.history, ctx.body]);
+export const outgoingBody = ({ conversation, body }: CallContext): ChunkedBytes =>
+    conversation === undefined ? body : ChunkedBytes.of(conversation.history, body);
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -6,6 +6,7 @@
 import type { ReplyHead } from "../protocol.js";
 import type { ResponseSink } from "../upstreams/attempt.js";
 import { EventCollector } from "../upstreams/eventCollector.js";
+import type { OutputCollector } from "../upstreams/outputCollector.js";
 
 /**
  * Size of what a caller has not read of a stream from which no more is read from the upstream. Large enough that only a caller
@@ -22,9 +23,10 @@
     onFull: ResponseSink["onFull"] = () => {};
     private head: ReplyHead | undefined;
     private readonly chunks: Buffer[] = [];
+    receivedBytes = 0;
 
-    get receivedBytes(): number {
-        return this.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    get heldBytes(): number {
+        return this.receivedBytes;
     }
 
     get status(): number | undefined {
@@ -44,11 +46,13 @@
     onHead(head: ReplyHead): void {
         this.head = head;
         this.chunks.length = 0;
+        this.receivedBytes = 0;
         this.onFirstByte();
     }
 
     onData(chunk: Buffer): undefined {
         this.chunks.push(chunk);
+        this.receivedBytes += chunk.length;
     }
 
     /** Sends the buffered response. */
@@ -86,14 +90,19 @@
     refuseToBegin: () => string | undefined = () => undefined;
     /** Called before the first data of a successful stream is passed on. */
     onBegun: () => void = () => {};
-    /** Called with the whole events of a successful stream before they are passed on. */
-    onEvents: (events: readonly StreamEvent[]) => void = () => {};
+    /** Called when the first data of a successful stream is passed on. */
+    onPassedOn: () => void = () => {};
+    /** Called with the whole events of a successful stream before they are passed on; undefined if nobody needs them. */
+    onEvents: ((events: readonly StreamEvent[]) => void) | undefined;
+    /** The data of all whole events; undefined if it is not needed. */
+    output: OutputCollector | undefined;
     /** Whether nothing may be written before the response is claimed; a response without events is claimed at its end. */
     isRaced = false;
     onFull: ResponseSink["onFull"] = () => {};
-    readonly events = new EventCollector();
-    private reportedEvents = 0;
+    readonly events = new EventCollector(event => this.onEvent(event));
+    private unreportedEvents: StreamEvent[] = [];
     private readonly unclaimed: Buffer[] = [];
+    private unclaimedBytes = 0;
     private isClaimed = false;
     /** Monotonic time at which the first data was forwarded. */
     firstDataAt: number | undefined;
@@ -120,6 +129,10 @@
         return !this.isSuccess || this.events.isWhole(endedWithConnection);
     }
 
+    get heldBytes(): number {
+        return (this.output?.bytes ?? 0) + this.events.pendingBytes + this.unclaimedBytes;
+    }
+
     get isSuccess(): boolean {
         return this.head !== undefined && this.head.status < 300;
     }
@@ -145,6 +158,7 @@
         this.events.feed(chunk);
         if (this.isRaced && !this.isClaimed) {
             this.unclaimed.push(chunk);
+            this.unclaimedBytes += chunk.length;
             this.isClaimed = this.isSuccess && this.events.count > 0 && this.claim();
             if (this.isClaimed) {
                 this.writeUnclaimed();
@@ -176,13 +190,21 @@
         this.writeHead();
         this.reportEvents();
         this.unclaimed.splice(0).forEach(chunk => this.res.write(chunk));
+        this.unclaimedBytes = 0;
+    }
+
+    private onEvent(event: StreamEvent): void {
+        this.output?.add(event.data);
+        if (this.onEvents !== undefined) {
+            this.unreportedEvents.push(event);
+        }
     }
 
     private reportEvents(): void {
-        const { events, count } = this.events;
-        if (this.isSuccess && count > this.reportedEvents) {
-            this.onEvents(events.slice(this.reportedEvents));
-            this.reportedEvents = count;
+        const events = this.unreportedEvents;
+        if (this.isSuccess && events.length > 0) {
+            this.unreportedEvents = [];
+            this.onEvents?.(events);
         }
     }
 
@@ -191,6 +213,7 @@
             const { status, headers, endsWithConnection } = this.head!;
             if (this.isSuccess) {
                 this.onBegun();
+                this.onPassedOn();
             }
             else if (endsWithConnection && hasBody(status)) {
                 writeUnframedHead(this.res, this.head!);
--- a/packages/gateway/src/filters/upstreamSender.ts
+++ b/packages/gateway/src/filters/upstreamSender.ts
@@ -12,8 +12,10 @@
 import type { CallProtocol } from "../protocol.js";
 import { isResumable } from "../routes.js";
 import type { Exchange } from "../trafficMeter.js";
+import { needsHistory } from "../turns/turnRecord.js";
 import type { AffinityTable } from "../upstreams/affinityTable.js";
 import { attemptCall } from "../upstreams/attempt.js";
+import { OutputCollector } from "../upstreams/outputCollector.js";
 import type { ReplyMemory } from "../upstreams/replyMemory.js";
 import type { UpstreamObserver } from "../upstreams/upstreamObserver.js";
 import type { Upstream, Upstreams } from "../upstreams/upstreams.js";
@@ -62,9 +64,13 @@
         }
         ctx.trace.build = upstream.entry.build;
         const response = createResponse(ctx, lane);
-        const call = this.createUpstreamCall(ctx, upstream);
+        const history = new HistoryUse(ctx);
+        const call = { ...this.createUpstreamCall(ctx, upstream), onBodySent: () => history.onSent() };
         const startedAt = performance.now();
         this.reportProgress(response, ctx, upstream, startedAt);
+        if (response instanceof StreamedResponse) {
+            response.onPassedOn = () => history.onPassedOn();
+        }
         const { protocol, replyMemory: memory, observer } = this.options;
         const observation = observer.begin(upstream, { ...queued, score: lease.score });
         response.onFirstByte = () => {
@@ -104,6 +110,9 @@
         const { builds, limits, upstreams } = this.options;
         response.onLimit = perSecond => limits.onAnswer(upstream, perSecond, startedAt);
         response.onLeaving = () => upstreams.onLeaving(upstream);
+        if (response instanceof StreamedResponse && keepsTurn(ctx)) {
+            response.output = new OutputCollector();
+        }
         if (response instanceof StreamedResponse && isResumable(ctx.route)) {
             const streamId = scopedName(ctx.workspace, ctx.id);
             response.onBegun = () => builds.onStreamBegun(streamId, ctx.streamRoute ?? ctx.route, upstream);
@@ -141,6 +150,40 @@
     }
 }
 
+/** Frees the conversation of a turn once nothing can need it again. */
+class HistoryUse {
+    private isSent = false;
+    private isPassedOn = false;
+
+    constructor(private readonly ctx: CallContext) {}
+
+    /** The upstream has the whole body. */
+    onSent(): void {
+        this.isSent = true;
+        this.releaseIfUnneeded();
+    }
+
+    /** The caller has got a part of the stream, so that the call is not sent again. */
+    onPassedOn(): void {
+        this.isPassedOn = true;
+        this.releaseIfUnneeded();
+    }
+
+    private releaseIfUnneeded(): void {
+        const { conversation, progress, route } = this.ctx;
+        if (!this.isSent || !this.isPassedOn || conversation === undefined) {
+            return;
+        }
+        const now = Date.now();
+        const isNeeded = [now, now + progress.leftMs].some(savedAt =>
+            needsHistory(conversation.last, route.turnRetentionMs, savedAt)
+        );
+        if (!isNeeded) {
+            conversation.release();
+        }
+    }
+}
+
 /** Returns why a call that was placed at an upstream may no longer be sent to it; undefined if it may. */
 const changeOf = (upstream: Upstream, ctx: CallContext): string | undefined => {
     // The process that the call was placed at may have been replaced meanwhile, under its id and with another build.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
 import { PermitGranter } from "./limits/permitGranter.js";
 import { Permits } from "./limits/permits.js";
 import { UpstreamLimits } from "./limits/upstreamLimits.js";
+import { ProcessMemory } from "./memory/processMemory.js";
 import { createFrontHandler } from "./peers/frontRequests.js";
 import { createGatewayPeers } from "./peers/gatewayPeers.js";
 import { peerName } from "./peers/peerMessages.js";
@@ -47,7 +48,7 @@
 import type { TurnStore } from "./turns/turnStore.js";
 import { LoadExchange } from "./upstreams/loadExchange.js";
 import type { PeerLoad } from "./upstreams/loadExchange.js";
-import { ReplyMemory } from "./upstreams/replyMemory.js";
+import type { ReplyMemory } from "./upstreams/replyMemory.js";
 import { connectionsPerInstance, Upstreams } from "./upstreams/upstreams.js";
 import type { Upstream } from "./upstreams/upstreams.js";
 
@@ -62,6 +63,7 @@
     readonly input: InputBounds;
     /** Port for callers; 0 until the gateway has started. */
     port = 0;
+    private readonly memory: ProcessMemory;
     private peerPort = 0;
     private readonly drainController: DrainController;
     readonly regionBudgets: RegionBudgets;
@@ -94,9 +96,9 @@
         const random = options.random ?? Math.random;
         this.log = log;
         this.stallMonitor = new StallMonitor(log);
-        this.input = createInputBounds(options, this.metrics, log);
-        const { collector } = this.input;
-        this.replyMemory = new ReplyMemory(options.maxReplyMemoryBytes, bytes => collector.onRefused(bytes));
+        this.memory = new ProcessMemory(options.memory);
+        this.replyMemory = this.memory.replies;
+        this.input = createInputBounds(options, this.memory, this.metrics, log);
         this.drainController = new DrainController(() => this, options.graceMs, log);
         this.store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         this.peers = createGatewayPeers(options, {
@@ -108,6 +110,7 @@
             () => this.peers.key,
             (request, progress) => answerPeer(request, progress),
             log,
+            this.memory,
         );
         const topology = { zone: options.zone, region: options.regionOf(options.zone), regionOf: options.regionOf };
         this.upstreams = new Upstreams(
@@ -145,7 +148,7 @@
         const { upstreams, limits } = this;
         const peerLoadOf = (upstream: string): PeerLoad => this.loadExchange.peerLoadOf(upstream);
         const pool = new UpstreamPool(topology, upstreams, peerLoadOf, limits, random, log, observesUpstreams);
-        this.turnStorage = new TurnStorage(this.store, this.peers, options, log);
+        this.turnStorage = new TurnStorage(this.store, this.peers, options, log, this.memory);
         this.budgets = new Budgets(options.instance, this.turnStorage.writer, this.store, this.peers, log);
         this.regionBudgets = new RegionBudgets(this.localInstance, this.budgets, this.duties, log);
         this.fairness = new Fairness(() => this.followedStore.table?.workspaces, {
@@ -192,6 +195,7 @@
             entry: this.entry,
             replyMemory: this.replyMemory,
             inputMemory: this.input.memory,
+            turns: this.turns,
             dispatcher: this.dispatcher,
             upstreams: this.upstreams,
             blocker: this.blocker,
--- a/packages/gateway/src/gatewayGauges.ts
+++ b/packages/gateway/src/gatewayGauges.ts
@@ -8,6 +8,7 @@
 import type { StallMonitor } from "./stallMonitor.js";
 import type { ActiveConfig } from "./state/activeConfig.js";
 import type { PrefixWatcher } from "./state/prefixWatcher.js";
+import type { TurnStore } from "./turns/turnStore.js";
 import type { ReplyMemory } from "./upstreams/replyMemory.js";
 import type { Upstreams } from "./upstreams/upstreams.js";
 
@@ -15,7 +16,8 @@
 export interface GaugedComponents {
     readonly entry: Pick<EntryServer, "active" | "connections">;
     readonly inputMemory: Pick<InputMemory, "heldBytes" | "pausedInputs">;
-    readonly replyMemory: Pick<ReplyMemory, "heldBytes">;
+    readonly replyMemory: Pick<ReplyMemory, "heldBytes" | "pausedReplies">;
+    readonly turns: Pick<TurnStore, "conversations" | "saves">;
     readonly dispatcher: { readonly waitingCalls: number; };
     readonly upstreams: Pick<Upstreams, "size" | "reopenedConnections">;
     readonly blocker: Pick<CallBlocker, "blocked">;
@@ -33,6 +35,19 @@
 export const addGauges = (metrics: GatewayMetrics, of: GaugedComponents): void => {
     metrics.addGauge("calls_active", "Calls whose answers have not ended", () => of.entry.active);
     metrics.addGauge("reply_bytes", "Bytes of replies in progress", () => of.replyMemory.heldBytes);
+    metrics.addGauge(
+        "replies_paused",
+        "Replies that are not read for lack of memory",
+        () => of.replyMemory.pausedReplies,
+    );
+    const { conversations, saves } = of.turns;
+    metrics.addGauge("conversation_bytes", "Bytes of conversations and kept turns", () => conversations.heldBytes);
+    metrics.addGauge(
+        "conversations_waiting",
+        "Turns that wait for memory for their conversation",
+        () => conversations.waitingRequests,
+    );
+    metrics.addGauge("save_bytes", "Bytes of turns that are being saved", () => saves.heldBytes);
     metrics.addGauge("input_bytes", "Bytes that callers have sent or not read", () => of.inputMemory.heldBytes);
     metrics.addGauge("inputs_paused", "Inputs that are not read for lack of memory", () => of.inputMemory.pausedInputs);
     metrics.addGauge("caller_connections", "Open connections from callers", () => of.entry.connections);
--- a/packages/gateway/src/gatewayOptions.ts
+++ b/packages/gateway/src/gatewayOptions.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@marigolddrift/common";
 import type { VersionedStore } from "@marigolddrift/store";
 
+import type { MemoryShares } from "./memory/memoryShares.js";
 import type { CallProtocol } from "./protocol.js";
 import type { QuotaSettings } from "./quotas/quotaSettings.js";
 import type { RoutingConfig } from "./routes.js";
@@ -44,8 +45,6 @@
     readonly changeDelayLimitMs: number;
     /** Time between the stop signal and the end of the process. */
     readonly graceMs: number;
-    /** Memory for the replies of all calls in progress. */
-    readonly maxReplyMemoryBytes: number;
     /** Bounds of the workspaces' quotas; without them, no quotas are enforced. */
     readonly quotas?: QuotaSettings | undefined;
     /**
@@ -55,8 +54,8 @@
     readonly observesUpstreams?: boolean;
     /** Second copies of late repeatable calls, as a share of these calls; 0, the default, for none. */
     readonly hedgeShare?: number;
-    /** Memory for what all callers have sent and not read; a default for a process of 200 MB if missing. */
-    readonly maxInputMemoryBytes?: number;
+    /** Bounds of memory; those of a process with 200 MB where they are missing. */
+    readonly memory?: Partial<MemoryShares>;
     /** Maximum number of open connections from callers. */
     readonly maxCallerConnections?: number;
     readonly random?: () => number;
--- a/packages/gateway/src/peers/peerServer.ts
+++ b/packages/gateway/src/peers/peerServer.ts
@@ -9,23 +9,31 @@
 import { WebSocketServer } from "ws";
 import type { WebSocket } from "ws";
 
+import type { BufferCollector } from "../memory/bufferCollector.js";
+import type { MemoryShares } from "../memory/memoryShares.js";
 import { PeerInput } from "./peerInput.js";
 import type { JournalRequest, PeerRequest, RequestFrame, ResponseFrame } from "./peerMessages.js";
 
 const maxFrameBytes = 4 * 1024 * 1024;
 
-/** Size of all requests that are being handled from which no more are read: two of the largest. */
-const maxInputBytes = 2 * maxFrameBytes;
+/** Size of all requests that are being handled, and of responses that have not been read, from which no more are read. */
+const defaultMaxInputBytes = 2 * maxFrameBytes;
 
 /** Handles a request. An error that it throws is sent as a failed response. */
 export type RequestHandler = (request: PeerRequest | JournalRequest, progress: Progress) => Promise<unknown>;
 
+/** The bound on what peers send and do not read, and what observes it. */
+export interface PeerMemory {
+    readonly shares: Pick<MemoryShares, "peerBytes">;
+    readonly collector: Pick<BufferCollector, "onAllocated">;
+}
+
 /** Accepts WebSocket connections from peers that have the shared key. */
 export class PeerServer {
     private readonly packr = new Packr({ useRecords: false });
     private readonly http = createServer();
     private isDisconnected = false;
-    private readonly input = new PeerInput(maxInputBytes);
+    private readonly input: PeerInput;
     private readonly server = new WebSocketServer({
         server: this.http,
         path: "/peer",
@@ -38,7 +46,9 @@
         private readonly getKey: () => string | undefined,
         private readonly handleRequest: RequestHandler,
         private readonly log: Logger,
+        private readonly memory?: PeerMemory,
     ) {
+        this.input = new PeerInput(memory?.shares.peerBytes ?? defaultMaxInputBytes);
         this.server.on("connection", socket => this.onConnection(socket));
         // The WebSocket server passes the errors of the HTTP server on, which are handled there.
         this.server.on("error", () => {});
@@ -93,10 +103,20 @@
                 return;
             }
             const release = this.input.add(socket, data.length);
-            void this.respond(frame).then(response => socket.send(this.packr.pack(response))).finally(release);
+            // With the frame that has arrived, what is made of it: an entry for the disk, or a call to the store.
+            this.memory?.collector.onAllocated(2 * data.length);
+            void this.respond(frame).then(response => this.send(socket, response)).finally(release);
         });
     }
 
+    /** A response counts until it has been written: a peer that asks for many records may be slow to read them. */
+    private send(socket: WebSocket, response: ResponseFrame): void {
+        const data = this.packr.pack(response);
+        this.memory?.collector.onAllocated(data.length);
+        const release = this.input.add(socket, data.length);
+        socket.send(data, release);
+    }
+
     private readFrame(data: Buffer): RequestFrame | undefined {
         try {
             const frame = this.packr.unpack(data) as Partial<RequestFrame> | undefined;
--- a/packages/gateway/src/turns/turnRecord.ts
+++ b/packages/gateway/src/turns/turnRecord.ts
@@ -1,6 +1,8 @@
 /** Stored record of a completed turn, which later turns continue. */
 import { Packr } from "msgpackr";
 
+import { ChunkedBytes } from "../memory/chunkedBytes.js";
+
 /**
  * Immutable once written. The conversation up to and including this turn is that of `base`, if set, followed by `tail`:
  * a short conversation is read with one call, and a long one is not rewritten with each turn.
@@ -11,27 +13,37 @@
     /** Id of the turn whose conversation precedes `tail`. */
     readonly base: string | undefined;
     /** Inputs and outputs of the turns after the base, including this one; each event's data ends with a line feed. */
-    readonly tail: Buffer;
+    readonly tail: ChunkedBytes;
     /**
      * Unix time in milliseconds until which this record and all that it refers to are kept. Undefined in records of
      * earlier versions.
      */
     readonly keptUntil: number | undefined;
+    /** Size of the conversation up to and including this turn. Undefined in records of earlier versions. */
+    readonly conversationBytes: number | undefined;
+}
+
+/** What is needed of the last turn of a conversation to continue it. */
+export interface LastTurn extends Omit<TurnRecord, "tail"> {
+    /** The tail, if it is so short that the next turn copies it. */
+    readonly copiedTail: ChunkedBytes | undefined;
 }
 
 /** The conversation that a turn continues. */
 export interface Conversation {
     /** Last turn of the conversation. */
-    readonly last: TurnRecord;
+    readonly last: LastTurn;
     /** Inputs and outputs of all turns in order. */
-    readonly history: Buffer;
+    readonly history: ChunkedBytes;
+    /** Size of the history. */
+    readonly bytes: number;
 }
 
 /** What a new turn adds to a conversation. */
 export interface TurnContent {
     readonly id: string;
-    readonly input: Buffer;
-    readonly output: Buffer;
+    readonly input: Buffer | ChunkedBytes;
+    readonly output: Buffer | ChunkedBytes;
     /** Time for which the turn can be continued, in milliseconds. */
     readonly keepMs: number;
 }
@@ -42,13 +54,29 @@
  */
 const tailRolloverBytes = 8 * 1024;
 
+/** Size up to which a tail is copied into one buffer: many small ones would need more memory than the copy. */
+const joinedBytes = 64 * 1024;
+
 const packr = new Packr({ useRecords: false });
 
+/** A record as it is encoded. */
+type StoredTurn = Omit<TurnRecord, "tail"> & { readonly tail: Buffer; };
+
 /** Encodes a turn. */
-export const packTurn = (turn: TurnRecord): Buffer => packr.pack(turn);
+export const packTurn = (turn: TurnRecord): Buffer =>
+    packr.pack({ ...turn, tail: turn.tail.toBuffer() } satisfies StoredTurn);
 
 /** Decodes a turn. */
-export const unpackTurn = (bytes: Buffer): TurnRecord => packr.unpack(bytes) as TurnRecord;
+export const unpackTurn = (bytes: Buffer): TurnRecord => {
+    const stored = packr.unpack(bytes) as StoredTurn;
+    return { ...stored, tail: ChunkedBytes.of(stored.tail) };
+};
+
+/** Returns what is needed to continue the conversation that ends with a turn. */
+export const lastTurnOf = ({ tail, ...last }: TurnRecord): LastTurn => ({
+    ...last,
+    copiedTail: tail.length < tailRolloverBytes ? tail : undefined,
+});
 
 /** Difference between the clocks of two machines that is allowed for. */
 export const clockToleranceMs = 10_000;
@@ -75,31 +103,40 @@
     previous: Conversation | undefined,
     now: number,
 ): TurnRecord => {
-    const added = [input, output];
     const ownKeptUntil = now + recordLifetimeMs(keepMs);
-    const withHistory = (history: readonly Buffer[]): TurnRecord => ({
+    const conversationBytes = (previous?.bytes ?? 0) + input.length + output.length;
+    const create = (base: string | undefined, earlier: ChunkedBytes, keptUntil = ownKeptUntil): TurnRecord => ({
         id,
-        base: undefined,
-        tail: Buffer.concat([...history, ...added]),
-        keptUntil: ownKeptUntil,
+        base,
+        tail: compact(ChunkedBytes.of(earlier, input, output)),
+        keptUntil: Math.min(keptUntil, ownKeptUntil),
+        conversationBytes,
     });
     if (previous === undefined) {
-        return withHistory([]);
+        return create(undefined, ChunkedBytes.empty);
     }
-    const { last, history } = previous;
-    const copiesTail = last.tail.length < tailRolloverBytes;
-    const isLastWhole = last.base === undefined && copiesTail;
-    if (isLastWhole || !isKeptLongEnough(last.keptUntil, keepMs, now)) {
-        return withHistory([history]);
+    if (needsHistory(previous.last, keepMs, now)) {
+        return create(undefined, previous.history);
     }
-    return {
-        id,
-        base: copiesTail ? last.base : last.id,
-        tail: Buffer.concat([...(copiesTail ? [last.tail] : []), ...added]),
-        keptUntil: Math.min(last.keptUntil!, ownKeptUntil),
-    };
+    const { last } = previous;
+    return create(
+        last.copiedTail === undefined ? last.id : last.base,
+        last.copiedTail ?? ChunkedBytes.empty,
+        last.keptUntil,
+    );
 };
 
+/**
+ * Whether the record of a turn that continues another one holds the whole conversation.
+ *
+ * @param now Unix time in milliseconds.
+ */
+export const needsHistory = (last: LastTurn, keepMs: number, now: number): boolean =>
+    (last.base === undefined && last.copiedTail !== undefined) || !isKeptLongEnough(last.keptUntil, keepMs, now);
+
+const compact = (tail: ChunkedBytes): ChunkedBytes =>
+    tail.length <= joinedBytes ? ChunkedBytes.of(tail.toBuffer()) : tail;
+
 /** A time that lies too far ahead comes from a clock that was wrong, and promises nothing. */
 const isKeptLongEnough = (keptUntil: number | undefined, keepMs: number, now: number): boolean =>
     keptUntil !== undefined && keptUntil >= now + keepMs &&
--- a/packages/gateway/src/turns/turnStorage.ts
+++ b/packages/gateway/src/turns/turnStorage.ts
@@ -8,6 +8,7 @@
 import { BatchWriter } from "../state/batchWriter.js";
 import { StoreArchive } from "./storeArchive.js";
 import { TurnStore } from "./turnStore.js";
+import type { TurnStoreOptions } from "./turnStore.js";
 
 /** Time for which writes are collected into a batch. */
 const batchDelayMs = 3;
@@ -20,11 +21,17 @@
     readonly turns: TurnStore;
     private readonly storeArchive: StoreArchive;
 
-    constructor(store: VersionedStore, peers: Peers, placement: JournalPlacement, log: Logger) {
+    constructor(
+        store: VersionedStore,
+        peers: Peers,
+        placement: JournalPlacement,
+        log: Logger,
+        memory?: Pick<TurnStoreOptions, "conversations" | "saves">,
+    ) {
         this.writer = new BatchWriter(store, batchDelayMs, log);
         this.storeArchive = new StoreArchive(store, this.writer, log);
         this.journalArchive = new JournalArchive(peers, this.storeArchive, placement, log);
-        this.turns = new TurnStore(this.journalArchive, log);
+        this.turns = new TurnStore(this.journalArchive, log, memory);
     }
 
     close(): void {
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -35,6 +35,8 @@
     onHead(head: ReplyHead): void;
     /** Returns why nothing of the reply may be passed on; undefined once it has been. */
     onData(chunk: Buffer): string | undefined;
+    /** Memory that the sink needs for what has arrived. */
+    readonly heldBytes: number;
     /**
      * Whether the body that has arrived can be the whole one.
      *
@@ -76,8 +78,9 @@
             progress.signal.removeEventListener("abort", onAbort);
             resolve(result);
         };
-        const listener = new AttemptListener(attempt, finish, abort, () => active.call?.markRefused());
-        attempt.sink.onFull = isFull => isFull ? active.call?.pause() : active.call?.resume();
+        const pauses = new ReplyPauses(() => active.call);
+        const listener = new AttemptListener(attempt, finish, abort, () => active.call?.markRefused(), pauses);
+        attempt.sink.onFull = isFull => pauses.set("caller", isFull);
         active.call = upstream.connections.send(attempt.call, listener);
         progress.signal.addEventListener("abort", onAbort, { once: true });
         if (progress.signal.aborted) {
@@ -85,6 +88,35 @@
         }
     });
 
+/** Why a reply is not read: its caller does not read it, or there is too little memory. */
+type PauseReason = "caller" | "memory";
+
+/** Stops reading a reply for as long as there is a reason. */
+class ReplyPauses {
+    private readonly reasons = new Set<PauseReason>();
+
+    constructor(private readonly getCall: () => RunningCall | undefined) {}
+
+    set(reason: PauseReason, isPaused: boolean): void {
+        const wasPaused = this.reasons.size > 0;
+        if (isPaused) {
+            this.reasons.add(reason);
+        }
+        else {
+            this.reasons.delete(reason);
+        }
+        if (wasPaused !== this.reasons.size > 0) {
+            const call = this.getCall();
+            if (wasPaused) {
+                call?.resume();
+            }
+            else {
+                call?.pause();
+            }
+        }
+    }
+}
+
 class AttemptListener implements ReplyListener {
     /** Set once the result is known although the reply goes on. */
     private result: AttemptResult | undefined;
@@ -98,8 +130,9 @@
         private readonly finish: (result: AttemptResult) => void,
         private readonly abort: (reason: Error) => void,
         private readonly markRefused: () => void,
+        private readonly pauses: ReplyPauses,
     ) {
-        this.held = attempt.memory.hold(() => this.breakOff());
+        this.held = attempt.memory.hold(() => this.breakOff(), isPaused => this.pauses.set("memory", isPaused));
     }
 
     onStart(): Error | undefined {
@@ -150,6 +183,8 @@
             return false;
         }
         const refusal = this.attempt.sink.onData(chunk);
+        // What has been passed on is counted as unsent, for as long as the caller has not read it.
+        this.held.resize(this.attempt.sink.heldBytes);
         if (refusal !== undefined) {
             this.onEndedHere();
             this.result = this.broken(refusal);
--- a/packages/gateway/src/upstreams/eventCollector.ts
+++ b/packages/gateway/src/upstreams/eventCollector.ts
@@ -1,4 +1,4 @@
-/** Counts the events of an event stream and collects their data, while the stream itself is forwarded unchanged. */
+/** Counts the events of an event stream and passes their data on, while the stream itself is forwarded unchanged. */
 import { LineEndNormalizer } from "@marigolddrift/common";
 import type { StreamEvent } from "@marigolddrift/policy";
 import { createParser } from "eventsource-parser";
@@ -13,18 +13,24 @@
 
 /** Parses an event stream. */
 export class EventCollector {
-    /** The whole events that have arrived. */
-    readonly events: StreamEvent[] = [];
+    /** Number of whole events that have arrived. */
+    count = 0;
+    /** Size of what has arrived since the last whole event, and is kept until the next one. */
+    pendingBytes = 0;
     /** The first bytes, until it is known whether they are a byte order mark. */
     private beginning: string | undefined = "";
     private readonly lineEnds = new LineEndNormalizer();
     private readonly boundary = new EventBoundary();
-    private readonly parser = createParser({ onEvent: ({ id, data }) => this.events.push({ id, data }) });
+    private readonly parser = createParser({
+        onEvent: ({ id, data }) => {
+            this.count += 1;
+            this.pendingBytes = 0;
+            this.onEvent({ id, data });
+        },
+    });
 
-    /** Number of whole events that have arrived. */
-    get count(): number {
-        return this.events.length;
-    }
+    /** @param onEvent Called with each whole event. */
+    constructor(private readonly onEvent: (event: StreamEvent) => void = () => {}) {}
 
     /**
      * Whether the stream that has arrived can be the whole one.
@@ -39,6 +45,7 @@
     }
 
     feed(chunk: Buffer): void {
+        this.pendingBytes += chunk.length;
         // The parser waits after a CR for the LF that may follow, which would keep it from seeing the end of an event.
         const text = this.lineEnds.feed(this.withoutMark(chunk.toString(byteEncoding)));
         this.boundary.feed(text);
@@ -58,7 +65,3 @@
         return beginning.startsWith(byteOrderMark) ? beginning.slice(byteOrderMark.length) : beginning;
     }
 }
-
-/** Returns the data of events, each followed by a line feed. */
-export const outputOf = (events: readonly StreamEvent[]): Buffer =>
-    Buffer.from(events.map(({ data }) => `${data}\n`).join(""), byteEncoding);
--- a/packages/gateway/src/upstreams/upstreamConnections.ts
+++ b/packages/gateway/src/upstreams/upstreamConnections.ts
@@ -1,9 +1,11 @@
 /** Keep-alive connections to an upstream, and the calls on them. */
 import { isInterimStatus } from "@marigolddrift/common";
 import type { Socket } from "node:net";
+import type { Readable } from "node:stream";
 import { buildConnector, Pool } from "undici";
 import type { Dispatcher as HttpDispatcher } from "undici";
 
+import type { ChunkedBytes } from "../memory/chunkedBytes.js";
 import { endsWithConnection, isRunTogether } from "./framing.js";
 import { PieceJoiner } from "./pieceJoiner.js";
 import { UpstreamConnection } from "./upstreamConnection.js";
@@ -15,6 +17,9 @@
 /** Time for which an idle connection is kept open if the upstream does not specify one. */
 const defaultKeepAliveMs = 8_000;
 
+/** Size up to which a body is written in one piece together with the head, which takes the least time. */
+const joinedBodyBytes = 64 * 1024;
+
 /** A call as it is sent to an upstream. */
 export interface OutgoingCall {
     /** Id by which the upstream's replies name the call. */
@@ -23,7 +28,9 @@
     readonly path: string;
     /** Alternating names and values. */
     readonly headers: readonly string[];
-    readonly body: Buffer | undefined;
+    readonly body: ChunkedBytes | undefined;
+    /** Called once the upstream has taken the whole body, but for a last piece in the buffer of its connection. */
+    readonly onBodySent?: () => void;
 }
 
 /** Receives the parts of a reply as they arrive. */
@@ -101,6 +108,30 @@
  */
 const afterPendingInput = (callback: () => void): void => void setImmediate(() => setImmediate(callback));
 
+/**
+ * Returns the body and the headers for the HTTP client. A large body is written as the upstream reads it: what is written to a connection
+ * that nobody reads stays in memory, and with it a copy of the whole if the body has been joined.
+ */
+const encodeBody = (
+    { headers, body, onBodySent }: OutgoingCall,
+): Pick<HttpDispatcher.DispatchOptions, "body" | "headers"> => {
+    if (body === undefined || body.length <= joinedBodyBytes) {
+        onBodySent?.();
+        return { body: body?.toBuffer() ?? null, headers: headers as string[] };
+    }
+    return {
+        // The client takes any iterable; its types name only streams.
+        body: writtenChunks(body, onBodySent) as unknown as Readable,
+        headers: [...headers, "content-length", String(body.length)],
+    };
+};
+
+/** Yields the pieces of a body one after the other; the HTTP client asks for the next one when a connection takes more. */
+const writtenChunks = function*({ chunks }: ChunkedBytes, onSent: () => void = () => {}): Iterable<Buffer> {
+    yield* chunks;
+    onSent();
+};
+
 /** A pool of connections, each of which carries one call at a time. */
 export class UpstreamConnections {
     /** Called when a connection cannot be opened, also if the call that needed it has been given up meanwhile. */
@@ -135,8 +166,7 @@
             onConnection: connection => handler.connection = connection,
             method: call.method,
             path: call.path,
-            headers: call.headers as string[],
-            body: call.body ?? null,
+            ...encodeBody(call),
         };
         const dispatch = (): void => void this.pool.dispatch(carried, handler);
         if (this.hasIdleConnection) {
--- a/tests/gateway/inputMemory.test.ts
+++ b/tests/gateway/inputMemory.test.ts
@@ -16,7 +16,7 @@
         clock = install();
         events = [];
         refused = [];
-        memory = new InputMemory(maxBytes, input => refused.push(input), () => clock.now);
+        memory = new InputMemory(maxBytes, { onRefused: input => refused.push(input) }, () => clock.now);
     });
     afterEach(() => clock.uninstall());
 
@@ -91,4 +91,40 @@
         held.release();
         expect([events, memory.heldBytes]).toEqual([[], 0]);
     });
+
+    // Guards against bodies that are stopped again and again, and run in the end with too little time left.
+    it("should refuse a stopped input at once that would not fit beside those of running calls", () => {
+        hold("running", 700 * kib).keep();
+        const large = memory.hold({
+            kind: "request",
+            expectedBytes: 400 * kib,
+            setPaused: isPaused => events.push(`large ${isPaused ? "paused" : "resumed"}`),
+            refuse: () => events.push("large refused"),
+        });
+        large.resize(70 * kib);
+        clock.tick(300);
+        expect(events).toEqual(["large paused", "large refused"]);
+    });
+
+    // Guards against bodies that are all stopped although one of them would fit, and are refused one after the other.
+    it("should read one input to its end, if there is room for it, while others are stopped", () => {
+        const holdExpected = (name: string, bytes: number, expectedBytes: number): HeldInput => {
+            const held = memory.hold({
+                kind: "request",
+                expectedBytes,
+                setPaused: isPaused => events.push(`${name} ${isPaused ? "paused" : "resumed"}`),
+                refuse: () => events.push(`${name} refused`),
+            });
+            held.resize(bytes);
+            return held;
+        };
+        hold("running", 400 * kib).keep();
+        const first = holdExpected("first", 240 * kib, 300 * kib);
+        const second = holdExpected("second", 100 * kib, 300 * kib);
+        first.resize(260 * kib);
+        second.resize(110 * kib);
+        expect(events).toEqual(["second paused"]);
+        first.release();
+        expect(events).toEqual(["second paused", "second resumed"]);
+    });
 });
--- a/tests/gateway/refusedTurns.test.ts
+++ b/tests/gateway/refusedTurns.test.ts
@@ -1,6 +1,7 @@
 import { Progress, silentLogger } from "@marigolddrift/common";
 import {
     BatchWriter,
+    ChunkedBytes,
     createTurn,
     DiskLog,
     FlushOrder,
@@ -81,7 +82,7 @@
             expect(store.state.get("marigolddrift/turns/t39")).not.toEqual(undefined);
             await append(journal, turnOf("later", 3_000));
             await waitUntil(() => store.state.get("marigolddrift/turns/later") !== undefined);
-            expect(journal.find("large").record?.length).toSatisfy(length => length! > 2 * valueBytes);
+            expect((await journal.find("large")).record?.length).toSatisfy(length => length! > 2 * valueBytes);
         }));
 
     it("should be saved in parts that the store accepts, and be read again as they were", async () => {
@@ -95,12 +96,12 @@
         expect([history.equals(turn.tail), last.id]).toEqual([true, "large"]);
         const next = createTurn(
             { id: "next", input: Buffer.from("more "), output: Buffer.from("end\n"), keepMs },
-            { history, last },
+            { history, last, bytes: history.length },
             Date.now(),
         );
         await create().save({ turn: next, program: "p", keepMs }, progress);
         const continued = await create().loadConversation({ id: "next", program: "p" }, progress);
-        expect(continued.history.equals(Buffer.concat([turn.tail, Buffer.from("more end\n")]))).toEqual(true);
+        expect(continued.history.equals(ChunkedBytes.of(turn.tail, Buffer.from("more end\n")))).toEqual(true);
         expect(store.largestValue).toSatisfy(bytes => bytes <= 256 * 1024);
     });
 
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -7,6 +7,7 @@
 import { describe, it } from "node:test";
 
 import { FakeStore } from "../fakeStore.js";
+import { conversationOf } from "./conversations.js";
 
 describe("relay store", () => {
     const answeringPeer = {
@@ -108,7 +109,7 @@
     const keepMs = 60_000;
     const turn = (id: string, last?: TurnRecord, bytes = 0): TurnRecord => {
         const input = Buffer.from(`${id} in ${"x".repeat(bytes)}`);
-        const previous = last && { last, history: last.tail };
+        const previous = last && conversationOf(last);
         return createTurn({ id, input, output: Buffer.from(`${id} out\n`), keepMs }, previous, 0);
     };
     const toSave = (record: TurnRecord) => ({ turn: record, program: "p", keepMs });
--- a/tests/gateway/turnRetention.test.ts
+++ b/tests/gateway/turnRetention.test.ts
@@ -1,12 +1,13 @@
 import type { ProblemError } from "@marigolddrift/common";
 import { Progress, silentLogger } from "@marigolddrift/common";
-import { BatchWriter, createTurn, RecordRemover, StoreArchive, TurnStore } from "@marigolddrift/gateway";
+import { BatchWriter, ChunkedBytes, createTurn, RecordRemover, StoreArchive, TurnStore } from "@marigolddrift/gateway";
 import type { Conversation, TurnRecord } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
 import { withClock } from "../clock.js";
 import { FakeStore } from "../fakeStore.js";
+import { conversationOf } from "./conversations.js";
 
 const keepMs = 60_000;
 const program = "p";
@@ -57,8 +58,8 @@
     it("should refer to earlier records as long as they are kept, and write the conversation anew after that", () => {
         const content = (id: string) => ({ id, input: textOf(id, 9_000), output: Buffer.from("out\n"), keepMs });
         const first = createTurn(content("t1"), undefined, 0);
-        const early = createTurn(content("t2"), { last: first, history: first.tail }, 20_000);
-        const late = createTurn(content("t2"), { last: first, history: first.tail }, 20_001);
+        const early = createTurn(content("t2"), conversationOf(first), 20_000);
+        const late = createTurn(content("t2"), conversationOf(first), 20_001);
         expect([early.base, early.keptUntil]).toEqual(["t1", first.keptUntil]);
         expect([late.base, late.tail.length > 18_000, late.keptUntil]).toEqual([undefined, true, keepMs + 40_001]);
     });
@@ -70,7 +71,7 @@
             600_000,
         );
         const content = { id: "t2", input: textOf("t2", 10), output: Buffer.alloc(0), keepMs };
-        expect(createTurn(content, { last: first, history: first.tail }, 0).base).toEqual(undefined);
+        expect(createTurn(content, conversationOf(first), 0).base).toEqual(undefined);
     });
 
     it("should count on the shortest-lived record of a conversation if the retention time has changed", () => {
@@ -81,13 +82,14 @@
             keepMs: keptMs,
         });
         const first = createTurn(content("t1", 60_000), undefined, 0);
-        const longer = createTurn(content("t2", 75_000), { last: first, history: first.tail }, 10_000);
+        const longer = createTurn(content("t2", 75_000), conversationOf(first), 10_000);
         expect(longer.base).toEqual(undefined);
     });
 
     it("should hold the whole conversation after a record of an earlier version", () => {
-        const old = { id: "t1", base: undefined, tail: textOf("t1", 9_000) } as unknown as TurnRecord;
-        const previous = { last: old, history: old.tail };
+        const tail = ChunkedBytes.of(textOf("t1", 9_000));
+        const old = { id: "t1", base: undefined, tail } as unknown as TurnRecord;
+        const previous = conversationOf(old);
         const turn = createTurn({ id: "t2", input: textOf("t2", 10), output: Buffer.alloc(0), keepMs }, previous, 0);
         expect([turn.base, turn.tail.length > 9_000]).toEqual([undefined, true]);
     });
@@ -100,7 +102,7 @@
             undefined,
             Date.now(),
         );
-        const previous = { last: first, history: first.tail };
+        const previous = conversationOf(first);
         const second = createTurn(
             { id: "t2", input: textOf("t2", 10), output: Buffer.alloc(0), keepMs },
             previous,
--- a/tests/hostile/hostileFront.ts
+++ b/tests/hostile/hostileFront.ts
@@ -13,7 +13,9 @@
 import { ChildProgram } from "../processes/childProgram.js";
 
 const root = fileURLToPath(new URL("../../../", import.meta.url));
-const program = join(root, "target/marigolddrift.cjs");
+
+/** The program as deployments run it. */
+export const bundledProgram = join(root, "target/marigolddrift.cjs");
 
 /** Options of the start command in deploy/system.toml. */
 const nodeOptions = ["--max-old-space-size=96", "--max-semi-space-size=4"];
@@ -28,7 +30,8 @@
 /** Route timeout far beyond what a test takes: these tests check no times. */
 const timeoutMs = 25_000;
 
-const host = "hostile.example";
+/** Host name of all routes. */
+export const hostileHost = "hostile.example";
 const engine = { slots: 64, kvCapacity: 90_000_000, tokensPerEvent: 10 };
 
 /** Limits on callers in the configuration, as deployments have them. */
@@ -41,7 +44,7 @@
 
 const route = (name: string, prefix: string, changes: Record<string, unknown>) => ({
     name,
-    host,
+    host: hostileHost,
     prefix,
     timeoutMs,
     latencyGoalMs: 300,
@@ -68,6 +71,14 @@
     readonly descriptors: number;
 }
 
+/** Returns the memory that a process uses, and the most that it has used. */
+export const memoryOf = (pid: number): Pick<Usage, "residentMb" | "peakMb"> => {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const megabytes = (name: string): number =>
+        Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)?.[1] ?? 0) / 1024);
+    return { residentMb: megabytes("VmRSS"), peakMb: megabytes("VmHWM") };
+};
+
 /** Builds the bundle that deployments run, so that the tests play against the present sources. */
 export const buildBundle = (): void => {
     execFileSync(process.execPath, ["tools/bundle.mjs"], { cwd: root, stdio: "ignore" });
@@ -75,7 +86,7 @@
 
 /** Returns the text of a request's head; without a blank line at its end if `isOpen`. */
 export const headOf = (method: string, path: string, headers: readonly string[] = [], isOpen = false): string => {
-    const lines = [`${method} ${path} HTTP/1.1`, `Host: ${host}`, `Request-Id: id-${nextId++}`, ...headers];
+    const lines = [`${method} ${path} HTTP/1.1`, `Host: ${hostileHost}`, `Request-Id: id-${nextId++}`, ...headers];
     return `${lines.join("\r\n")}\r\n${isOpen ? "" : "\r\n"}`;
 };
 
@@ -141,7 +152,11 @@
     /** Sends one ordinary request on a connection of its own; resolves to its status, or the reason why there is none. */
     callOnce(path = "/look/1"): Promise<number | string> {
         return new Promise(resolve => {
-            const headers = { "Host": host, "Request-Id": `ordinary-${nextId++}`, "Deadline-Ms": String(timeoutMs) };
+            const headers = {
+                "Host": hostileHost,
+                "Request-Id": `ordinary-${nextId++}`,
+                "Deadline-Ms": String(timeoutMs),
+            };
             const req = request({ ...this.address, method: "GET", path, headers, agent: false }, res => {
                 res.on("error", err => resolve(err.message));
                 res.on("end", () => resolve(res.statusCode!));
@@ -155,14 +170,7 @@
 
     usage(): Usage {
         const { pid } = this.process!;
-        const status = readFileSync(`/proc/${pid}/status`, "utf8");
-        const megabytes = (name: string): number =>
-            Math.round(Number(new RegExp(`${name}:\\s+(\\d+)`).exec(status)?.[1] ?? 0) / 1024);
-        return {
-            residentMb: megabytes("VmRSS"),
-            peakMb: megabytes("VmHWM"),
-            descriptors: readdirSync(`/proc/${pid}/fd`).length,
-        };
+        return { ...memoryOf(pid), descriptors: readdirSync(`/proc/${pid}/fd`).length };
     }
 
     /** Whether the process has ended by itself. */
@@ -187,7 +195,7 @@
     private async startProcess(): Promise<void> {
         const file = join(this.dir, "front.toml");
         writeFileSync(file, this.settingsText());
-        this.process = new ChildProgram([...nodeOptions, program, "front"], file);
+        this.process = new ChildProgram([...nodeOptions, bundledProgram, "front"], file);
         const startedAt = performance.now();
         while (!await this.isReady()) {
             if (this.hasEnded || performance.now() - startedAt > giveUpMs) {
@@ -236,6 +244,7 @@
         route("look", "/look/", { kind: "safe", service: "ops" }),
         route("order", "/order/", { kind: "unsafe", service: "ops" }),
         route("talk", "/talk/", { kind: "stream", service: "brain" }),
+        route("chat", "/chat/", { kind: "stream", service: "brain", retain: true, keepS: 60 }),
     ],
     services: [{ name: "brain", maxConns: 1_200, engine }, { name: "ops", maxConns: 1_200 }],
     limits: { ...callerLimits, ...settings.limits },
--- a/tests/platform/deployment.ts
+++ b/tests/platform/deployment.ts
@@ -117,7 +117,7 @@
             storeSilenceMs: 5_000,
             changeDelayLimitMs: 2_500,
             graceMs: 4_000,
-            maxReplyMemoryBytes: 24 * 1024 * 1024,
+            memory: { replyBytes: 24 * 1024 * 1024 },
             log: silentLogger,
             ...options,
         });
--- a/tests/platform/endlessReplies.test.ts
+++ b/tests/platform/endlessReplies.test.ts
@@ -87,7 +87,7 @@
     // Guards against endless replies to many calls at once, each within its own limit, that fill the memory of a small machine.
     it("should bound the memory of all replies together, and break off the largest", async () => {
         const limit = 3 * mib;
-        const gateway = await deployment.addGateway({ maxReplyMemoryBytes: limit });
+        const gateway = await deployment.addGateway({ memory: { replyBytes: limit } });
         deployment.streamingWorker.fault = "endlessBody";
         const turns = callAll(async index => {
             try {
--- a/tests/platform/inputBounds.test.ts
+++ b/tests/platform/inputBounds.test.ts
@@ -15,7 +15,7 @@
 const manyBodies = 24;
 
 /** The default of a machine of 88 MB. */
-const maxInputMemoryBytes = 11 * mib;
+const inputBytes = 11 * mib;
 
 describe("bound on the input of all callers", () => {
     let deployment: Deployment;
@@ -25,7 +25,7 @@
         deployment = await Deployment.start(0);
         const { limits, ...others } = config(4);
         deployment.store.put("op/config", { ...others, limits: { ...limits, maxBodyBytes: bodyBytes } });
-        const gateway = await deployment.addGateway({ maxInputMemoryBytes });
+        const gateway = await deployment.addGateway({ memory: { inputBytes } });
         await waitUntil(() => gateway.configVersion === 4);
     });
     afterEach(() => {
--- a/tests/platform/narrowLink.test.ts
+++ b/tests/platform/narrowLink.test.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import { describe, it } from "node:test";
 
+import { conversationOf } from "../gateway/conversations.js";
 import { config, waitUntil } from "./deployment.js";
 
 const membersPrefix = "marigolddrift/members/";
@@ -70,7 +71,7 @@
             toleratedLosses: 1,
             storeSilenceMs: 5_000,
             changeDelayLimitMs: 2_500,
-            maxReplyMemoryBytes: 24 * 1024 * 1024,
+            memory: { replyBytes: 24 * 1024 * 1024 },
             graceMs: 4_000,
             log: silentLogger,
         });
@@ -102,7 +103,7 @@
             const input = randomBytes(index === 0 ? promptBytes : laterTurnBytes / 2);
             const output = randomBytes(laterTurnBytes / 2);
             const content = { id: `${program}-${index}`, input, output, keepMs: 60_000 };
-            const turn = createTurn(content, last && { last, history: last.tail }, Date.now());
+            const turn = createTurn(content, last && conversationOf(last), Date.now());
             this.savedBytes += input.length + laterTurnBytes / 2;
             await this.save(program, turn);
             last = turn;
--- a/tests/upstreams/closedWhileIdle.test.ts
+++ b/tests/upstreams/closedWhileIdle.test.ts
@@ -1,4 +1,4 @@
-import { UpstreamConnections } from "@marigolddrift/gateway";
+import { ChunkedBytes, UpstreamConnections } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { once } from "node:events";
 import { after, before, describe, it } from "node:test";
@@ -30,7 +30,13 @@
 
 const call = (connections: UpstreamConnections): Promise<string> =>
     new Promise(resolve => {
-        connections.send({ id: "c1", method: "POST", path: "/", headers: [], body: Buffer.from("once") }, {
+        connections.send({
+            id: "c1",
+            method: "POST",
+            path: "/",
+            headers: [],
+            body: ChunkedBytes.of(Buffer.from("once")),
+        }, {
             onStart: () => undefined,
             onHead: () => true,
             onData: () => true,
--- a/tests/upstreams/eventBoundary.test.ts
+++ b/tests/upstreams/eventBoundary.test.ts
@@ -1,5 +1,5 @@
 import { LineEndNormalizer } from "@marigolddrift/common";
-import { EventCollector, outputOf } from "@marigolddrift/gateway";
+import { EventCollector, OutputCollector } from "@marigolddrift/gateway";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 
@@ -10,8 +10,8 @@
         (_, index) => text.slice(index * length, (index + 1) * length),
     );
 
-const collect = (text: string, pieceLength: number): EventCollector => {
-    const events = new EventCollector();
+const collect = (text: string, pieceLength: number, output = new OutputCollector()): EventCollector => {
+    const events = new EventCollector(({ data }) => output.add(data));
     piecesOf(text, pieceLength).forEach(piece => events.feed(Buffer.from(piece, "latin1")));
     return events;
 };
@@ -71,16 +71,18 @@
     // Guards against an event that was counted and kept only once the next one came, or never if it was the last one.
     it("should not be waited for to collect an event whose lines end in CR alone", () => {
         for (const pieceLength of pieceLengths) {
-            const events = collect("id: 1\rdata: a\r\r", pieceLength);
-            expect([pieceLength, events.count, outputOf(events.events).toString()]).toEqual([pieceLength, 1, "a\n"]);
+            const output = new OutputCollector();
+            const events = collect("id: 1\rdata: a\r\r", pieceLength, output);
+            expect([pieceLength, events.count, output.toBytes().toString()]).toEqual([pieceLength, 1, "a\n"]);
         }
     });
 
     // Guards against a first event that was lost where the byte order mark before it came in pieces.
     it("should leave the first event after a byte order mark whole", () => {
         for (const pieceLength of pieceLengths) {
-            const events = collect("\u00ef\u00bb\u00bfdata: a\n\n", pieceLength);
-            expect([pieceLength, outputOf(events.events).toString()]).toEqual([pieceLength, "a\n"]);
+            const output = new OutputCollector();
+            collect("\u00ef\u00bb\u00bfdata: a\n\n", pieceLength, output);
+            expect([pieceLength, output.toBytes().toString()]).toEqual([pieceLength, "a\n"]);
         }
     });
 
--- a/tests/upstreams/replyMemory.test.ts
+++ b/tests/upstreams/replyMemory.test.ts
@@ -35,4 +35,33 @@
         reply.add(1_000);
         expect(memory.heldBytes).toEqual(1_000);
     });
+
+    // Guards against sound replies that are broken off, although their calls have run, because several are large at once.
+    it("should read large replies one after the other, from three quarters of the bound on, and break none off", async () => {
+        const kib = 1024;
+        const memory = new ReplyMemory(1_000 * kib);
+        const events: string[] = [];
+        const [first, second, small] = ["first", "second", "small"].map(name =>
+            memory.hold(() => events.push(`${name} broken`), isPaused => events.push(`${name} ${isPaused}`))
+        );
+        first!.add(400 * kib);
+        second!.add(400 * kib);
+        small!.add(10 * kib);
+        expect([events, memory.pausedReplies]).toEqual([["second true"], 1]);
+        first!.release();
+        await new Promise(resolve => setImmediate(resolve));
+        expect([events, memory.pausedReplies]).toEqual([["second true", "second false"], 0]);
+    });
+
+    it("should count what a reply needs now, not what has passed through", () => {
+        const memory = new ReplyMemory(1_000);
+        const reply = memory.hold(() => {
+            throw new Error("broken off");
+        });
+        for (let piece = 0; piece < 10; piece++) {
+            reply.add(500);
+            reply.resize(piece);
+        }
+        expect(memory.heldBytes).toEqual(9);
+    });
 });
