Read turns that wait for the store from the disk, and bound the memory of machines with disks

With large turns coming fast and the store away for some seconds, they went over their memory and ended, and with them what they were about to acknowledge.

Cause: each turn that waits for the store stayed in memory, up to 48 MB, beside the disk, with 24 MB of flushed turns and 16 MB of beginnings, each reckoned without the others; a group of frames was joined for one write, and a restart read the whole log at once, of which each record that was kept held its whole segment.

Why it works: records of turns that wait are in memory only up to a sixteenth of it, others are read from the disk when they are flushed or asked for; large groups are written frame by frame; a log is read one segment after the other, and what is kept of it is copied. What was refused beyond 48 MB is refused as before. A turn that cannot be read any more does not hold up the others.

--- a/bench/soak/variants.ts
+++ b/bench/soak/variants.ts
@@ -131,8 +131,8 @@
         name: "a machine with a disk does not read the turns on it",
         seed: 116,
         file: `${gateway}/journal/turnJournal.ts`,
-        find: "this.addUnflushed(entry.turn, segment);",
-        replace: "this.unflushedBySegment.set(segment, 0);",
+        find: "this.addUnflushed({ ...entry.turn, record: Buffer.from(entry.turn.record) }, place);",
+        replace: "this.addUnflushedIn(segment, 0);",
     },
     {
         name: "the API key is forwarded to the upstream",
--- a/packages/gateway/src/journal/diskLog.ts
+++ b/packages/gateway/src/journal/diskLog.ts
@@ -1,7 +1,7 @@
 /** An append-only log for small disks: segments of checksummed frames, written with group commit. */
 import { asError } from "@marigolddrift/common";
 import type { Logger } from "@marigolddrift/common";
-import { mkdir, open, readdir, readFile, unlink } from "node:fs/promises";
+import { mkdir, open, readdir, readFile, unlink, writeFile } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import { setTimeout } from "node:timers/promises";
@@ -10,6 +10,9 @@
 /** Size at which a segment is closed and a new one is created. */
 const segmentRolloverBytes = 4 * 1024 * 1024;
 
+/** Size up to which frames are copied together for one write; larger groups are written one after the other. */
+const joinedWriteBytes = 256 * 1024;
+
 /** Size of the length and checksum that precede each payload. */
 const frameHeaderBytes = 8;
 
@@ -28,15 +31,25 @@
 /** Sequence number of a segment. */
 export type SegmentId = number;
 
-/** A payload read from the log, with its segment. */
-export interface LoggedPayload {
+/** Where a payload is in the log. */
+export interface LogPlace {
     readonly segment: SegmentId;
-    readonly payload: Buffer;
+    /** Offset of the frame that holds the payload. */
+    readonly offset: number;
+    /** Size of the payload. */
+    readonly bytes: number;
 }
 
-/** Contents of a log when it is opened. */
+/**
+ * Receives the payloads of a log that is opened, in order. What it keeps of a payload it must copy, which would otherwise keep the memory
+ * of its whole segment.
+ */
+export type PayloadReader = (payload: Buffer, place: LogPlace) => void;
+
+/** What is known of a log when it is opened. */
 export interface LogContents {
-    readonly payloads: readonly LoggedPayload[];
+    /** Number of payloads. */
+    readonly payloads: number;
     readonly segments: readonly SegmentId[];
     /** Time for which the log still lacks what an earlier disk of the machine may have held, in milliseconds. */
     readonly incompleteMs: number;
@@ -44,7 +57,7 @@
 
 interface PendingAppend {
     readonly payload: Buffer;
-    readonly resolve: (segment: SegmentId) => void;
+    readonly resolve: (place: LogPlace) => void;
     readonly reject: (err: Error) => void;
 }
 
@@ -60,16 +73,20 @@
     constructor(private readonly dir: string, private readonly log: Logger) {}
 
     /**
-     * Opens the log, and tries again while that fails, as on a disk that is not there yet.
+     * Opens the log, and tries again while that fails, as on a disk that is not there yet. A try may pass on payloads again.
      *
      * @param isClosed Whether the log is no longer needed.
      * @throws Error if the log is closed before it could be opened.
      */
-    async openWhenPossible(newDiskIncompleteMs: number, isClosed: () => boolean): Promise<LogContents> {
+    async openWhenPossible(
+        newDiskIncompleteMs: number,
+        isClosed: () => boolean,
+        onPayload: PayloadReader = () => {},
+    ): Promise<LogContents> {
         let loggedAt = -Infinity;
         for (;;) {
             try {
-                return await this.open(newDiskIncompleteMs);
+                return await this.open(newDiskIncompleteMs, onPayload);
             }
             catch (err) {
                 if (isClosed()) {
@@ -85,30 +102,33 @@
     }
 
     /**
-     * Reads the log that earlier processes have written. An incomplete or corrupt end of a segment is skipped.
+     * Reads the log that earlier processes have written, one segment after the other. An incomplete or corrupt end of a segment is
+     * skipped.
      *
      * @param newDiskIncompleteMs Time for which a disk counts as incomplete that has never held a log.
      */
-    async open(newDiskIncompleteMs: number): Promise<LogContents> {
+    async open(newDiskIncompleteMs: number, onPayload: PayloadReader = () => {}): Promise<LogContents> {
         await createDirectory(this.dir);
         const names = await readdir(this.dir);
         const segments = names.map(name => namePattern.exec(name)?.[1]).filter(text => text !== undefined).map(Number)
             .sort((a, b) => a - b);
-        const payloadsRead: LoggedPayload[] = [];
+        let payloads = 0;
         for (const segment of segments) {
-            const { payloads, tornBytes } = decodeFrames(await readFile(this.segmentPath(segment)));
-            payloads.forEach(payload => payloadsRead.push({ segment, payload }));
+            const tornBytes = decodeFrames(await readFile(this.segmentPath(segment)), (payload, offset) => {
+                payloads += 1;
+                onPayload(payload, { segment, offset, bytes: payload.length });
+            });
             if (tornBytes > 0) {
                 this.log.warn("left out torn end of journal segment", { segment, tornBytes });
             }
         }
         this.nextSegment = (segments.at(-1) ?? -1) + 1;
         const incompleteMs = await this.openState(names, newDiskIncompleteMs);
-        return { payloads: payloadsRead, segments, incompleteMs };
+        return { payloads, segments, incompleteMs };
     }
 
-    /** Resolves with the segment once the payload has been synced to disk. */
-    append(payload: Buffer): Promise<SegmentId> {
+    /** Resolves with its place once the payload has been synced to disk. */
+    append(payload: Buffer): Promise<LogPlace> {
         return new Promise((resolve, reject) => {
             if (this.isClosed) {
                 reject(new Error("the log is closed"));
@@ -122,6 +142,28 @@
         });
     }
 
+    /**
+     * Reads a payload again.
+     *
+     * @throws Error if the segment has been deleted, or the disk has lost the payload.
+     */
+    async read({ segment, offset, bytes }: LogPlace): Promise<Buffer> {
+        const file = await open(this.segmentPath(segment), "r");
+        try {
+            const frame = Buffer.allocUnsafeSlow(frameHeaderBytes + bytes);
+            await file.read(frame, 0, frame.length, offset);
+            let payload: Buffer | undefined;
+            decodeFrames(frame, whole => payload = whole);
+            if (payload === undefined) {
+                throw new Error(`segment ${segment} has no whole payload at ${offset}`);
+            }
+            return payload;
+        }
+        finally {
+            await file.close();
+        }
+    }
+
     /** Deletes a segment. Resolves to false without deleting it if it is the active one. */
     async removeSegment(segment: SegmentId): Promise<boolean> {
         if (this.current?.segment === segment) {
@@ -172,8 +214,8 @@
         while (this.pending.length > 0) {
             const group = this.pending.splice(0);
             try {
-                const segment = await this.write(Buffer.concat(group.flatMap(({ payload }) => encodeFrame(payload))));
-                group.forEach(({ resolve }) => resolve(segment));
+                const places = await this.write(group.map(({ payload }) => payload));
+                group.forEach(({ resolve }, index) => resolve(places[index]!));
             }
             catch (err) {
                 this.log.error("journal write failed", { error: asError(err).message, payloads: group.length });
@@ -184,17 +226,25 @@
         this.writing = false;
     }
 
-    private async write(bytes: Buffer): Promise<SegmentId> {
+    private async write(payloads: readonly Buffer[]): Promise<LogPlace[]> {
         const current = this.current ??= await this.createSegment();
+        const { segment } = current;
+        let { bytes: end } = current;
+        const places = payloads.map(({ length }) => {
+            const place: LogPlace = { segment, offset: end, bytes: length };
+            end += frameHeaderBytes + length;
+            return place;
+        });
+        const frames = payloads.flatMap(encodeFrame);
         // Writes again what a single write leaves out, as on a disk that is nearly full.
-        await current.file.writeFile(bytes);
+        await writeFile(current.file, end - current.bytes > joinedWriteBytes ? frames : Buffer.concat(frames));
         await current.file.datasync();
-        current.bytes += bytes.length;
+        current.bytes = end;
         if (current.bytes >= segmentRolloverBytes) {
             this.current = undefined;
             await current.file.close();
         }
-        return current.segment;
+        return places;
     }
 
     private async createSegment(): Promise<{ segment: SegmentId; file: FileHandle; bytes: number; }> {
@@ -257,8 +307,8 @@
     return [header, payload];
 };
 
-const decodeFrames = (bytes: Buffer): { payloads: Buffer[]; tornBytes: number; } => {
-    const payloads: Buffer[] = [];
+/** Passes on the whole frames; returns the number of bytes after the last one. */
+const decodeFrames = (bytes: Buffer, onPayload: (payload: Buffer, offset: number) => void): number => {
     let offset = 0;
     while (offset + frameHeaderBytes <= bytes.length) {
         const length = bytes.readUInt32BE(offset);
@@ -268,8 +318,8 @@
         if (length === 0 || end > bytes.length || crc32(payload) !== bytes.readUInt32BE(offset + 4)) {
             break;
         }
-        payloads.push(payload);
+        onPayload(payload, offset);
         offset = end;
     }
-    return { payloads, tornBytes: bytes.length - offset };
+    return bytes.length - offset;
 };
--- a/packages/gateway/src/journal/flushBatch.ts
+++ b/packages/gateway/src/journal/flushBatch.ts
@@ -1,14 +1,17 @@
 /** Chooses the turns that are written to the platform's store in one call. */
 import type { JournaledTurn } from "../peers/peerMessages.js";
-import type { SegmentId } from "./diskLog.js";
+import type { LogPlace } from "./diskLog.js";
 
 /** Limits of one store call; the store accepts up to 32 entries. */
 const maxBatchTurns = 32;
 const maxBatchBytes = 256 * 1024;
 
 /** A turn that is on the disk and not yet known to be in the store. */
-export interface UnflushedTurn extends JournaledTurn {
-    readonly segment: SegmentId;
+export interface UnflushedTurn extends Omit<JournaledTurn, "record"> {
+    /** Where the turn is on the disk. */
+    readonly place: LogPlace;
+    /** Size of its record. */
+    readonly bytes: number;
     /** Position among the holders that flush the turn. */
     readonly position: number;
     /** Monotonic time at which this machine flushes the turn. */
@@ -39,11 +42,11 @@
     let bytes = 0;
     for (const turn of turns) {
         const batch = batches.at(-1);
-        bytes += turn.record.length;
+        bytes += turn.bytes;
         const isFull = batch === undefined || batch.length >= maxBatchTurns || bytes > maxBatchBytes;
         if (isFull || turn.isRefused || batch[0]!.isRefused) {
             batches.push([turn]);
-            bytes = turn.record.length;
+            bytes = turn.bytes;
         }
         else {
             batch.push(turn);
--- a/packages/gateway/src/journal/journalServer.ts
+++ b/packages/gateway/src/journal/journalServer.ts
@@ -5,6 +5,9 @@
 
 import { BeginningRecords } from "../beginnings/beginningRecords.js";
 import { BuildRecords } from "../builds/buildRecords.js";
+import { BufferCollector } from "../memory/bufferCollector.js";
+import { memoryShares } from "../memory/memoryShares.js";
+import type { MemoryShares } from "../memory/memoryShares.js";
 import type { JournalRequest, PeerAddress, PeerRequest } from "../peers/peerMessages.js";
 import { peerName } from "../peers/peerMessages.js";
 import { Peers } from "../peers/peers.js";
@@ -35,8 +38,8 @@
 /** Number of streams that the server remembers at most, in some 16 MB. */
 const maxStreamRecords = 100_000;
 
-/** Memory for what fronts have passed on of streams. */
-const maxBeginningBytes = 16 * 1024 * 1024;
+/** Memory of a machine whose settings name no bounds. */
+const defaultMemoryMb = 220;
 
 /** Settings of a {@link JournalServer}. */
 export interface JournalServerOptions {
@@ -57,6 +60,8 @@
     /** Resolves once it is known whether the machine is to be emptied; until then it takes no turns. */
     readonly mayTakeTurns: Promise<void>;
     readonly store: VersionedStore;
+    /** Bounds of memory; those of a machine with 220 MB if missing. */
+    readonly memory?: MemoryShares;
     /** Receives the bytes exchanged with peers. */
     readonly recordTraffic?: TrafficRecorder;
     readonly log: Logger;
@@ -72,12 +77,13 @@
     /** Which builds began the streams of fronts, kept in memory only: a stream without a record is refused. */
     private readonly streams = new BuildRecords(() => streamRecordLifetimeMs, maxStreamRecords);
     /** What fronts have passed on of streams, kept in memory only: a stream whose beginning is not known is not taken up. */
-    private readonly beginnings = new BeginningRecords(maxBeginningBytes);
+    private readonly beginnings: BeginningRecords;
     private peerPort = 0;
     private closed = false;
 
     constructor(private readonly options: JournalServerOptions) {
-        const { log, peerAddress } = options;
+        const { log, peerAddress, memory = memoryShares(defaultMemoryMb) } = options;
+        this.beginnings = new BeginningRecords(memory.beginningBytes);
         const store = new RelayStore(options.store, excluded => this.peers.pickRelay(excluded), log);
         const localAddress = (): PeerAddress => ({ ...peerAddress, port: this.peerPort, keepsTurns: true });
         const { recordTraffic } = options;
@@ -86,6 +92,7 @@
             () => this.peers.key,
             (request, progress) => this.handleRequest(request, progress),
             log,
+            { shares: memory, collector: new BufferCollector(memory.bufferBytes) },
         );
         this.remover = new RecordRemover(store, log);
         const localName = (): string => peerName(localAddress());
@@ -98,7 +105,7 @@
             holder === localName() ? peerAddress.region : this.peers.getByName(holder)?.address.region;
         const flushOrder = new FlushOrder(peerAddress.region, regionOf, () => store.fastestMs);
         const disk = new DiskLog(options.dir, log);
-        this.journal = new TurnJournal(disk, store, this.remover, notifyFlushed, flushOrder, log);
+        this.journal = new TurnJournal(disk, store, this.remover, notifyFlushed, flushOrder, log, memory);
         const { isCounted, catchUpMs } = options;
         this.standing = new DiskStanding({
             isCounted,
@@ -152,7 +159,7 @@
             case "keepTurn":
                 return await this.journal.append(request.turn) && (this.standing.counts || "uncounted");
             case "findTurn":
-                return this.journal.find(request.id);
+                return await this.journal.find(request.id);
             case "turnsFlushed":
                 this.journal.onPeerFlushed(request.ids);
                 return true;
--- a/packages/gateway/src/journal/storeFlusher.ts
+++ b/packages/gateway/src/journal/storeFlusher.ts
@@ -19,9 +19,11 @@
     readonly store: Pick<VersionedStore, "txn">;
     /** Removes the turns from the store when their time has come. */
     readonly remover: RecordRemover;
+    /** Returns the record of a turn. */
+    readonly load: (turn: UnflushedTurn) => Promise<Buffer>;
     /** Called with the turns that have been written, before the other holders are told. */
     readonly onFlushed: (ids: readonly string[]) => void;
-    /** Called with a turn that the store has refused for good. */
+    /** Called with a turn that the store has refused for good, or that cannot be read. */
     readonly onRefused: (turn: UnflushedTurn) => void;
     /** Tells another holder which turns have been written. */
     readonly notifyFlushed: (holder: string, ids: readonly string[]) => void;
@@ -30,6 +32,11 @@
     readonly log: Logger;
 }
 
+interface LoadedTurn {
+    readonly turn: UnflushedTurn;
+    readonly record: Buffer;
+}
+
 /** Writes batches of turns, and backs off while the store cannot be reached. */
 export class StoreFlusher {
     private isFlushing = false;
@@ -100,17 +107,22 @@
     }
 
     private onRefused(turn: UnflushedTurn, err: StoreRefusalError): void {
-        const { id, record } = turn;
-        this.options.log.error("turn refused by the store", { turn: id, bytes: record.length, error: err.message });
+        const { id, bytes } = turn;
+        this.options.log.error("turn refused by the store", { turn: id, bytes, error: err.message });
         this.options.onRefused(turn);
     }
 
     /** Writes one batch to the store. Records are immutable, so writing one twice is harmless. */
-    private async writeBatch(batch: readonly UnflushedTurn[]): Promise<void> {
+    private async writeBatch(turns: readonly UnflushedTurn[]): Promise<void> {
+        const loaded = await this.load(turns);
+        if (loaded.length === 0) {
+            return;
+        }
+        const batch = loaded.map(({ turn }) => turn);
         const { onFlushed, remover, store } = this.options;
         const progress = new Progress(callTimeoutMs);
         try {
-            const puts = batch.map(({ id, record }) => ({ key: turnKey(id), value: record }));
+            const puts = loaded.map(({ turn: { id }, record }) => ({ key: turnKey(id), value: record }));
             await progress.race(store.txn([], puts, progress));
         }
         finally {
@@ -122,6 +134,22 @@
         this.notifyHolders(batch);
     }
 
+    /** Resolves to the turns that can be read, with their records. */
+    private async load(turns: readonly UnflushedTurn[]): Promise<LoadedTurn[]> {
+        const { load, log, onRefused } = this.options;
+        const loaded: LoadedTurn[] = [];
+        for (const turn of turns) {
+            try {
+                loaded.push({ turn, record: await load(turn) });
+            }
+            catch (err) {
+                log.error("turn not read from the disk", { turn: turn.id, error: asError(err).message });
+                onRefused(turn);
+            }
+        }
+        return loaded;
+    }
+
     private notifyHolders(batch: readonly UnflushedTurn[]): void {
         const holders = new Set(batch.flatMap(turn => turn.holders));
         for (const holder of holders) {
--- a/packages/gateway/src/journal/turnJournal.ts
+++ b/packages/gateway/src/journal/turnJournal.ts
@@ -7,13 +7,14 @@
 import type { VersionedStore } from "@marigolddrift/store";
 import { Packr } from "msgpackr";
 
+import type { MemoryShares } from "../memory/memoryShares.js";
 import type { FindTurnResponse, JournaledTurn } from "../peers/peerMessages.js";
 import type { RecordRemover } from "../turns/recordRemover.js";
-import type { DiskLog, SegmentId } from "./diskLog.js";
+import type { DiskLog, LogPlace, SegmentId } from "./diskLog.js";
 import { batchesOf, dueBatches } from "./flushBatch.js";
 import type { UnflushedTurn } from "./flushBatch.js";
-import { FlushedTurnCache } from "./flushedTurnCache.js";
 import type { FlushOrder } from "./flushOrder.js";
+import { RecordMemory } from "./recordMemory.js";
 import { StoreFlusher } from "./storeFlusher.js";
 
 /** Delay after which the first holder of a turn flushes it to the store. */
@@ -31,16 +32,26 @@
 /** Size of the unflushed turns above which the journal rejects further turns. */
 const maxUnflushedBytes = 48 * 1024 * 1024;
 
+/** Memory for unflushed turns, and for flushed ones, if the settings name none; other unflushed ones are read from the disk. */
+const defaultUnflushedMemoryBytes = 14 * 1024 * 1024;
+const defaultFlushedMemoryBytes = 18 * 1024 * 1024;
+
 const packr = new Packr({ useRecords: false });
 
 /** An entry of the log: a turn, or the ids of turns that have been flushed. */
 type LogEntry = { readonly turn: JournaledTurn; } | { readonly flushed: readonly string[]; };
 
+/** Memory for the records of turns that are also on the disk or in the store. */
+export type JournalMemory = Pick<MemoryShares, "unflushedBytes" | "flushedBytes">;
+
 /** The journal of one machine. */
 export class TurnJournal {
     private readonly unflushed = new Map<string, UnflushedTurn>();
     private unflushedBytes = 0;
-    private readonly flushedCache = new FlushedTurnCache();
+    /** Records of unflushed turns; those that are not here are read from the disk. */
+    private readonly unflushedRecords: RecordMemory;
+    /** Records of the turns that were flushed last, so that peers find them here without a call to the store. */
+    private readonly flushedRecords: RecordMemory;
     private readonly unflushedBySegment = new Map<SegmentId, number>();
     private readonly flusher: StoreFlusher;
     /** Number of turns being written to disk, whose segment is not yet known. */
@@ -61,11 +72,18 @@
         notifyFlushed: (holder: string, ids: readonly string[]) => void,
         private readonly flushOrder: FlushOrder,
         private readonly log: Logger,
+        memory: JournalMemory = {
+            unflushedBytes: defaultUnflushedMemoryBytes,
+            flushedBytes: defaultFlushedMemoryBytes,
+        },
     ) {
+        this.unflushedRecords = new RecordMemory(memory.unflushedBytes);
+        this.flushedRecords = new RecordMemory(memory.flushedBytes);
         this.opened = new Promise(resolve => this.onOpened = resolve);
         this.flusher = new StoreFlusher({
             store,
             remover,
+            load: turn => this.loadRecord(turn),
             onFlushed: ids => this.recordFlushed(ids),
             onRefused: turn => this.postpone(turn),
             notifyFlushed,
@@ -84,6 +102,11 @@
         return this.unflushed.size;
     }
 
+    /** Size of the records in memory. */
+    get recordBytes(): number {
+        return this.unflushedRecords.heldBytes + this.flushedRecords.heldBytes;
+    }
+
     /**
      * Recovers the turns on the disk, from then on finds and flushes them, and starts to accept turns.
      *
@@ -97,29 +120,33 @@
         onOpened: (incompleteMs: number) => void = () => {},
     ): Promise<void> {
         const isClosed = (): boolean => this.isClosed;
-        const { payloads, segments, incompleteMs } = await this.disk.openWhenPossible(newDiskIncompleteMs, isClosed);
-        segments.forEach(segment => this.unflushedBySegment.set(segment, 0));
-        payloads.forEach(({ segment, payload }) => this.recover(segment, payload));
+        const { payloads, segments, incompleteMs } = await this.disk.openWhenPossible(
+            newDiskIncompleteMs,
+            isClosed,
+            (payload, place) => this.recover(payload, place),
+        );
+        segments.forEach(segment => this.addUnflushedIn(segment, 0));
         this.removeFlushedSegments();
         this.completeAt = performance.now() + incompleteMs;
         onOpened(incompleteMs);
         this.onOpened();
         this.timer = setInterval(() => void this.flushDue(), flushPollMs);
-        this.log.info("journal is open", { read: payloads.length, unflushed: this.unflushed.size, incompleteMs });
+        this.log.info("journal is open", { read: payloads, unflushed: this.unflushed.size, incompleteMs });
         await mayAccept;
         this.accepting = !this.isDraining;
     }
 
     /** An entry that this version does not know, as after a rollback, is left on the disk and keeps nothing else from being read. */
-    private recover(segment: SegmentId, payload: Buffer): void {
+    private recover(payload: Buffer, place: LogPlace): void {
         const entry = decodeEntry(payload);
+        const { segment } = place;
         if (entry === undefined) {
-            const kept = this.unflushedBySegment.get(segment) ?? 0;
-            this.unflushedBySegment.set(segment, kept + 1);
+            this.addUnflushedIn(segment, 1);
             this.log.warn("journal entry not understood", { segment, bytes: payload.length });
         }
         else if ("turn" in entry) {
-            this.addUnflushed(entry.turn, segment);
+            // A part of the payload would keep the memory of the whole segment.
+            this.addUnflushed({ ...entry.turn, record: Buffer.from(entry.turn.record) }, place);
         }
         else {
             entry.flushed.forEach(id => this.markFlushed(id));
@@ -147,11 +174,25 @@
         return true;
     }
 
-    find(id: string): FindTurnResponse {
-        const record = this.unflushed.get(id)?.record ?? this.flushedCache.get(id);
+    async find(id: string): Promise<FindTurnResponse> {
+        const unflushed = this.unflushed.get(id);
+        const record = unflushed === undefined ? this.flushedRecords.get(id) : await this.findUnflushed(unflushed);
         return { record, complete: performance.now() >= this.completeAt };
     }
 
+    /** Its segment may be deleted meanwhile, once the store has the turn, where the peer looks, too. */
+    private async findUnflushed(turn: UnflushedTurn): Promise<Buffer | undefined> {
+        try {
+            return await this.loadRecord(turn);
+        }
+        catch (err) {
+            if (this.unflushed.has(turn.id)) {
+                throw err;
+            }
+            return this.flushedRecords.get(turn.id);
+        }
+    }
+
     /** Records that another holder has flushed turns to the store. */
     onPeerFlushed(ids: readonly string[]): void {
         this.recordFlushed(ids.filter(id => this.unflushed.has(id)));
@@ -176,15 +217,33 @@
         await this.disk.close();
     }
 
-    private addUnflushed(turn: JournaledTurn, segment: SegmentId): void {
-        if (this.unflushed.has(turn.id) || this.flushedCache.has(turn.id)) {
+    private addUnflushed({ record, ...turn }: JournaledTurn, place: LogPlace): void {
+        if (this.unflushed.has(turn.id) || this.flushedRecords.has(turn.id)) {
             return;
         }
         const position = this.flushOrder.positionOf(turn);
         const dueAt = performance.now() + firstFlushDelayMs + position * laterFlushDelayMs;
-        this.unflushed.set(turn.id, { ...turn, segment, position, dueAt, isRefused: false });
-        this.unflushedBytes += turn.record.length;
-        this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + 1);
+        this.unflushed.set(turn.id, { ...turn, place, bytes: record.length, position, dueAt, isRefused: false });
+        this.unflushedRecords.add(turn.id, record);
+        this.unflushedBytes += record.length;
+        this.addUnflushedIn(place.segment, 1);
+    }
+
+    private addUnflushedIn(segment: SegmentId, turns: number): void {
+        this.unflushedBySegment.set(segment, (this.unflushedBySegment.get(segment) ?? 0) + turns);
+    }
+
+    /** @throws Error if the disk has lost the turn. */
+    private async loadRecord({ id, place }: UnflushedTurn): Promise<Buffer> {
+        const record = this.unflushedRecords.get(id);
+        if (record !== undefined) {
+            return record;
+        }
+        const entry = decodeEntry(await this.disk.read(place));
+        if (entry === undefined || !("turn" in entry)) {
+            throw new Error("the entry on the disk is none of a turn");
+        }
+        return entry.turn.record;
     }
 
     private async flushDue(): Promise<void> {
@@ -223,10 +282,14 @@
         if (turn === undefined) {
             return;
         }
+        const record = this.unflushedRecords.get(id);
         this.unflushed.delete(id);
-        this.unflushedBytes -= turn.record.length;
-        this.flushedCache.add(turn);
-        this.unflushedBySegment.set(turn.segment, this.unflushedBySegment.get(turn.segment)! - 1);
+        this.unflushedRecords.delete(id);
+        this.unflushedBytes -= turn.bytes;
+        if (record !== undefined) {
+            this.flushedRecords.add(id, record);
+        }
+        this.addUnflushedIn(turn.place.segment, -1);
     }
 
     /** Deletes segments whose turns are all in the store. Their `flushed` entries may be lost without harm. */
--- a/tests/gateway/diskLog.test.ts
+++ b/tests/gateway/diskLog.test.ts
@@ -7,8 +7,12 @@
 
 import { withDir } from "./withDir.js";
 
-const payloadTexts = (payloads: readonly { payload: Buffer; }[]): string[] =>
-    payloads.map(({ payload }) => payload.toString());
+/** Opens the log in a directory as a process that starts does, and returns the texts of its payloads. */
+const readTexts = async (dir: string): Promise<string[]> => {
+    const texts: string[] = [];
+    await new DiskLog(dir, silentLogger).open(0, payload => texts.push(payload.toString()));
+    return texts;
+};
 
 describe("disk log", () => {
     it("should read payloads that several processes have appended", () =>
@@ -21,7 +25,7 @@
             await second.open(60_000);
             await second.append(Buffer.from("c"));
             await second.close();
-            expect(payloadTexts((await new DiskLog(dir, silentLogger).open(0)).payloads)).toEqual(["a", "b", "c"]);
+            expect(await readTexts(dir)).toEqual(["a", "b", "c"]);
         }));
 
     // Guards against a machine that said after a restart that turns which its lost disk had held did not exist.
@@ -66,7 +70,7 @@
             ];
             for (const torn of tornEnds) {
                 await writeFile(path, torn);
-                expect(payloadTexts((await new DiskLog(dir, silentLogger).open(0)).payloads)).toEqual(["whole"]);
+                expect(await readTexts(dir)).toEqual(["whole"]);
             }
         }));
 });
--- a/tests/gateway/diskLogFull.test.ts
+++ b/tests/gateway/diskLogFull.test.ts
@@ -31,9 +31,9 @@
             const { stdout } = spawnSync("sh", ["-c", command], { input: writerSource(dir), encoding: "utf8" });
             const kept = JSON.parse(stdout) as number[];
             const disk = new DiskLog(dir, silentLogger);
-            const { payloads: read } = await disk.open(0);
+            const readable = new Set<number>();
+            await disk.open(0, payload => readable.add(payload[0]!));
             await disk.close();
-            const readable = new Set(read.map(({ payload }) => payload[0]!));
             expect(kept.length > 0 && kept.length < payloads).toEqual(true);
             expect(kept.filter(first => !readable.has(first))).toEqual([]);
         }));
--- a/tests/gateway/diskLogNames.test.ts
+++ b/tests/gateway/diskLogNames.test.ts
@@ -63,7 +63,11 @@
             await log.append(Buffer.from("kept"));
             await log.close();
             await names.losePower(base);
-            const { payloads, incompleteMs } = await new DiskLog(dir, silentLogger).open(60_000);
-            expect([payloads.map(({ payload }) => payload.toString()), incompleteMs]).toEqual([["kept"], 0]);
+            const texts: string[] = [];
+            const { incompleteMs } = await new DiskLog(dir, silentLogger).open(
+                60_000,
+                payload => texts.push(payload.toString()),
+            );
+            expect([texts, incompleteMs]).toEqual([["kept"], 0]);
         }));
 });
--- a/tests/gateway/journal.test.ts
+++ b/tests/gateway/journal.test.ts
@@ -28,7 +28,7 @@
             node.journal.onPeerFlushed(["notified"]);
             await waitUntil(() => node.journal.unflushedCount === 0);
             expect([store.state.get("marigolddrift/turns/notified"), store.writes]).toEqual([undefined, 1]);
-            expect(node.journal.find("notified").record).not.toEqual(undefined);
+            expect((await node.journal.find("notified")).record).not.toEqual(undefined);
         }));
 
     it("should keep turns across a restart while the store is unavailable, and flush them when it recovers", () =>
@@ -38,7 +38,7 @@
             await node.journal.close();
             const restarted = new JournalNode(dir, store);
             await restarted.journal.start(0);
-            expect(restarted.journal.find("t1").record).toEqual(packTurn(turnOf("t1")));
+            expect((await restarted.journal.find("t1")).record).toEqual(packTurn(turnOf("t1")));
             store.fault = "none";
             await waitUntil(() => restarted.journal.unflushedCount === 0);
             expect(store.state.get("marigolddrift/turns/t1")).not.toEqual(undefined);
@@ -65,7 +65,7 @@
         withDir(async dir => {
             const node = new JournalNode(dir, new FakeStore());
             await node.journal.start(60_000);
-            expect(node.journal.find("t1")).toEqual({ record: undefined, complete: false });
+            expect(await node.journal.find("t1")).toEqual({ record: undefined, complete: false });
             await node.close();
         }));
 });
