--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -35,10 +35,19 @@
     scale: number,
     checksQuotas: boolean,
     mixesVersions: boolean,
+    hasLargePrograms: boolean,
 ): Promise<number> => {
     let failed = 0;
     for (let seed = firstSeed; seed < firstSeed + runs; seed++) {
-        const result = await runSoak({ seed, seconds, scale, checksQuotas, overlapsStarts: true, mixesVersions });
+        const result = await runSoak({
+            seed,
+            seconds,
+            scale,
+            checksQuotas,
+            overlapsStarts: true,
+            mixesVersions,
+            hasLargePrograms,
+        });
         failed += result.violations.length > 0 ? 1 : 0;
         printResult(seed, result);
     }
@@ -73,6 +82,7 @@
 cli.option("--scale <n>", "Machines, workers and callers, as a multiple of the usual number", { default: 1 });
 cli.option("--quotas", "Let a workspace send more than its quota, and check what runs in each window");
 cli.option("--versions", "Let workers of several software versions serve streams, which callers take up");
+cli.option("--large", "Let many programs have large inputs and sub-agents");
 cli.option("--variants [text]", "Run the broken variants whose names contain the text; each must be caught");
 cli.help();
 const { options } = cli.parse();
@@ -88,6 +98,7 @@
             Number(options["scale"]),
             options["quotas"] === true,
             options["versions"] === true,
+            options["large"] === true,
         );
     process.exitCode = failed > 0 ? 1 : 0;
 }
--- a/bench/soak/powerLoss.ts
+++ b/bench/soak/powerLoss.ts
@@ -32,7 +32,7 @@
         private readonly wiped: Machine,
     ) {
         this.callers = new Map(
-            workspaceNames.map(name => [name, new SoakCaller(`power-${name}`, name, fleet, record, random)]),
+            workspaceNames.map(name => [name, new SoakCaller(`power-${name}`, name, fleet, record, random, 0)]),
         );
     }
 
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
 import { join } from "node:path";
 
 import { Intruder } from "./intruder.js";
+import { MemoryWatch } from "./memoryWatch.js";
 import { OverlappingStarts } from "./overlappingStarts.js";
 import { pick } from "./pick.js";
 import { PowerLoss } from "./powerLoss.js";
@@ -21,6 +22,10 @@
 
 const callerCount = 12;
 
+/** Share of the programs that begin with a large input. */
+const fewLargeShare = 0.02;
+const manyLargeShare = 0.25;
+
 /** Callers without rights, and those of a workspace that sends more than its quota. */
 const intruderCount = 2;
 const crowdCount = 12;
@@ -56,6 +61,8 @@
     readonly overlapsStarts?: boolean;
     /** Whether workers of several software versions serve streams that callers take up; off if missing. */
     readonly mixesVersions?: boolean;
+    /** Whether many programs have large inputs and sub-agents; off if missing. */
+    readonly hasLargePrograms?: boolean;
 }
 
 /** Result of a run. */
@@ -83,6 +90,7 @@
         checksQuotas = false,
         overlapsStarts = false,
         mixesVersions = false,
+        hasLargePrograms = false,
     }: SoakOptions,
 ): Promise<SoakResult> => {
     const dir = mkdtempSync(join(tmpdir(), `soak-${seed}-`));
@@ -94,13 +102,16 @@
     const starts = overlapsStarts ? new OverlappingStarts(fleet, random) : undefined;
     const faults = new SoakFaults(fleet, record, random, starts);
     const recovery = new RecoveryWatch(fleet, record);
+    const memory = new MemoryWatch(fleet);
     try {
         await fleet.start();
         const callers = Array.from(
             { length: callerCount * scale },
             (_, index) => {
                 const workspace = workspaceNames[index % workspaceNames.length]!;
-                return new SoakCaller(`c${index}`, workspace, fleet, record, createRandom(seed + index * seedStride));
+                const random = createRandom(seed + index * seedStride);
+                const largeShare = hasLargePrograms ? manyLargeShare : fewLargeShare;
+                return new SoakCaller(`c${index}`, workspace, fleet, record, random, largeShare);
             },
         );
         const createIntruders = (name: string, count: number): Intruder[] =>
@@ -139,10 +150,12 @@
         );
     }
     finally {
+        memory.stop();
         record.stalls.stop();
         await fleet.close();
     }
-    const violations = [...record.violations, ...fleet.unexpectedExits];
+    const violations = [...record.violations, ...memory.violations, ...fleet.unexpectedExits];
+    memory.mostMb.forEach((mb, role) => record.counts[`most MB of a ${role}`] = mb);
     writeFileSync(join(dir, "faults.txt"), faults.injected.concat(violations).join("\n"));
     if (violations.length === 0) {
         rmSync(dir, { recursive: true });
--- a/bench/soak/soakCallers.ts
+++ b/bench/soak/soakCallers.ts
@@ -22,9 +22,11 @@
 const turnsPerProgram = 5;
 const loopingShare = 0.1;
 
-/** Size of a large input, above that of a value in the platform's store, and the share of programs that begin with one. */
+/** Size of a large input, above that of a value in the platform's store. */
 const largeInputBytes = 1_300_000;
-const largeShare = 0.02;
+
+/** Sub-agents of a program with a large input, which continue its first turn at the same time. */
+const subAgents = 3;
 
 /** Pause between the turns of a slow conversation. */
 const visitPauseMs = 4_500;
@@ -45,6 +47,7 @@
         private readonly fleet: SoakFleet,
         private readonly record: SoakRecord,
         private readonly random: () => number,
+        private readonly largeShare: number,
     ) {}
 
     async run(): Promise<void> {
@@ -66,7 +69,7 @@
         let history = "";
         let previous: string | undefined;
         for (let turn = 0; !this.stopped && (loops || turn < turnsPerProgram); turn++) {
-            const isLarge = turn === 0 && this.random() < largeShare;
+            const isLarge = turn === 0 && this.random() < this.largeShare;
             const input = `${program} asks ${turn};${isLarge ? "x".repeat(largeInputBytes) : ""}`;
             const attempt = await this.callUntilAnswered("turn", zone, history + input, input, program, previous);
             if (attempt === undefined) {
@@ -75,12 +78,24 @@
             }
             history += input + outputOf(attempt.id);
             previous = attempt.id;
+            if (isLarge) {
+                await this.runSubAgents(zone, program, history, attempt.id);
+            }
             await this.callTools(zone);
             await delay(pauseMs);
         }
         this.record.count("program complete");
     }
 
+    private async runSubAgents(zone: string, program: string, history: string, previous: string): Promise<void> {
+        const turns = Array.from({ length: subAgents }, (_, index) => {
+            const input = `${program} asks for ${index};`;
+            return this.callUntilAnswered("turn", zone, history + input, input, program, previous);
+        });
+        const answers = await Promise.all(turns);
+        this.record.count("sub-agent answered", answers.filter(answer => answer !== undefined).length);
+    }
+
     /** One conversation that goes on for longer than its turns are kept, with each turn in time after the one before. */
     async visit(): Promise<void> {
         while (!this.stopped) {
--- a/bench/soak/soakFleet.ts
+++ b/bench/soak/soakFleet.ts
@@ -139,6 +139,12 @@
         );
     }
 
+    /** Ids of the processes of a machine that have not ended. */
+    processIds({ name }: Machine): readonly number[] {
+        const running = (this.processes.get(name) ?? []).filter(({ hasEnded }) => !hasEnded);
+        return running.map(({ pid }) => pid).filter(pid => pid !== undefined);
+    }
+
     /** Process of a machine that was started last. */
     newest({ name }: Machine): SoakProcess | undefined {
         return this.processes.get(name)?.at(-1);
--- a/bench/soak/soakProcess.ts
+++ b/bench/soak/soakProcess.ts
@@ -56,6 +56,11 @@
         return this.isTold;
     }
 
+    /** Undefined if the process could not be started. */
+    get pid(): number | undefined {
+        return this.child.pid;
+    }
+
     get hasEnded(): boolean {
         return this.isOver;
     }
--- a/bench/soak/soakRecord.ts
+++ b/bench/soak/soakRecord.ts
@@ -73,8 +73,8 @@
         this.budgets.set(program, tokens);
     }
 
-    count(name: string): void {
-        this.counts[name] = (this.counts[name] ?? 0) + 1;
+    count(name: string, by = 1): void {
+        this.counts[name] = (this.counts[name] ?? 0) + by;
     }
 
     /** Records an answer, and checks that it belongs to its call. Returns whether it is whole. */
--- a/bench/soak/soakSettings.ts
+++ b/bench/soak/soakSettings.ts
@@ -1,6 +1,7 @@
 /** Settings files of the processes in a soak. */
 import { ports } from "./machine.js";
 import type { Machine } from "./machine.js";
+import { memoryMbOf } from "./memoryWatch.js";
 
 /** Bounds that the settings name, in the platform's units. */
 export const bounds = {
@@ -61,6 +62,8 @@
         "south-a = \"south\"",
         "[listen]",
         ...(role === "front" ? [`front = "${ip}:${ports.front}"`, `ready = "${ip}:${ports.ready}"`] : []),
+        "[limits]",
+        `memoryMb = ${memoryMbOf({ role })}`,
         "[tolerate]",
         "machines = 1",
         "[bounds]",
