--- a/packages/gateway/src/entry/inputMemory.ts
+++ b/packages/gateway/src/entry/inputMemory.ts
@@ -115,8 +115,8 @@
         holder.bytes = bytes;
         this.refuseUntil(this.maxBytes);
         const isTooMuch = this.totalBytes > this.pauseBytes && bytes > unpausedBytes;
-        if (isTooMuch && holder.isRefusable && this.holders.has(holder) && !this.mayFinish(holder)) {
-            this.pause(holder);
+        if (isTooMuch && holder.isRefusable && this.holders.has(holder)) {
+            this.pauseUnlessFinishing(holder);
         }
         this.resumeIfRoom();
     }
@@ -132,36 +132,47 @@
         return fits;
     }
 
+    private pauseUnlessFinishing(holder: Holder): void {
+        if (this.mayFinish(holder)) {
+            this.unpause(holder);
+        }
+        else {
+            this.pause(holder);
+        }
+    }
+
     /** To be called when an input has arrived, or is no longer held: another one may be read to its end. */
     private onFinished(holder: Holder): void {
-        if (this.finishing !== holder) {
-            return;
+        if (this.finishing === holder) {
+            this.finishing = undefined;
         }
-        this.finishing = undefined;
-        const next = [...this.paused].find(paused => this.mayFinish(paused));
-        if (next !== undefined) {
-            this.paused.delete(next);
-            next.control.setPaused?.(false);
+        if (this.finishing === undefined) {
+            const next = [...this.paused].find(paused => this.mayFinish(paused));
+            if (next !== undefined) {
+                this.unpause(next);
+            }
         }
     }
 
-    private keep(holder: Holder): void {
-        holder.isRefusable = false;
-        this.onFinished(holder);
+    private unpause(holder: Holder): void {
         if (this.paused.delete(holder)) {
             holder.control.setPaused?.(false);
         }
     }
 
+    private keep(holder: Holder): void {
+        holder.isRefusable = false;
+        this.unpause(holder);
+        this.onFinished(holder);
+    }
+
     private release(holder: Holder): void {
         if (!this.holders.delete(holder)) {
             return;
         }
         this.totalBytes -= holder.bytes;
+        this.unpause(holder);
         this.onFinished(holder);
-        if (this.paused.delete(holder)) {
-            holder.control.setPaused?.(false);
-        }
         this.resumeIfRoom();
     }
 
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -247,7 +247,8 @@
 
     private async savePart(part: TurnToSave, progress: Progress): Promise<void> {
         const bytes = part.turn.tail.length * copiesPerSave;
-        const request = { bytes: () => bytes, group: "", key: part.turn.id, maxWaitMs: progress.leftMs };
+        // Never refused: the turn has run, and its caller has most of it.
+        const request = { bytes: () => bytes, group: "", key: part.turn.id, maxWaitMs: Infinity };
         const room = await this.saves.acquire(request, progress);
         const startedAt = performance.now();
         try {
