--- a/packages/gateway/src/memory/memoryRoom.ts
+++ b/packages/gateway/src/memory/memoryRoom.ts
@@ -236,7 +236,7 @@
         }
     }
 
-    /** The first request of the group whose last grant is the longest ago. Smaller ones behind it wait, or it might do so for ever. */
+    /** The first request of the group whose last grant is the longest ago. Smaller ones behind it wait, so that it does not starve. */
     private findNext(): Waiting | undefined {
         const lastGrant = ({ request }: Waiting): number => this.lastGrants.get(request.group) ?? -1;
         return this.waiting.reduce<Waiting | undefined>((first, other) => {
