Let deadlines cost less, and count what a call holds with fewer steps

Cause: processor time. Change: each operation with a deadline made an AbortController (several for a call; with its listeners some 4 % of a front's time in the profile). It is made now only for what takes a signal; waits and child operations are listeners of the operation itself. The pieces of a conversation are no longer gathered to learn their size.

--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -14,33 +14,55 @@
  * await progress.sleep(100);
  */
 export class Progress {
-    readonly signal: AbortSignal;
-    private readonly controller = new AbortController();
+    /** Called at the abort, in the order in which they were added. */
+    private readonly listeners = new Set<() => void>();
+    private abortedBy: { readonly reason: unknown; } | undefined;
+    /** Created only for what takes signals, since one costs more than all else of an operation. */
+    private controller: AbortController | undefined;
     /** Monotonic time, so that adjustments of the wall clock do not change the deadline. */
     private readonly endsAt: number;
     private readonly timer: NodeJS.Timeout;
     private pendingAbort: NodeJS.Immediate | undefined;
-    private readonly parent: AbortSignal | undefined;
-    private readonly onParentAbort = (): void => this.abort(this.parent?.reason);
+    private leaveParent: () => void = () => {};
 
     /**
      * @param timeoutMs Time until the deadline, in milliseconds.
-     * @param parent Signal that also aborts this operation.
+     * @param parent Operation or signal that also aborts this operation.
      */
-    constructor(timeoutMs: number, parent?: AbortSignal) {
+    constructor(timeoutMs: number, parent?: Progress | AbortSignal) {
         this.endsAt = performance.now() + timeoutMs;
-        this.signal = this.controller.signal;
-        // An operation may have many concurrent waits, for example when it queries all machines for a turn.
-        setMaxListeners(0, this.signal);
-        this.parent = parent;
         this.timer = setTimeout(() => this.onDeadline(), Math.min(this.leftMs, maxTimerMs));
         this.timer.unref();
-        if (parent?.aborted) {
-            this.abort(parent.reason);
+        if (parent !== undefined) {
+            this.leaveParent = this.follow(parent);
         }
-        else {
-            parent?.addEventListener("abort", this.onParentAbort, { once: true });
+    }
+
+    /** Whether the operation was aborted or its deadline has passed. */
+    get isAborted(): boolean {
+        return this.abortedBy !== undefined;
+    }
+
+    /** Undefined as long as the operation is not aborted. */
+    get abortReason(): unknown {
+        return this.abortedBy?.reason;
+    }
+
+    /** Number of waits and child operations that would end with this one. */
+    get listenerCount(): number {
+        return this.listeners.size;
+    }
+
+    /** For what takes a signal. */
+    get signal(): AbortSignal {
+        if (this.controller === undefined) {
+            const controller = new AbortController();
+            this.controller = controller;
+            // An operation may have many concurrent waits, for example when it queries all machines for a turn.
+            setMaxListeners(0, controller.signal);
+            this.onAbort(() => controller.abort(this.abortReason));
         }
+        return this.controller.signal;
     }
 
     /** Time until the deadline, at least 0. */
@@ -50,10 +72,32 @@
 
     /** Aborts the operation: all its waits reject with the given reason. */
     abort(reason: unknown): void {
-        this.controller.abort(reason);
+        if (this.abortedBy === undefined) {
+            this.abortedBy = { reason: reason ?? new DOMException("The operation was aborted.", "AbortError") };
+            // One that an earlier one removes is not called.
+            for (const onAbort of this.listeners) {
+                this.listeners.delete(onAbort);
+                onAbort();
+            }
+        }
         this.dispose();
     }
 
+    /**
+     * Calls a listener at the abort, at once if that has passed. Returns a function that removes the listener.
+     *
+     * @example
+     * const remove = progress.onAbort(() => socket.destroy());
+     */
+    onAbort(listener: () => void): () => void {
+        if (this.isAborted) {
+            listener();
+            return () => {};
+        }
+        this.listeners.add(listener);
+        return () => void this.listeners.delete(listener);
+    }
+
     /** Defers the abort until pending I/O is processed: after a stall of the process, timers run before input is read. */
     private onDeadline(): void {
         this.pendingAbort = setImmediate(() => this.abort(deadlineError()));
@@ -63,35 +107,51 @@
     dispose(): void {
         clearTimeout(this.timer);
         clearImmediate(this.pendingAbort);
-        this.parent?.removeEventListener("abort", this.onParentAbort);
+        this.leaveParent();
     }
 
     /** Throws the abort reason if the operation was aborted or its deadline has passed. */
     throwIfAborted(): void {
-        this.signal.throwIfAborted();
+        if (this.isAborted) {
+            throw this.abortReason;
+        }
     }
 
     /** Creates a child operation that ends with this one or after the given timeout, whichever is earlier. */
     child(timeoutMs: number): Progress {
-        return new Progress(Math.min(this.leftMs, timeoutMs), this.signal);
+        return new Progress(Math.min(this.leftMs, timeoutMs), this);
     }
 
     /** Waits for a promise; rejects with the abort reason if the operation is aborted or its deadline passes first. */
-    async race<T>(promise: Promise<T>): Promise<T> {
-        // If the operation has already ended, nothing awaits the promise; without a handler its rejection would end the process.
-        promise.catch(() => {});
-        this.throwIfAborted();
-        let onAbort: (() => void) | undefined;
-        const aborted = new Promise<never>((_, reject) => {
-            onAbort = () => reject(this.signal.reason);
-            this.signal.addEventListener("abort", onAbort, { once: true });
+    race<T>(promise: Promise<T>): Promise<T> {
+        return new Promise<T>((resolve, reject) => {
+            const removeListener = this.onAbort(() => reject(this.abortReason));
+            // Also if the operation has ended: without a handler the promise's rejection would end the process.
+            promise.then(
+                value => {
+                    removeListener();
+                    resolve(value);
+                },
+                (err: unknown) => {
+                    removeListener();
+                    reject(err);
+                },
+            );
         });
-        try {
-            return await Promise.race([promise, aborted]);
+    }
+
+    /** Ends with the parent. Returns a function that ends that connection. */
+    private follow(parent: Progress | AbortSignal): () => void {
+        if (parent instanceof Progress) {
+            return parent.onAbort(() => this.abort(parent.abortReason));
         }
-        finally {
-            this.signal.removeEventListener("abort", onAbort!);
+        const onAbort = (): void => this.abort(parent.reason);
+        if (parent.aborted) {
+            onAbort();
+            return () => {};
         }
+        parent.addEventListener("abort", onAbort, { once: true });
+        return () => parent.removeEventListener("abort", onAbort);
     }
 
     /** Waits for the given time; rejects if the operation ends first. */
--- a/packages/daemon/src/controllers/drain.ts
+++ b/packages/daemon/src/controllers/drain.ts
@@ -62,7 +62,7 @@
     /** Waits for requests that arrived on open connections just before the port was closed. */
     private async waitForLateRequests(progress: Progress): Promise<void> {
         const { callers, owner } = this.deps;
-        while (owner.active + callers.active > 0 && !progress.signal.aborted) {
+        while (owner.active + callers.active > 0 && !progress.isAborted) {
             await progress.sleep(pollMs).catch(() => {});
         }
     }
--- a/packages/daemon/src/filters/chatDispatchFilter.ts
+++ b/packages/daemon/src/filters/chatDispatchFilter.ts
@@ -227,7 +227,7 @@
             }
         }
         catch (err) {
-            if (err instanceof UpstreamError && !progress.signal.aborted) {
+            if (err instanceof UpstreamError && !progress.isAborted) {
                 upstream?.onFailure(err.verdict === "notRun", Date.now());
             }
             throw err;
--- a/packages/daemon/src/filters/intentFilter.ts
+++ b/packages/daemon/src/filters/intentFilter.ts
@@ -106,7 +106,7 @@
             this.pending.delete(key);
         }
         catch (err) {
-            if (ctx.progress.signal.aborted) {
+            if (ctx.progress.isAborted) {
                 throw Slots.notDurableError("The intent was not stored before the deadline; the call was not sent.");
             }
             throw err;
--- a/packages/daemon/src/filters/serviceDispatchFilter.ts
+++ b/packages/daemon/src/filters/serviceDispatchFilter.ts
@@ -106,10 +106,10 @@
         if (neverSent) {
             ctx.lifecycle.send("retract");
         }
-        if (ctx.progress.signal.aborted && neverSent) {
+        if (ctx.progress.isAborted && neverSent) {
             ctx.progress.throwIfAborted();
         }
-        if (!mayRetry || attempt >= maxAttempts || ctx.progress.signal.aborted) {
+        if (!mayRetry || attempt >= maxAttempts || ctx.progress.isAborted) {
             ctx.lifecycle.send("fail");
             throw new ProblemError("upstream_failed", neverSent ? "notRun" : "mayHaveRun", err.message, { cause: err });
         }
--- a/packages/daemon/src/upstreams/engineClient.ts
+++ b/packages/daemon/src/upstreams/engineClient.ts
@@ -89,7 +89,7 @@
      */
     async *complete(worker: string, req: EngineRequest, progress: Progress): AsyncGenerator<EngineEvent> {
         const abort = new AbortController();
-        const stop = (): void => abort.abort(progress.signal.reason);
+        const stop = (): void => abort.abort(progress.abortReason);
         progress.signal.addEventListener("abort", stop, { once: true });
         const watchdog = new Watchdog(() => abort.abort(new Error("the engine sent no data within the time limit")));
         try {
--- a/packages/gateway/src/entry/callChecks.ts
+++ b/packages/gateway/src/entry/callChecks.ts
@@ -59,7 +59,7 @@
 
 /** Prefers the reason for which the call was aborted over the error that the abort caused. */
 export const toProblem = (err: unknown, progress: Progress | undefined): ProblemError => {
-    const reason: unknown = progress?.signal.aborted ? progress.signal.reason : undefined;
+    const reason: unknown = progress?.isAborted ? progress.abortReason : undefined;
     const mayHaveRun = err instanceof ProblemError && err.verdict !== "notRun";
     // The status of a refusal would promise that the call has not run.
     if (reason instanceof ProblemError && mayHaveRun && reason.code !== "draining") {
--- a/packages/gateway/src/fairness/fairAdmission.ts
+++ b/packages/gateway/src/fairness/fairAdmission.ts
@@ -102,7 +102,7 @@
         }
         catch (err) {
             ctx.progress.throwIfAborted();
-            if (!progress.signal.aborted) {
+            if (!progress.isAborted) {
                 throw err;
             }
             this.options.metrics.count("fair.expired");
--- a/packages/gateway/src/filters/tries.ts
+++ b/packages/gateway/src/filters/tries.ts
@@ -62,7 +62,7 @@
 
     private checkRuns(ctx: CallContext, detail: string): void {
         const mayRepeat = ctx.route.idempotent && this.runs < ctx.route.maxUpstreams && !ctx.res.headersSent;
-        if (!mayRepeat || ctx.progress.signal.aborted) {
+        if (!mayRepeat || ctx.progress.isAborted) {
             throw new ProblemError("upstream_failed", "mayHaveRun", `The upstream did not answer whole: ${detail}.`);
         }
     }
--- a/packages/gateway/src/journal/turnReplication.ts
+++ b/packages/gateway/src/journal/turnReplication.ts
@@ -125,7 +125,7 @@
             }
         }
         catch (err) {
-            if (mayTakeLong && isDeadlineExceeded(askProgress.signal.reason)) {
+            if (mayTakeLong && isDeadlineExceeded(askProgress.abortReason)) {
                 lateServers.onTimeout(server.name);
             }
             this.options.log.info("failed to save copy of turn", {
--- a/packages/gateway/src/limits/limitAdmission.ts
+++ b/packages/gateway/src/limits/limitAdmission.ts
@@ -34,7 +34,7 @@
         }
         catch (err) {
             ctx.progress.throwIfAborted();
-            if (!progress.signal.aborted) {
+            if (!progress.isAborted) {
                 throw err;
             }
             throw this.refusal(this.dispatcher.expectedWaitMs(call.model, 1));
--- a/packages/gateway/src/memory/chunkedBytes.ts
+++ b/packages/gateway/src/memory/chunkedBytes.ts
@@ -11,7 +11,11 @@
     readonly length: number;
 
     private constructor(readonly chunks: readonly Buffer[]) {
-        this.length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+        let length = 0;
+        for (const chunk of chunks) {
+            length += chunk.length;
+        }
+        this.length = length;
     }
 
     /**
@@ -21,8 +25,16 @@
      * ChunkedBytes.of(history, Buffer.from("a question")).length;
      */
     static of(...parts: readonly (Buffer | ChunkedBytes)[]): ChunkedBytes {
-        const chunks = parts.flatMap(part => part instanceof ChunkedBytes ? part.chunks : [part]);
-        return new ChunkedBytes(chunks.filter(({ length }) => length > 0));
+        const chunks: Buffer[] = [];
+        for (const part of parts) {
+            if (part instanceof ChunkedBytes) {
+                chunks.push(...part.chunks);
+            }
+            else if (part.length > 0) {
+                chunks.push(part);
+            }
+        }
+        return new ChunkedBytes(chunks);
     }
 
     /** Returns the bytes from `start` to before `end`, without copying them. */
--- a/packages/gateway/src/memory/memoryRoom.ts
+++ b/packages/gateway/src/memory/memoryRoom.ts
@@ -193,7 +193,7 @@
         catch (err) {
             granted?.release();
             progress.throwIfAborted();
-            if (limit.signal.aborted) {
+            if (limit.isAborted) {
                 throw this.refusal(request, askedAt, this.expectedWaitMs(request.bytes(), askedAt));
             }
             throw err;
--- a/packages/gateway/src/peers/hedgedCall.ts
+++ b/packages/gateway/src/peers/hedgedCall.ts
@@ -45,7 +45,7 @@
             callProgress.abort(new Error("another attempt completed the call"));
         };
         const start = (): boolean => {
-            const attempt = callProgress.signal.aborted ? undefined : options.startNext(callProgress);
+            const attempt = callProgress.isAborted ? undefined : options.startNext(callProgress);
             if (attempt === undefined) {
                 return false;
             }
@@ -74,6 +74,6 @@
             }
         };
         if (!start()) {
-            finish(() => reject(progress.signal.reason));
+            finish(() => reject(progress.abortReason));
         }
     });
--- a/packages/gateway/src/peers/peerClient.ts
+++ b/packages/gateway/src/peers/peerClient.ts
@@ -134,7 +134,7 @@
         }
         catch (err) {
             if (
-                isDeadlineExceeded(progress.signal.reason) && performance.now() - (sentAt ?? startedAt) >= minSilenceMs
+                isDeadlineExceeded(progress.abortReason) && performance.now() - (sentAt ?? startedAt) >= minSilenceMs
             ) {
                 this.onNoResponse(sentAt);
             }
--- a/packages/gateway/src/peers/relayStore.ts
+++ b/packages/gateway/src/peers/relayStore.ts
@@ -146,7 +146,7 @@
             this.health.onSucceeded();
             return value;
         }, (err: unknown) => {
-            if (!isDefinitive(err) && !progress.signal.aborted) {
+            if (!isDefinitive(err) && !progress.isAborted) {
                 this.health.onFailed(err);
             }
             throw err;
@@ -166,7 +166,7 @@
             }
             return value as T;
         }, (err: unknown) => {
-            if (!progress.signal.aborted) {
+            if (!progress.isAborted) {
                 peer.onRelayFailed();
             }
             throw err;
--- a/packages/gateway/src/state/batchWriter.ts
+++ b/packages/gateway/src/state/batchWriter.ts
@@ -78,7 +78,7 @@
      * Without any, the write is allowed, so that it probes the store.
      */
     checkAvailable(): void {
-        const isProbed = this.calls > 0 || this.waiting.some(({ progress }) => !progress.signal.aborted);
+        const isProbed = this.calls > 0 || this.waiting.some(({ progress }) => !progress.isAborted);
         if (this.isUnavailable && isProbed) {
             throw notDurableError();
         }
@@ -102,7 +102,7 @@
         }
         catch (err) {
             progress.throwIfAborted();
-            throw failFast.signal.aborted ? notDurableError() : err;
+            throw failFast.isAborted ? notDurableError() : err;
         }
         finally {
             failFast.dispose();
@@ -130,7 +130,7 @@
         const batch: PendingWrite[] = [];
         const rest: PendingWrite[] = [];
         for (const write of this.waiting.splice(0)) {
-            if (write.settled || write.progress.signal.aborted) {
+            if (write.settled || write.progress.isAborted) {
                 continue;
             }
             const size = write.put.value.length;
--- a/packages/gateway/src/state/regionalStoreReader.ts
+++ b/packages/gateway/src/state/regionalStoreReader.ts
@@ -227,7 +227,7 @@
         }
         catch (err) {
             const error = asError(err).message;
-            const wasAnswered = attempt.signal.aborted && !isDeadlineExceeded(attempt.signal.reason);
+            const wasAnswered = attempt.isAborted && !isDeadlineExceeded(attempt.abortReason);
             if (!wasAnswered && !this.failedLeaders.has(peer.name)) {
                 this.failedLeaders.add(peer.name);
                 this.log.info("leading instance failed", { prefix, peer: peer.name, error });
--- a/packages/gateway/src/turns/heldConversation.ts
+++ b/packages/gateway/src/turns/heldConversation.ts
@@ -19,7 +19,7 @@
     constructor(records: readonly UsedTurn[], private readonly onReleased: () => void = () => {}) {
         this.records = records;
         this.last = lastTurnOf(records.at(-1)!.turn);
-        this.bytes = this.history.length;
+        this.bytes = records.reduce((sum, { turn }) => sum + turn.tail.length, 0);
     }
 
     /**
--- a/packages/gateway/src/upstreams/attempt.ts
+++ b/packages/gateway/src/upstreams/attempt.ts
@@ -72,20 +72,18 @@
         const abort = (reason: Error): void => active.call?.abort(reason);
         const onAbort = (): void => {
             listener.onEndedHere();
-            abort(progress.signal.reason as Error);
+            abort(progress.abortReason as Error);
         };
+        let removeListener = (): void => {};
         const finish = (result: AttemptResult): void => {
-            progress.signal.removeEventListener("abort", onAbort);
+            removeListener();
             resolve(result);
         };
         const pauses = new ReplyPauses(() => active.call);
         const listener = new AttemptListener(attempt, finish, abort, () => active.call?.markRefused(), pauses);
         attempt.sink.onFull = isFull => pauses.set("caller", isFull);
         active.call = upstream.connections.send(attempt.call, listener);
-        progress.signal.addEventListener("abort", onAbort, { once: true });
-        if (progress.signal.aborted) {
-            onAbort();
-        }
+        removeListener = progress.onAbort(onAbort);
     });
 
 /** Why a reply is not read: its caller does not read it, or there is too little memory. */
--- a/packages/gateway/src/upstreams/outputCollector.ts
+++ b/packages/gateway/src/upstreams/outputCollector.ts
@@ -39,6 +39,9 @@
     }
 
     private encode(): void {
+        if (this.textLength === 0) {
+            return;
+        }
         const chunk = Buffer.from(this.text.join(""), byteEncoding);
         this.chunks.push(chunk);
         this.encodedBytes += chunk.length;
