--- a/packages/common/src/progress.ts
+++ b/packages/common/src/progress.ts
@@ -17,7 +17,7 @@
     /** Called at the abort, in the order in which they were added. */
     private readonly listeners = new Set<() => void>();
     private abortedBy: { readonly reason: unknown; } | undefined;
-    /** Created only for what takes signals, since one costs more than all else of an operation. */
+    /** Created only for what takes signals: each call has several operations, and few of them need one. */
     private controller: AbortController | undefined;
     /** Monotonic time, so that adjustments of the wall clock do not change the deadline. */
     private readonly endsAt: number;
