Put bytes of very many pieces together without an error

Seen: on reading once more; no run of callers shows it. Callers would have got an error for a conversation or body of very many pieces. Cause: passed the pieces as arguments of one call, whose number the runtime limits. Pieces are joined or of up to 250 KB in the ways that are known, so that it takes some 100,000 small ones. Also three comments in the usual words.

--- a/packages/common/src/bundle.ts
+++ b/packages/common/src/bundle.ts
@@ -5,7 +5,7 @@
 
 const nameSchema = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, "must be lower-case letters, digits and hyphens");
 
-/** A tenant; callers authenticate with one of its keys. */
+/** A workspace; callers authenticate with one of its keys. */
 export const workspaceSchema = z.strictObject({
     /** SHA-256 digests, in hexadecimal, of the accepted keys. */
     keySha256: iniList,
--- a/packages/gateway/src/filters/responseSinks.ts
+++ b/packages/gateway/src/filters/responseSinks.ts
@@ -92,7 +92,7 @@
     onBegun: () => void = () => {};
     /** Called when the first data of a successful stream is passed on. */
     onPassedOn: () => void = () => {};
-    /** Called with the whole events of a successful stream before they are passed on; undefined if nobody needs them. */
+    /** Called with the whole events of a successful stream before they are passed on; undefined if they are not needed. */
     onEvents: ((events: readonly StreamEvent[]) => void) | undefined;
     /** The data of all whole events; undefined if it is not needed. */
     output: OutputCollector | undefined;
--- a/packages/gateway/src/memory/chunkedBytes.ts
+++ b/packages/gateway/src/memory/chunkedBytes.ts
@@ -28,7 +28,10 @@
         const chunks: Buffer[] = [];
         for (const part of parts) {
             if (part instanceof ChunkedBytes) {
-                chunks.push(...part.chunks);
+                // Not spread, since the number of arguments of a call is limited.
+                for (const chunk of part.chunks) {
+                    chunks.push(chunk);
+                }
             }
             else if (part.length > 0) {
                 chunks.push(part);
--- a/packages/gateway/src/turns/turnStore.ts
+++ b/packages/gateway/src/turns/turnStore.ts
@@ -233,7 +233,7 @@
         }
     }
 
-    /** Refuses the turn after which nobody could continue the conversation, rather than the next one. */
+    /** Refuses the turn after which the conversation could not be continued, rather than the next one. */
     private checkSize({ conversationBytes = 0 }: TurnRecord, inputBytes: number): void {
         const maxBytes = this.conversations.maxBytes - maxOutputBytes;
         if (conversationBytes + inputBytes > maxBytes) {
